--- a/agent/agent.go
+++ b/agent/agent.go
@@ -60,6 +60,9 @@
 
 	// boot names this process.
 	boot string
+	// life ends with the process; what outlives a session is bound to it.
+	life context.Context
+	end  context.CancelFunc
 
 	mu        sync.Mutex
 	admitter  *admitter.Admitter
@@ -74,14 +77,13 @@
 	known     map[string]bool
 	changed   chan struct{}
 	draining  bool
-
-	group *errgroup.Group
 }
 
 // New returns an Agent.
 func New(o Options) *Agent {
+	life, end := context.WithCancel(context.Background())
 	a := &Agent{
-		Options: o, boot: newID(), admitter: admitter.New(), leaser: leaser.New(o.Capacity, newID()),
+		Options: o, boot: newID(), life: life, end: end, admitter: admitter.New(), leaser: leaser.New(o.Capacity, newID()),
 		statuses:  map[plantainrail.AttemptRef]plantainrail.TaskStatus{},
 		exchanges: map[string]*exchange{}, kept: newKeeper(),
 		links: map[string]*link{}, known: map[string]bool{}, changed: make(chan struct{}),
@@ -101,15 +103,13 @@
 // Run serves until the context ends, and then stops at once. Call Drain first
 // for a planned stop.
 func (a *Agent) Run(ctx context.Context) error {
+	defer a.end()
 	if a.Runtime != nil {
 		if err := a.takeOver(ctx); err != nil {
 			return err
 		}
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	a.mu.Lock()
-	a.group = group
-	a.mu.Unlock()
 	server := &http.Server{Handler: a.localHandler(), ReadHeaderTimeout: callLimit}
 	group.Go(func() error {
 		if err := server.Serve(a.Listener); !errors.Is(err, http.ErrServerClosed) {
--- a/agent/exchange.go
+++ b/agent/exchange.go
@@ -23,6 +23,7 @@
 // one goroutine and read through the attached stream, which can be replaced
 // when a session is lost.
 type exchange struct {
+	life context.Context
 	open linker.Open
 
 	// flushing serializes the writers to the attached stream.
@@ -45,8 +46,8 @@
 	done     bool
 }
 
-func newExchange(open linker.Open, st *linker.Stream) *exchange {
-	return &exchange{open: open, stream: st, changed: make(chan struct{})}
+func newExchange(life context.Context, open linker.Open, st *linker.Stream) *exchange {
+	return &exchange{life: life, open: open, stream: st, changed: make(chan struct{})}
 }
 
 // notify wakes every waiter. The caller holds the lock.
@@ -99,7 +100,7 @@
 		e.ended = true
 		e.abort = err
 	})
-	e.flush(context.Background())
+	e.flush(e.life)
 }
 
 // append adds answer bytes. While no reader is attached and the buffer is full
@@ -265,7 +266,8 @@
 		sendAbort(st, plantainrail.NewError(plantainrail.CodeKeyInUse, "request %s ran; its answer is not kept", e.open.ID))
 		return
 	}
-	copied := &exchange{open: e.open, stream: st, changed: make(chan struct{}), head: head, buffer: body, ended: true}
+	copied := newExchange(e.life, e.open, st)
+	copied.head, copied.buffer, copied.ended = head, body, true
 	copied.flush(ctx)
 	st.Settle(ctx)
 }
--- a/agent/request.go
+++ b/agent/request.go
@@ -40,7 +40,7 @@
 
 // serve takes one request through admission, the target and its answer.
 func (a *Agent) serve(l *link, st *linker.Stream, f linker.Frame) {
-	e := newExchange(*f.Open, st)
+	e := newExchange(a.life, *f.Open, st)
 	decision := a.offer(l, e)
 	if decision.Err != nil {
 		sendAbort(st, decision.Err)
@@ -55,7 +55,7 @@
 		a.kept.add(e)
 	}
 	a.mu.Unlock()
-	e.settle(context.Background())
+	e.settle(a.life)
 	a.mu.Lock()
 	delete(a.exchanges, e.open.ID)
 	a.mu.Unlock()
@@ -85,7 +85,7 @@
 // awaitSlot waits while the request is queued. It returns false when the
 // request was refused or voided instead of run.
 func (a *Agent) awaitSlot(e *exchange, st *linker.Stream) bool {
-	ctx, cancel := context.WithDeadline(context.Background(), e.open.Deadline)
+	ctx, cancel := context.WithDeadline(a.life, e.open.Deadline)
 	defer cancel()
 	waiting := func() bool { return !e.admitted && e.abort == nil && !st.Over() }
 	if waiting() {
@@ -165,7 +165,7 @@
 // that its answer can be told. An answer that has begun is not stopped.
 func (a *Agent) workContext(e *exchange, st *linker.Stream) (context.Context, context.CancelFunc) {
 	o := e.open
-	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	ctx, cancel := context.WithTimeout(a.life, answerTime)
 	limit := o.Deadline
 	if !o.Idempotent {
 		limit = limit.Add(overrun)
@@ -279,7 +279,7 @@
 	case e == nil:
 		sendAbort(st, plantainrail.NewError(plantainrail.CodeUncertain, "request %s ran; its answer is no longer kept", r.ID))
 	default:
-		e.attach(context.Background(), st, r.Received, r.HasHead)
+		e.attach(a.life, st, r.Received, r.HasHead)
 	}
 }
 
@@ -310,7 +310,7 @@
 	case e == nil:
 		sendAbort(st, plantainrail.NewError(plantainrail.CodeKeyInUse, "request %s ran; its answer is not kept", r.ID))
 	default:
-		ctx, cancel := context.WithDeadline(context.Background(), e.open.Deadline.Add(overrun))
+		ctx, cancel := context.WithDeadline(a.life, e.open.Deadline.Add(overrun))
 		defer cancel()
 		e.copyTo(ctx, st)
 		st.Forget()
--- a/agent/session.go
+++ b/agent/session.go
@@ -202,9 +202,9 @@
 	case f.Start != nil:
 		a.orderStart(s, *f.Start)
 	case f.Evict != nil:
-		go a.stopTask(context.Background(), f.Evict.Ref, f.Evict.Reason)
+		go a.stopTask(a.life, f.Evict.Ref, f.Evict.Reason)
 	case f.Forget != nil:
-		go a.forgetTasks(context.Background(), f.Forget)
+		go a.forgetTasks(a.life, f.Forget)
 	case f.Leave != nil:
 		if a.leaveTarget(f.Leave.Target, f.Leave.Incarnation) {
 			_ = s.Send(linker.Frame{Left: f.Leave})
@@ -252,7 +252,7 @@
 	a.fencing = a.fencing || fence
 	a.mu.Unlock()
 	if fence {
-		go a.fence(context.Background())
+		go a.fence(a.life)
 	}
 }
 
--- a/agent/task.go
+++ b/agent/task.go
@@ -147,7 +147,7 @@
 }
 
 func (a *Agent) startTask(s *linker.Session, start plantainrail.TaskStart) {
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	ctx, cancel := context.WithTimeout(a.life, callLimit)
 	defer cancel()
 	a.mu.Lock()
 	until := a.leaser.Lease()
@@ -172,7 +172,7 @@
 // startFailed makes sure that the attempt does not run, and says so.
 func (a *Agent) startFailed(s *linker.Session, start plantainrail.TaskStart, cause error) {
 	a.Log.Warn("task not started", zap.String("task", start.Task), zap.Error(cause))
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	ctx, cancel := context.WithTimeout(a.life, callLimit)
 	defer cancel()
 	if _, err := a.Runtime.Stop(ctx, start.AttemptRef); err != nil {
 		// The runtime cannot say whether it started the attempt; the next poll
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -124,11 +124,18 @@
 
 // Drain is a planned stop's first part: the entry reports that it is not ready,
 // takes requests a little longer, and returns when every request has its
-// answer. Feeds end between two events.
+// answer. Feeds end between two events. A second call waits for the first.
 func (r *Receiver) Drain(ctx context.Context) error {
+	if r.draining.Swap(true) {
+		select {
+		case <-r.drained:
+			return nil
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "drain")
+		}
+	}
+	defer close(r.drained)
 	r.Logger.Info("drain started")
-	r.draining.Store(true)
-	close(r.drained)
 	select {
 	case <-time.After(r.DrainNotice):
 	case <-ctx.Done():
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -34,6 +34,8 @@
 	Runs map[string]int `json:"runs"`
 	// Paths holds each request's path.
 	Paths map[string]string `json:"paths"`
+	// Echoes counts the runs by the query's echo, which the caller chose.
+	Echoes map[string]int `json:"echoes"`
 	// Most is the largest number of requests that ran at once, feeds aside.
 	Most int `json:"most"`
 	// Late counts the requests that began more than the grace after the
@@ -70,7 +72,7 @@
 
 // New returns a Responder that does not announce itself yet.
 func New(o Options) *Responder {
-	return &Responder{options: o, tally: Tally{Runs: map[string]int{}, Paths: map[string]string{}}, slow: 1, stop: make(chan struct{})}
+	return &Responder{options: o, tally: Tally{Runs: map[string]int{}, Paths: map[string]string{}, Echoes: map[string]int{}}, slow: 1, stop: make(chan struct{})}
 }
 
 // SetAddress sets the address that is announced.
@@ -171,6 +173,7 @@
 	defer r.mu.Unlock()
 	t := r.tally
 	t.Runs = maps.Clone(r.tally.Runs)
+	t.Echoes = maps.Clone(r.tally.Echoes)
 	t.Paths = maps.Clone(r.tally.Paths)
 	return t
 }
@@ -214,6 +217,9 @@
 	defer r.mu.Unlock()
 	r.tally.Runs[q.Header.Get(RequestHeader)]++
 	r.tally.Paths[q.Header.Get(RequestHeader)] = q.URL.Path
+	if echo := q.URL.Query().Get("echo"); echo != "" {
+		r.tally.Echoes[echo]++
+	}
 	r.running++
 	r.tally.Most = max(r.tally.Most, r.running)
 	if !r.left.IsZero() && time.Since(r.left) > r.options.Grace {
