--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -113,9 +113,11 @@
 					return
 				}
 			},
-			"void":  func(t *rapid.T) { a.Void(now, fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "id"))) },
-			"tick":  func(*rapid.T) { now = now.Add(700 * time.Millisecond) },
-			"renew": func(*rapid.T) { a.Announce(now, plantainrail.TargetInfo{Name: "t", Incarnation: "1", Slots: slots, Connections: connections}) },
+			"void": func(t *rapid.T) { a.Void(now, fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "id"))) },
+			"tick": func(*rapid.T) { now = now.Add(700 * time.Millisecond) },
+			"renew": func(*rapid.T) {
+				a.Announce(now, plantainrail.TargetInfo{Name: "t", Incarnation: "1", Slots: slots, Connections: connections})
+			},
 			"leave": func(t *rapid.T) {
 				if rapid.IntRange(0, 20).Draw(t, "chance") == 0 {
 					a.Leave("t", "1")
--- a/agent/session.go
+++ b/agent/session.go
@@ -194,7 +194,7 @@
 	switch {
 	case f.Welcome != nil:
 		s.Step("greet")
-		a.learn(f.Welcome.Entries)
+		a.Learn(f.Welcome.Entries)
 	case f.Ack != nil:
 		a.acknowledged(h.link, *f.Ack)
 	case f.Table != nil:
@@ -225,7 +225,8 @@
 	}
 }
 
-func (a *Agent) learn(entries []string) {
+// Learn adds addresses of entries to dial.
+func (a *Agent) Learn(entries []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, e := range entries {
@@ -237,7 +238,7 @@
 }
 
 func (a *Agent) acknowledged(l *link, ack linker.Ack) {
-	a.learn(ack.Entries)
+	a.Learn(ack.Entries)
 	a.mu.Lock()
 	sent, ok := l.sentAt[ack.Sequence]
 	if !ok {
--- a/agent/task.go
+++ b/agent/task.go
@@ -169,17 +169,18 @@
 	a.Log.Info("task started", zap.String("task", start.Task), zap.Int64("attempt", start.Attempt))
 }
 
-// startFailed makes sure that the attempt does not run, and says so.
+// startFailed makes sure that the attempt does not run, and says so. The runtime
+// may have taken the start although its reply was lost, so it is asked until it
+// answers.
 func (a *Agent) startFailed(s *linker.Session, start plantainrail.TaskStart, cause error) {
 	a.Log.Warn("task not started", zap.String("task", start.Task), zap.Error(cause))
-	ctx, cancel := context.WithTimeout(a.life, callLimit)
-	defer cancel()
-	if _, err := a.Runtime.Stop(ctx, start.AttemptRef); err != nil {
-		// The runtime cannot say whether it started the attempt; the next poll
-		// that reaches it tells.
-		return
+	for !a.stopAndForget(start.AttemptRef) {
+		select {
+		case <-time.After(pollEvery):
+		case <-a.life.Done():
+			return
+		}
 	}
-	_ = a.Runtime.Forget(ctx, start.AttemptRef)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.leaser.Ended(start.AttemptRef)
@@ -187,6 +188,15 @@
 	_ = s.Send(linker.Frame{Refused: &refusal})
 }
 
+func (a *Agent) stopAndForget(ref plantainrail.AttemptRef) bool {
+	ctx, cancel := context.WithTimeout(a.life, callLimit)
+	defer cancel()
+	if _, err := a.Runtime.Stop(ctx, ref); err != nil {
+		return false
+	}
+	return a.Runtime.Forget(ctx, ref) == nil
+}
+
 // stopTask checkpoints and stops an attempt. An attempt that never came here
 // counts as released from then on, so that a late order does not start it.
 func (a *Agent) stopTask(ctx context.Context, ref plantainrail.AttemptRef, reason string) {
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -299,7 +299,7 @@
 
 // Tallies gathers what the stand-ins saw.
 func (c *Cluster) Tallies() Tallies {
-	t := Tallies{Runs: map[string]int{}, Paths: map[string]string{}}
+	t := Tallies{Runs: map[string]int{}, Paths: map[string]string{}, Lost: map[string][]time.Time{}}
 	for _, v := range c.VMs {
 		target := v.Target.Tally()
 		for id, n := range target.Runs {
@@ -312,5 +312,10 @@
 		t.Spans = append(t.Spans, tasks.Spans...)
 		t.Overcommits += tasks.Overcommits
 	}
+	for _, r := range c.Log.Records() {
+		if r.Gone != nil {
+			t.Lost[r.Gone.Worker] = append(t.Lost[r.Gone.Worker], r.Time)
+		}
+	}
 	return t
 }
--- a/assembler/cluster_test.go
+++ b/assembler/cluster_test.go
@@ -67,7 +67,7 @@
 		assert.NilError(t, c.Close())
 		// Timers that were running end; a goroutine that is stuck does not, and
 		// fails the test.
-		time.Sleep(time.Minute)
+		time.Sleep(3 * time.Minute)
 	})
 }
 
@@ -101,11 +101,13 @@
 func (w *world) within(limit time.Duration, what string, condition func() bool) {
 	w.t.Helper()
 	deadline := time.Now().Add(limit)
+	pause := 10 * time.Millisecond
 	for !condition() {
 		if time.Now().After(deadline) {
 			w.t.Fatalf("not within %v: %s", limit, what)
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(pause)
+		pause = min(pause*11/10, time.Second)
 	}
 }
 
@@ -193,3 +195,7 @@
 		assert.Assert(t, strings.Contains(got.body, "id: 5\n"), "%q", got.body)
 	})
 }
+
+func cancelTeam(team string) plantainrail.CancelRecord {
+	return plantainrail.CancelRecord{Team: team}
+}
--- a/assembler/tally.go
+++ b/assembler/tally.go
@@ -17,6 +17,8 @@
 	Cut         int
 	Spans       []worker.Span
 	Overcommits int
+	// Lost holds when the log recorded the loss of each VM.
+	Lost map[string][]time.Time
 }
 
 // RunTwice counts the requests on the path that ran more than once.
@@ -43,27 +45,40 @@
 }
 
 // Doubled counts the tasks that ran in two places at once, or started again
-// after they had finished.
-func (t Tallies) Doubled() int {
-	n := 0
+// after they had finished. A task whose VM was recorded as lost before it could
+// report the finish may start again.
+func (t Tallies) Doubled() int { return len(t.DoubledSpans()) }
+
+// DoubledSpans returns the spans of each task that Doubled counts.
+func (t Tallies) DoubledSpans() [][]worker.Span {
+	var list [][]worker.Span
 	for _, spans := range t.byTask() {
-		if doubled(spans) {
-			n++
+		if t.doubled(spans) {
+			list = append(list, spans)
 		}
 	}
-	return n
+	return list
 }
 
-func doubled(spans []worker.Span) bool {
+func (t Tallies) doubled(spans []worker.Span) bool {
 	for i := 1; i < len(spans); i++ {
 		before, after := spans[i-1], spans[i]
-		if before.Finished || before.End.IsZero() || after.Start.Before(before.End) {
+		if before.End.IsZero() || after.Start.Before(before.End) {
+			return true
+		}
+		if before.Finished && !t.lostBetween(before, after) {
 			return true
 		}
 	}
 	return false
 }
 
+func (t Tallies) lostBetween(before, after worker.Span) bool {
+	return slices.ContainsFunc(t.Lost[before.VM], func(at time.Time) bool {
+		return at.After(before.Start) && at.Before(after.Start)
+	})
+}
+
 // ResumedTwice counts the tasks of which one checkpoint was resumed twice
 // although the first of the two made progress that it released.
 func (t Tallies) ResumedTwice() int {
--- a/receiver/membership.go
+++ b/receiver/membership.go
@@ -27,7 +27,9 @@
 	// snapshotEvery is the number of records between two snapshots of the state.
 	snapshotEvery = 2000
 	// snapshotAge bounds the time between two snapshots.
-	snapshotAge   = 5 * time.Minute
+	snapshotAge = 5 * time.Minute
+	// snapshotPause is the least time between two snapshots.
+	snapshotPause = 5 * time.Second
 	proposalLimit = 3 * time.Second
 )
 
@@ -291,7 +293,7 @@
 // takeSnapshot repeats the whole state before retention can drop what counts.
 // The live entry with the lowest name does it.
 func (m *membership) takeSnapshot(now time.Time, s *reducer.State) []keyedRecord {
-	if s.SnapshotAt > 0 && s.Next-s.SnapshotAt < snapshotEvery && now.Sub(m.snapshot) < snapshotAge {
+	if !s.SnapshotDue() && s.Next-s.SnapshotAt < snapshotEvery && now.Sub(m.snapshot) < snapshotAge {
 		return nil
 	}
 	for _, name := range m.live(now) {
@@ -299,7 +301,7 @@
 			return nil
 		}
 	}
-	if now.Sub(m.snapshot) < registerEvery && s.SnapshotAt > 0 {
+	if now.Sub(m.snapshot) < snapshotPause && s.SnapshotAt > 0 {
 		return nil
 	}
 	record, err := s.Snapshot()
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -130,6 +130,8 @@
 	Tasks map[string]*Task
 	// SnapshotAt is the offset of the latest snapshot record.
 	SnapshotAt plantainrail.Offset
+	// Oldest is the lowest offset that retention was seen to keep.
+	Oldest plantainrail.Offset
 
 	// trimmed is set while records below first were dropped unread and no
 	// snapshot that covers them was found; pending holds what was read since.
--- a/reducer/snapshot.go
+++ b/reducer/snapshot.go
@@ -77,15 +77,24 @@
 // Trim makes the state incomplete when retention dropped records that it never
 // read. It stays so until a snapshot comes that covers them, or Forsake.
 func (s *State) Trim(oldest plantainrail.Offset) {
+	s.Oldest = max(s.Oldest, oldest)
 	if oldest <= s.Next {
 		return
 	}
 	*s = *New()
+	s.Oldest = oldest
 	s.trimmed = true
 	s.first = oldest
 	s.Next = oldest
 }
 
+// SnapshotDue tells whether the latest snapshot has come into the older half of
+// what retention keeps, or was never written.
+func (s *State) SnapshotDue() bool {
+	kept := s.Next - s.Oldest
+	return s.SnapshotAt == 0 || (s.Oldest > 0 && s.SnapshotAt-s.Oldest < kept/2)
+}
+
 // Complete tells whether the state holds all that the log ever said.
 func (s *State) Complete() bool { return !s.trimmed }
 
@@ -104,8 +113,9 @@
 	if err != nil {
 		return rejected(plantainrail.CodeInternal, "%v", err)
 	}
-	pending := append(s.pending, r)
+	pending, oldest := append(s.pending, r), s.Oldest
 	*s = *fresh
+	s.Oldest = oldest
 	s.pending = pending
 	s.replay(r.Snapshot.AsOf)
 	return accepted
