Make the frozen-agent proof outlast its lease

Cause: with the lease passed to the runtime set to an hour, the proof still passed. The tasks took 9 s and finished before the 12.5 s after which they run elsewhere. Change: they take 17 s. Before: the fault was not seen; after: 2 tasks overlap by 0.1 s with the lease of an hour, and none with the real one.

--- a/assembler/fault_test.go
+++ b/assembler/fault_test.go
@@ -59,7 +59,7 @@
 		}()
 	}, nil},
 	{"target leaves", true, func(w *world, v *assembler.VM) { _ = v.Target.Leave(w.ctx) }, nil},
-	{"target returns anew", true, func(w *world, v *assembler.VM) { v.Target.SetIncarnation("2") }, nil},
+	{"target returns anew", true, func(_ *world, v *assembler.VM) { v.Target.SetIncarnation("2") }, nil},
 }
 
 // apply injects a fault and heals it later.
--- a/assembler/task_test.go
+++ b/assembler/task_test.go
@@ -194,7 +194,7 @@
 	"the zone loses one entry":   func(w *world, v *assembler.VM) { w.net.set(pair(v.Name, "entry-1"), deaf) },
 	"the zone's links are slow":  func(w *world, _ *assembler.VM) { w.net.setDelay(200 * time.Millisecond) },
 	"the zone's agent restarts":  func(w *world, v *assembler.VM) { w.KillAgent(v); restartAgent(w, v) },
-	"the log goes down after it": func(w *world, _ *assembler.VM) {},
+	"the log goes down after it": func(_ *world, _ *assembler.VM) {},
 }
 
 func TestNothingStartsInAZoneThatIsOut(t *testing.T) {
--- a/cmd/plantainrail/fault_test.go
+++ b/cmd/plantainrail/fault_test.go
@@ -286,7 +286,7 @@
 	t.Parallel()
 	p := newPlant(t, 2, 2, nil)
 	ctx := context.Background()
-	_, err := p.entryClients[0].Submit(ctx, receiver.JobSubmission{ID: "job", Kind: "rebuild", Team: "rota", Tasks: 4, Work: 9000})
+	_, err := p.entryClients[0].Submit(ctx, receiver.JobSubmission{ID: "job", Kind: "rebuild", Team: "rota", Tasks: 4, Work: 17_000})
 	assert.NilError(t, err)
 	eventually(t, "running on both", func() bool { return p.spansOn(t, "vm-0") == 2 && p.spansOn(t, "vm-1") == 2 })
 	assert.NilError(t, p.agentCommands[0].Process.Signal(syscall.SIGSTOP))
