Reckon with the age of attempts under way when choosing a target

Cause: noisy-wave misses its bound through the kind that is not idempotent (p99 161 ms; the hedged kind has 20 ms). A target's mean latency changes only when an answer arrives, so more requests follow into a target that has just slowed. Ruled out: queueing (load is 4 % of capacity) and retries (1.04 sends per request).

--- a/router/router.go
+++ b/router/router.go
@@ -16,6 +16,9 @@
 const (
 	// latencyWeight is the weight of a new sample in a target's mean latency.
 	latencyWeight = 0.2
+	// latencyHalfLife is the time in which an idle target's mean latency halves.
+	latencyHalfLife = time.Second
+	maxHalvings     = 20
 	// failureLimit is the number of failures in a row that eject a target.
 	failureLimit = 3
 	// ejectBase is the length of a first ejection; it doubles up to ejectMax.
@@ -59,12 +62,15 @@
 )
 
 type target struct {
-	view     plantainrail.TargetView
-	state    charter.State
-	since    time.Time
-	until    time.Time
-	sent     int
-	latency  time.Duration
+	view  plantainrail.TargetView
+	state charter.State
+	since time.Time
+	until time.Time
+	// sent holds when each attempt under way was sent, the oldest first.
+	sent    []time.Time
+	latency time.Duration
+	// sampled is when the latency was last noted.
+	sampled  time.Time
 	samples  int
 	failures int
 	ejected  int
@@ -191,13 +197,26 @@
 
 // load is the larger of what this entry has there and what the agent reports.
 func (t *target) load() int {
-	return max(t.sent, t.view.Running+t.view.Queued)
+	return max(len(t.sent), t.view.Running+t.view.Queued)
+}
+
+// expected is the latency to reckon with: the mean, which fades while nothing
+// is sent there, or the age of the oldest attempt under way if that is more. An
+// answer that is late tells of a slow target before it arrives.
+func (t *target) expected(now time.Time) time.Duration {
+	latency := t.latency
+	if idle := now.Sub(t.sampled); latency > 0 && idle > 0 {
+		latency >>= min(idle/latencyHalfLife, maxHalvings)
+	}
+	if len(t.sent) > 0 {
+		latency = max(latency, now.Sub(t.sent[0]))
+	}
+	return max(latency, time.Millisecond)
 }
 
 // score estimates the wait at a target; lower is better.
 func (r *Router) score(now time.Time, t *target) float64 {
-	latency := max(t.latency, time.Millisecond)
-	score := float64(t.load()+1) / float64(max(t.view.Info.Slots, 1)) * float64(latency)
+	score := float64(t.load()+1) / float64(max(t.view.Info.Slots, 1)) * float64(t.expected(now))
 	if t.view.Zone != r.zone {
 		score *= otherZone
 	}
@@ -209,10 +228,20 @@
 }
 
 // Sent implements plantainrail.Router.
-func (r *Router) Sent(_ time.Time, name string) {
+func (r *Router) Sent(now time.Time, name string) {
 	r.budget = min(r.budget+budgetShare, budgetMax)
 	if t, ok := r.targets[name]; ok {
-		t.sent++
+		t.sent = append(t.sent, now)
+	}
+}
+
+// ended drops the attempt that was sent last at or before the instant.
+func (t *target) ended(sent time.Time) {
+	for i := len(t.sent) - 1; i >= 0; i-- {
+		if !t.sent[i].After(sent) || i == 0 {
+			t.sent = slices.Delete(t.sent, i, i+1)
+			return
+		}
 	}
 }
 
@@ -222,11 +251,11 @@
 	if !ok {
 		return
 	}
-	t.sent = max(t.sent-1, 0)
+	t.ended(now.Add(-took))
 	switch result {
 	case plantainrail.ResultAnswered:
 		t.failures = 0
-		t.note(took)
+		t.note(now, took)
 		r.noteKinds(t, took)
 		if r.lags(t) {
 			r.eject(now, t)
@@ -234,7 +263,7 @@
 	case plantainrail.ResultAbandoned:
 		// An attempt that was given up took at least this long.
 		if took > t.latency {
-			t.note(took)
+			t.note(now, took)
 		}
 	case plantainrail.ResultFailed:
 		t.failures++
@@ -244,7 +273,8 @@
 	}
 }
 
-func (t *target) note(took time.Duration) {
+func (t *target) note(now time.Time, took time.Duration) {
+	t.sampled = now
 	t.samples++
 	if t.latency == 0 {
 		t.latency = took
@@ -350,7 +380,7 @@
 	var list []TargetState
 	for _, t := range r.targets {
 		r.advance(now, t)
-		list = append(list, TargetState{t.view, t.state, t.sent, t.latency})
+		list = append(list, TargetState{t.view, t.state, len(t.sent), t.latency})
 	}
 	slices.SortFunc(list, func(a, b TargetState) int {
 		if a.View.Info.Name < b.View.Info.Name {
