--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -268,6 +268,9 @@
 	})
 }
 
+// TargetAddress returns the address of the VM's target.
+func (v *VM) TargetAddress() string { return v.targetAt }
+
 // KillAgent ends a VM's agent at once, as SIGKILL does. The target and the
 // runtime go on.
 func (c *Cluster) KillAgent(v *VM) {
--- a/bencher/slope.go
+++ b/bencher/slope.go
@@ -1,6 +1,276 @@
 package bencher
 
-import "context"
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
 
-// Slopes measures.
-func Slopes(context.Context) (any, error) { return nil, nil }
+	"github.com/pkg/errors"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/assembler"
+	"github.com/plantainrail/plantainrail/caller"
+	"github.com/plantainrail/plantainrail/parser"
+	"github.com/plantainrail/plantainrail/receiver"
+	"github.com/plantainrail/plantainrail/reducer"
+)
+
+// Slope is a cost that grows with a size, fitted by least squares over at least
+// four sizes.
+type Slope struct {
+	Name string `json:"name"`
+	// Unit is the unit of the cost.
+	Unit  string    `json:"unit"`
+	Per   string    `json:"per"`
+	Sizes []float64 `json:"sizes"`
+	Costs []float64 `json:"costs"`
+	// Slope and Base are the fit: cost = Base + Slope * size.
+	Slope float64 `json:"slope"`
+	Base  float64 `json:"base"`
+	// Residual is the root mean square of the relative errors of the fit.
+	Residual float64 `json:"residual"`
+}
+
+// Slopes measures what the parts cost on this machine.
+func Slopes(ctx context.Context) ([]Slope, error) {
+	slopes := []Slope{foldTime(), stateBytes(), snapshotBytes(), parseTime()}
+	idle, err := sessionCosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	slopes = append(slopes, idle...)
+	request, err := requestCosts(ctx)
+	return append(slopes, request...), err
+}
+
+func fit(s Slope) Slope {
+	n := float64(len(s.Sizes))
+	var sx, sy, sxx, sxy float64
+	for i, x := range s.Sizes {
+		y := s.Costs[i]
+		sx, sy, sxx, sxy = sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	s.Slope = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	s.Base = (sy - s.Slope*sx) / n
+	var squares float64
+	for i, x := range s.Sizes {
+		relative := (s.Costs[i] - s.Base - s.Slope*x) / math.Max(math.Abs(s.Costs[i]), 1e-9)
+		squares += relative * relative
+	}
+	s.Residual = math.Sqrt(squares / n)
+	return s
+}
+
+// over measures a cost at each size.
+func over(s Slope, sizes []int, cost func(int) float64) Slope {
+	for _, size := range sizes {
+		s.Sizes = append(s.Sizes, float64(size))
+		s.Costs = append(s.Costs, cost(size))
+	}
+	return fit(s)
+}
+
+var taskSizes = []int{2000, 4000, 8000, 12_000, 16_000}
+
+// filled returns the fold of a log in which the tasks were assigned.
+func filled(tasks int) *reducer.State {
+	s := reducer.New()
+	var at plantainrail.Offset
+	add := func(r plantainrail.Record) {
+		r.Offset = at
+		r.ID = fmt.Sprintf("%024d", at)
+		r.Time = time.Now()
+		at++
+		s.Apply(r)
+	}
+	const perJob = 4
+	for j := range tasks / perJob {
+		job := fmt.Sprintf("job-%08d", j)
+		add(plantainrail.Record{Job: &plantainrail.JobRecord{ID: job, Kind: "rebuild", Team: fmt.Sprint(j % 280), Tasks: perJob}})
+		for i := range perJob {
+			ref := plantainrail.AttemptRef{Task: assembler.TaskID(job, i), Attempt: 1}
+			worker := fmt.Sprintf("vm-%d", j%660)
+			add(plantainrail.Record{Task: &plantainrail.TaskRecord{AttemptRef: ref, Step: plantainrail.StepAssign, Worker: worker, Incarnation: "1"}})
+		}
+	}
+	return s
+}
+
+func foldTime() Slope {
+	return over(Slope{Name: "fold of the log", Unit: "ms", Per: "assigned task"}, taskSizes, func(n int) float64 {
+		start := time.Now()
+		filled(n)
+		return float64(time.Since(start)) / float64(time.Millisecond)
+	})
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / 1024
+}
+
+func stateBytes() Slope {
+	return over(Slope{Name: "memory of the fold", Unit: "KiB", Per: "assigned task"}, taskSizes, func(n int) float64 {
+		before := heap()
+		s := filled(n)
+		after := heap()
+		runtime.KeepAlive(s)
+		return after - before
+	})
+}
+
+func snapshotBytes() Slope {
+	return over(Slope{Name: "snapshot record", Unit: "KiB", Per: "assigned task"}, taskSizes, func(n int) float64 {
+		record, err := filled(n).Snapshot()
+		if err != nil {
+			return math.NaN()
+		}
+		return float64(len(record.State)) / 1024
+	})
+}
+
+func parseTime() Slope {
+	const repeats = 20
+	return over(Slope{Name: "reading a table", Unit: "ms", Per: "row"}, []int{100, 200, 400, 800}, func(n int) float64 {
+		var t plantainrail.Table
+		for i := range n {
+			t.Kinds = append(t.Kinds, plantainrail.Kind{Name: fmt.Sprintf("kind-%d", i), Class: plantainrail.ClassBatch, Weight: 1, DeadlineMS: 1000})
+		}
+		csv := parser.Format(t)
+		start := time.Now()
+		for range repeats {
+			_, _ = parser.Parse(csv)
+		}
+		return float64(time.Since(start)) / float64(time.Millisecond) / repeats
+	})
+}
+
+// processorTime returns the process's processor time so far, in ms.
+func processorTime() float64 {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return float64(u.Utime.Nano()+u.Stime.Nano()) / float64(time.Millisecond)
+}
+
+func smallCluster(ctx context.Context, agents int) (*assembler.Cluster, error) {
+	return assembler.New(ctx, assembler.Options{
+		Network: assembler.Loopback{}, Entries: 1, Zones: []assembler.Zone{{Name: "a", Agents: agents}},
+		Kinds: []string{"match"}, Slots: 8, Connections: 64, Capacity: plantainrail.Resources{Processors: 32_000, Memory: 64_000},
+	})
+}
+
+func awaitTargets(ctx context.Context, c *assembler.Cluster, agents int) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for c.Entries[0].TargetCount() < agents {
+		select {
+		case <-ctx.Done():
+			return errors.New("the agents did not come up")
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+// idleLength is how long idle sessions are watched.
+const idleLength = 4 * time.Second
+
+// sessionCosts watches idle sessions: bytes of frames both ways, and processor
+// time of both ends with the target's announcements.
+func sessionCosts(ctx context.Context) ([]Slope, error) {
+	traffic := Slope{Name: "idle sessions, frames both ways", Unit: "B/s", Per: "session"}
+	processor := Slope{Name: "idle agents with entry and stand-ins", Unit: "ms/s", Per: "agent"}
+	memory := Slope{Name: "idle agents with entry and stand-ins", Unit: "KiB", Per: "agent"}
+	for _, agents := range []int{5, 10, 20, 40} {
+		before := heap()
+		c, err := smallCluster(ctx, agents)
+		if err != nil {
+			return nil, err
+		}
+		if err := awaitTargets(ctx, c, agents); err != nil {
+			return nil, err
+		}
+		time.Sleep(idleLength / 4)
+		bytes, used := c.Entries[0].Traffic(), processorTime()
+		time.Sleep(idleLength)
+		size := float64(agents)
+		seconds := idleLength.Seconds()
+		traffic.Sizes, traffic.Costs = append(traffic.Sizes, size), append(traffic.Costs, float64(c.Entries[0].Traffic()-bytes)/seconds)
+		processor.Sizes, processor.Costs = append(processor.Sizes, size), append(processor.Costs, (processorTime()-used)/seconds)
+		memory.Sizes, memory.Costs = append(memory.Sizes, size), append(memory.Costs, heap()-before)
+		if err := c.Close(); err != nil {
+			return nil, err
+		}
+	}
+	return []Slope{fit(traffic), fit(processor), fit(memory)}, nil
+}
+
+// requestCosts sends small requests through an entry and an agent, and straight
+// to the target, from the same callers.
+func requestCosts(ctx context.Context) ([]Slope, error) {
+	c, err := smallCluster(ctx, 1)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if err := awaitTargets(ctx, c, 1); err != nil {
+		return nil, err
+	}
+	entry := c.Entries[0]
+	if _, err := caller.New(entry.Address, "", nil).Publish(ctx, receiver.Publish{CSV: "kind,path,class,queue,deadline_ms\nmatch,/match,latency-critical,64,20000\n"}); err != nil {
+		return nil, errors.Wrap(err, "publish")
+	}
+	for entry.Table().Revision == 0 {
+		time.Sleep(readyPoll)
+	}
+	client := c.Client("caller")
+	through, direct := "http://"+entry.Address+"/match", "http://"+c.VMs[0].TargetAddress()+"/match"
+	hammer(client, through, 2000, 16)
+	hammer(client, direct, 2000, 16)
+	sizes := []int{2000, 4000, 8000, 12_000}
+	list := []Slope{}
+	for _, w := range []struct {
+		name, url string
+		workers   int
+	}{{"requests through entry and agent, 16 callers", through, 16}, {"requests straight to the target, 16 callers", direct, 16}, {"requests through entry and agent, 1 caller", through, 1}, {"requests straight to the target, 1 caller", direct, 1}} {
+		list = append(list, over(Slope{Name: w.name, Unit: "ms", Per: "request"}, sizes, func(n int) float64 { return hammer(client, w.url, n, w.workers) }))
+	}
+	list = append(list, over(Slope{Name: "processor time of requests with their callers", Unit: "ms", Per: "request"}, sizes, func(n int) float64 {
+		before := processorTime()
+		hammer(client, through, n, 16)
+		return processorTime() - before
+	}))
+	return list, nil
+}
+
+// hammer sends requests from callers that wait for each answer, and returns
+// the time that all took in ms.
+func hammer(client *http.Client, url string, total, callers int) float64 {
+	start := time.Now()
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for range total / callers {
+				response, err := client.Post(url, "text/plain", strings.NewReader("slot"))
+				if err != nil {
+					continue
+				}
+				buffer := make([]byte, 512)
+				for err == nil {
+					_, err = response.Body.Read(buffer)
+				}
+				_ = response.Body.Close()
+			}
+		})
+	}
+	group.Wait()
+	return float64(time.Since(start)) / float64(time.Millisecond)
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -226,6 +226,18 @@
 	return n
 }
 
+// Traffic returns the bytes of messages on the open sessions, both ways.
+func (r *Receiver) Traffic() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var total int64
+	for _, p := range r.peers {
+		sent, received := p.session.Traffic()
+		total += sent + received
+	}
+	return total
+}
+
 // Follower returns the entry's view of the log.
 func (r *Receiver) Follower() *follower.Follower { return r.follower }
 
--- a/router/router.go
+++ b/router/router.go
@@ -153,11 +153,14 @@
 	if len(candidates) == 0 {
 		return plantainrail.TargetView{}, false
 	}
-	best := candidates[r.random.IntN(len(candidates))]
+	first := r.random.IntN(len(candidates))
+	best := candidates[first]
 	if len(candidates) > 1 {
-		other := candidates[r.random.IntN(len(candidates))]
-		if r.score(now, other) < r.score(now, best) {
-			best = other
+		// A second choice that may fall on the first one again would leave a
+		// slow target its share of such pairs.
+		second := (first + 1 + r.random.IntN(len(candidates)-1)) % len(candidates)
+		if r.score(now, candidates[second]) < r.score(now, best) {
+			best = candidates[second]
 		}
 	}
 	return best.view, true
