--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,77 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+func vm(name, zone string, processors int) *Worker {
+	size := plantainrail.Resources{Processors: processors, Memory: 1000}
+	return &Worker{Name: name, Zone: zone, Capacity: size, Free: size, ByKind: map[string]int{}}
+}
+
+func task(id string, processors int) Task {
+	return Task{ID: id, Kind: plantainrail.Kind{Name: "rebuild", QuietTasks: -1}, Resources: plantainrail.Resources{Processors: processors, Memory: 1}}
+}
+
+func TestQuietHourCapHoldsByZone(t *testing.T) {
+	quiet := task("t", 1)
+	quiet.Kind.QuietFrom, quiet.Kind.QuietTo, quiet.Kind.QuietTasks = 8*60, 13*60, 2
+	workers := []*Worker{vm("a", "z", 100), vm("b", "z", 100)}
+	placed := 0
+	for _, p := range Place(noon, []Task{quiet, quiet, quiet, quiet}, workers) {
+		if p.Worker == "" {
+			assert.Equal(t, p.Reason, "the quiet-hour cap is reached")
+			continue
+		}
+		placed++
+	}
+	assert.Equal(t, placed, 2)
+	for _, p := range Place(noon.Add(2*time.Hour), []Task{quiet}, workers) {
+		assert.Assert(t, p.Worker != "", "after the quiet hours")
+	}
+}
+
+func TestQuarantine(t *testing.T) {
+	workers := []*Worker{vm("bad", "z", 100), vm("a", "z", 10), vm("b", "z", 10), vm("c", "z", 10)}
+	workers[0].Failures = 9
+	workers[1].Failures = 1
+	assert.Assert(t, Place(noon, []Task{task("t", 1)}, workers)[0].Worker != "bad")
+	for _, w := range workers {
+		w.Failures = 9
+	}
+	assert.Equal(t, len(quarantined(workers)), 0, "a fault of the tasks sets no worker aside")
+}
+
+// TestAnyPlacementFits checks that no worker gets more than it has, whatever the
+// tasks, and that urgent tasks come first.
+func TestAnyPlacementFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers := []*Worker{vm("a", "x", 10), vm("b", "x", 7), vm("c", "y", 3)}
+		var tasks []Task
+		sizes := map[string]int{}
+		for i := range rapid.IntRange(0, 20).Draw(t, "tasks") {
+			id := string(rune('a' + i))
+			sizes[id] = rapid.IntRange(1, 12).Draw(t, "size")
+			next := task(id, sizes[id])
+			next.Urgent = rapid.Bool().Draw(t, "urgent")
+			tasks = append(tasks, next)
+		}
+		used := map[string]int{}
+		for _, p := range Place(noon, tasks, workers) {
+			used[p.Worker] += sizes[p.Task]
+		}
+		for _, w := range workers {
+			if used[w.Name] > w.Capacity.Processors {
+				t.Fatalf("%s got %d of %d", w.Name, used[w.Name], w.Capacity.Processors)
+			}
+		}
+	})
+}
