--- /dev/null
+++ b/receiver/operator_entry.go
@@ -0,0 +1,41 @@
+package receiver
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/reducer"
+)
+
+// EntryReply describes one entry.
+type EntryReply struct {
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+	Live        bool   `json:"live"`
+}
+
+func (r *Receiver) getEntries(w http.ResponseWriter, _ *http.Request) error {
+	list := []EntryReply{}
+	r.sched.mu.Lock()
+	live := slices.Clone(r.sched.live)
+	r.sched.mu.Unlock()
+	r.follower.View(func(s *reducer.State) {
+		for _, e := range s.Entries {
+			list = append(list, EntryReply{e.Name, e.Zone, e.Address, e.Incarnation, slices.Contains(live, e.Name)})
+		}
+	})
+	slices.SortFunc(list, func(a, b EntryReply) int { return strings.Compare(a.Name, b.Name) })
+	return reply(w, list)
+}
+
+func (r *Receiver) getRequest(w http.ResponseWriter, q *http.Request) error {
+	a, ok := r.requests.find(q.PathValue("id"))
+	if !ok {
+		return plantainrail.NewError(plantainrail.CodeNotFound, "request %s is not remembered by entry %s", q.PathValue("id"), r.Name)
+	}
+	return reply(w, a)
+}
--- /dev/null
+++ b/receiver/operator_job.go
@@ -0,0 +1,147 @@
+package receiver
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/follower"
+	"github.com/plantainrail/plantainrail/reducer"
+)
+
+// JobSubmission is a call to submit a job. ID makes a repeated call harmless.
+type JobSubmission struct {
+	ID   string `json:"id"`
+	Kind string `json:"kind"`
+	Team string `json:"team"`
+	// Tasks is the number of tasks; Work is the declared run time of each in ms.
+	Tasks  int  `json:"tasks"`
+	Work   int  `json:"work"`
+	Urgent bool `json:"urgent"`
+}
+
+const (
+	maxTasks = 10_000
+	maxWork  = 7 * 24 * 60 * 60 * 1000
+)
+
+func (r *Receiver) postJob(w http.ResponseWriter, q *http.Request) error {
+	in, err := read[JobSubmission](q)
+	if err != nil {
+		return err
+	}
+	record, err := r.jobRecord(in)
+	if err != nil {
+		return err
+	}
+	if err := r.decide(q.Context(), plantainrail.Record{Type: plantainrail.RecordJob, Job: &record}); err != nil {
+		return err
+	}
+	r.sched.wakeUp()
+	return r.replyJob(w, record.ID)
+}
+
+func (r *Receiver) jobRecord(in JobSubmission) (plantainrail.JobRecord, error) {
+	kind, ok := r.Table().Kind(in.Kind)
+	switch {
+	case !ok:
+		return plantainrail.JobRecord{}, plantainrail.NewError(plantainrail.CodeUnknownKind, "kind %q", in.Kind)
+	case in.Tasks < 1 || in.Tasks > maxTasks:
+		return plantainrail.JobRecord{}, plantainrail.NewError(plantainrail.CodeJobInvalid, "tasks must be from 1 to %d", maxTasks)
+	case in.Work < 0 || in.Work > maxWork:
+		return plantainrail.JobRecord{}, plantainrail.NewError(plantainrail.CodeJobInvalid, "work must be from 0 to %d ms", maxWork)
+	case strings.Contains(in.ID, "/"):
+		return plantainrail.JobRecord{}, plantainrail.NewError(plantainrail.CodeJobInvalid, "an ID holds no slash")
+	}
+	if in.ID == "" {
+		in.ID = follower.NewID()
+	}
+	record := plantainrail.JobRecord{
+		ID: in.ID, Kind: in.Kind, Team: in.Team, Tasks: in.Tasks, Work: in.Work, Urgent: in.Urgent, Resources: kind.Resources,
+	}
+	if quota, ok := kind.Quota(in.Team); ok {
+		record.Quota = &quota
+	}
+	return record, nil
+}
+
+// TaskReply describes one task.
+type TaskReply struct {
+	ID        string `json:"id"`
+	State     string `json:"state"`
+	Attempt   int64  `json:"attempt"`
+	Worker    string `json:"worker,omitempty"`
+	Evictions int    `json:"evictions"`
+	Failures  int    `json:"failures"`
+	Reason    string `json:"reason,omitempty"`
+}
+
+// JobReply describes one job.
+type JobReply struct {
+	plantainrail.JobRecord
+	Done   bool           `json:"done"`
+	States map[string]int `json:"states"`
+	Detail []TaskReply    `json:"detail,omitempty"`
+}
+
+func (r *Receiver) getJob(w http.ResponseWriter, q *http.Request) error {
+	return r.replyJob(w, q.PathValue("id"))
+}
+
+func (r *Receiver) replyJob(w http.ResponseWriter, id string) error {
+	var out JobReply
+	found := false
+	r.follower.View(func(s *reducer.State) {
+		j, ok := s.Jobs[id]
+		if !ok {
+			return
+		}
+		found = true
+		out = r.describe(j)
+		for _, t := range j.Tasks {
+			reason := t.Reason
+			if why := r.sched.reason(t.ID); why != "" && t.State == reducer.TaskWaiting {
+				reason = why
+			}
+			out.Detail = append(out.Detail, TaskReply{t.ID, string(t.State), t.Attempt, t.Worker, t.Evictions, t.Failures, reason})
+		}
+	})
+	if !found {
+		return plantainrail.NewError(plantainrail.CodeNotFound, "job %s", id)
+	}
+	return reply(w, out)
+}
+
+func (r *Receiver) describe(j *reducer.Job) JobReply {
+	out := JobReply{JobRecord: j.JobRecord, Done: j.Done(), States: map[string]int{}}
+	for _, t := range j.Tasks {
+		out.States[string(t.State)]++
+	}
+	return out
+}
+
+func (r *Receiver) getJobs(w http.ResponseWriter, _ *http.Request) error {
+	list := []JobReply{}
+	offsets := map[string]plantainrail.Offset{}
+	r.follower.View(func(s *reducer.State) {
+		for _, j := range s.Jobs {
+			list = append(list, r.describe(j))
+			offsets[j.ID] = j.Offset
+		}
+	})
+	slices.SortFunc(list, func(a, b JobReply) int { return int(offsets[a.ID] - offsets[b.ID]) })
+	return reply(w, list)
+}
+
+func (r *Receiver) cancelJobs(w http.ResponseWriter, q *http.Request) error {
+	in, err := read[plantainrail.CancelRecord](q)
+	if err != nil {
+		return err
+	}
+	if err := r.decide(q.Context(), plantainrail.Record{Type: plantainrail.RecordCancel, Cancel: &in}); err != nil {
+		return err
+	}
+	r.sched.wakeUp()
+	return reply(w, in)
+}
--- /dev/null
+++ b/receiver/operator_table.go
@@ -0,0 +1,68 @@
+package receiver
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/parser"
+	"github.com/plantainrail/plantainrail/reducer"
+)
+
+// TableReply is the table in force.
+type TableReply struct {
+	Revision int64     `json:"revision"`
+	Editor   string    `json:"editor,omitempty"`
+	Time     time.Time `json:"time"`
+	CSV      string    `json:"csv"`
+}
+
+func (r *Receiver) getTable(w http.ResponseWriter, _ *http.Request) error {
+	var latest reducer.Revision
+	r.follower.View(func(s *reducer.State) { latest = s.Table })
+	r.mu.Lock()
+	out := TableReply{Revision: r.table.Revision, CSV: string(r.table.csv)}
+	r.mu.Unlock()
+	if latest.Revision == out.Revision {
+		out.Editor = latest.Editor
+		out.Time = latest.Time
+	}
+	return reply(w, out)
+}
+
+func (r *Receiver) getHistory(w http.ResponseWriter, _ *http.Request) error {
+	list := []TableReply{}
+	r.follower.View(func(s *reducer.State) {
+		for _, h := range s.History {
+			list = append(list, TableReply{h.Revision, h.Editor, h.Time, string(h.CSV)})
+		}
+	})
+	return reply(w, list)
+}
+
+// Publish is an operator's call to publish a table. ID makes a repeated call
+// harmless.
+type Publish struct {
+	ID     string `json:"id"`
+	Base   int64  `json:"base"`
+	CSV    string `json:"csv"`
+	Editor string `json:"editor"`
+}
+
+func (r *Receiver) publishTable(w http.ResponseWriter, q *http.Request) error {
+	in, err := read[Publish](q)
+	if err != nil {
+		return err
+	}
+	if _, err := parser.Parse([]byte(in.CSV)); err != nil {
+		return err
+	}
+	record := plantainrail.TableRecord{Revision: in.Base + 1, Base: in.Base, CSV: []byte(in.CSV), Editor: in.Editor}
+	if err := r.decide(q.Context(), plantainrail.Record{ID: in.ID, Type: plantainrail.RecordTable, Table: &record}); err != nil {
+		return err
+	}
+	r.Logger.Info("table published", zap.Int64("revision", record.Revision), zap.String("editor", in.Editor))
+	return reply(w, TableReply{Revision: record.Revision, Editor: in.Editor, Time: time.Now(), CSV: in.CSV})
+}
--- /dev/null
+++ b/receiver/operator_zone.go
@@ -0,0 +1,94 @@
+package receiver
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/reducer"
+)
+
+// ZoneReply describes one availability zone.
+type ZoneReply struct {
+	Zone  string `json:"zone"`
+	Out   bool   `json:"out"`
+	Epoch int64  `json:"epoch"`
+	// Agents and Tasks count what is there.
+	Agents int `json:"agents"`
+	Tasks  int `json:"tasks"`
+}
+
+func (r *Receiver) zones() map[string]*ZoneReply {
+	zones := map[string]*ZoneReply{}
+	find := func(name string) *ZoneReply {
+		if zones[name] == nil {
+			zones[name] = &ZoneReply{Zone: name}
+		}
+		return zones[name]
+	}
+	agentZones := map[string]string{}
+	r.mu.Lock()
+	for name, p := range r.peers {
+		find(p.hello.Zone).Agents++
+		agentZones[name] = p.hello.Zone
+	}
+	r.mu.Unlock()
+	r.follower.View(func(s *reducer.State) {
+		for name, z := range s.Zones {
+			find(name).Out = z.Out
+			find(name).Epoch = z.Epoch
+		}
+		for _, t := range s.Tasks {
+			if zone, ok := agentZones[t.Worker]; ok {
+				find(zone).Tasks++
+			}
+		}
+	})
+	return zones
+}
+
+func (r *Receiver) getZones(w http.ResponseWriter, _ *http.Request) error {
+	list := []ZoneReply{}
+	for _, z := range r.zones() {
+		list = append(list, *z)
+	}
+	slices.SortFunc(list, func(a, b ZoneReply) int { return strings.Compare(a.Zone, b.Zone) })
+	return reply(w, list)
+}
+
+// ZoneChange is an operator's call to take a zone out or bring it back. Epoch
+// is the epoch that the operator saw; without one the current epoch is taken.
+type ZoneChange struct {
+	Zone     string `json:"zone"`
+	Out      bool   `json:"out"`
+	Epoch    *int64 `json:"epoch,omitempty"`
+	Operator string `json:"operator"`
+}
+
+func (r *Receiver) postZone(w http.ResponseWriter, q *http.Request) error {
+	in, err := read[ZoneChange](q)
+	if err != nil {
+		return err
+	}
+	if in.Zone == "" {
+		return plantainrail.NewError(plantainrail.CodeBadRequest, "zone is empty")
+	}
+	var base int64
+	r.follower.View(func(s *reducer.State) { base = s.Zones[in.Zone].Epoch })
+	if in.Epoch != nil {
+		base = *in.Epoch
+	}
+	record := plantainrail.ZoneRecord{Zone: in.Zone, Out: in.Out, Base: base, Operator: in.Operator}
+	if err := r.decide(q.Context(), plantainrail.Record{Type: plantainrail.RecordZone, Zone: &record}); err != nil {
+		return err
+	}
+	r.Logger.Info("zone changed", zap.String("zone", in.Zone), zap.Bool("out", in.Out), zap.String("operator", in.Operator))
+	z, ok := r.zones()[in.Zone]
+	if !ok {
+		z = &ZoneReply{Zone: in.Zone, Out: in.Out, Epoch: base + 1}
+	}
+	return reply(w, z)
+}
