--- a/router/router.go
+++ b/router/router.go
@@ -205,13 +205,14 @@
 
 // expected is the latency to reckon with: the mean, which fades while nothing
 // is sent there, or the age of the oldest attempt under way if that is more. An
-// answer that is late tells of a slow target before it arrives.
+// answer that is late tells of a slow target before it arrives, unless the
+// target's queue explains the wait.
 func (t *target) expected(now time.Time) time.Duration {
 	latency := t.latency
 	if idle := now.Sub(t.sampled); latency > 0 && idle > 0 {
 		latency >>= min(idle/latencyHalfLife, maxHalvings)
 	}
-	if len(t.sent) > 0 {
+	if len(t.sent) > 0 && t.load() <= t.view.Info.Slots {
 		latency = max(latency, now.Sub(t.sent[0]))
 	}
 	return max(latency, time.Millisecond)
