--- a/router/router.go
+++ b/router/router.go
@@ -21,9 +21,6 @@
 	maxHalvings     = 20
 	// failureLimit is the number of failures in a row that eject a target.
 	failureLimit = 3
-	// failureSpan is how long a target must have given no answer to be ejected:
-	// in an overloaded queue several deadlines pass at once between answers.
-	failureSpan = 250 * time.Millisecond
 	// ejectBase is the length of a first ejection; it doubles up to ejectMax.
 	ejectBase = 2 * time.Second
 	ejectMax  = 30 * time.Second
@@ -76,8 +73,6 @@
 	sampled  time.Time
 	samples  int
 	failures int
-	// answered is when the target answered last.
-	answered time.Time
 	ejected  int
 }
 
@@ -264,7 +259,6 @@
 	switch result {
 	case plantainrail.ResultAnswered:
 		t.failures = 0
-		t.answered = now
 		t.note(now, took)
 		r.noteKinds(t, took)
 		if r.lags(t) {
@@ -277,7 +271,7 @@
 		}
 	case plantainrail.ResultFailed:
 		t.failures++
-		if t.failures >= failureLimit && now.Sub(t.answered) >= failureSpan {
+		if t.failures >= failureLimit {
 			r.eject(now, t)
 		}
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -75,17 +75,6 @@
 	assert.Equal(t, ejected, 2)
 }
 
-func TestDeadlinesThatPassTogetherEjectNobody(t *testing.T) {
-	r, now := learned()
-	for range 2 * failureLimit {
-		r.Sent(now, "fast")
-		r.Done(now, "fast", time.Millisecond, plantainrail.ResultFailed)
-	}
-	for _, s := range r.Targets(now) {
-		assert.Equal(t, s.State, stateReady)
-	}
-}
-
 func TestRetryBudget(t *testing.T) {
 	r := New("a", 1)
 	r.Update(epoch, "x", []plantainrail.TargetView{view("x")})
