--- a/linker/session.go
+++ b/linker/session.go
@@ -52,12 +52,10 @@
 // Session is one connection between an entry and an agent.
 type Session struct {
 	connection *websocket.Conn
-	// writing holds one token, which whoever writes to the connection takes.
-	writing chan struct{}
-	cancel  context.CancelFunc
-	done    chan struct{}
-	heard   atomic.Int64
-	started time.Time
+	cancel     context.CancelFunc
+	done       chan struct{}
+	heard      atomic.Int64
+	started    time.Time
 
 	mu      sync.Mutex
 	state   charter.State
@@ -74,7 +72,7 @@
 	connection.SetReadLimit(messageLimit)
 	state, _ := sessionChart.Next(sessionChart.Initial, "connect")
 	return &Session{
-		connection: connection, writing: make(chan struct{}, 1), done: make(chan struct{}), started: time.Now(),
+		connection: connection, done: make(chan struct{}), started: time.Now(),
 		state: state, wake: make(chan struct{}, 1), streams: map[uint64]*Stream{},
 	}
 }
@@ -128,42 +126,6 @@
 
 // Send queues a frame. It does not block.
 func (s *Session) Send(f Frame) error {
-	if err := s.enqueue(f); err != nil {
-		return err
-	}
-	s.wakeWriter()
-	return nil
-}
-
-// sendNow queues a frame and writes it from the caller's goroutine, unless
-// another one is writing. It may block as long as one write may.
-func (s *Session) sendNow(f Frame) error {
-	if err := s.enqueue(f); err != nil {
-		return err
-	}
-	select {
-	case s.writing <- struct{}{}:
-		s.flush(context.Background())
-		<-s.writing
-	default:
-	}
-	s.mu.Lock()
-	left := len(s.queue) > 0
-	s.mu.Unlock()
-	if left {
-		s.wakeWriter()
-	}
-	return nil
-}
-
-func (s *Session) wakeWriter() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
-func (s *Session) enqueue(f Frame) error {
 	s.mu.Lock()
 	if s.state == StateClosed {
 		s.mu.Unlock()
@@ -176,6 +138,10 @@
 		s.shut("fail")
 		return ErrClosed
 	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
 	return nil
 }
 
@@ -203,28 +169,18 @@
 	_ = s.connection.CloseNow()
 }
 
-// write writes what others have queued.
 func (s *Session) write(ctx context.Context) {
+	var buffer bytes.Buffer
 	for {
-		select {
-		case <-s.wake:
-		case <-ctx.Done():
-			return
-		}
-		select {
-		case s.writing <- struct{}{}:
-		case <-ctx.Done():
-			return
+		frames := s.take()
+		if len(frames) == 0 {
+			select {
+			case <-s.wake:
+				continue
+			case <-ctx.Done():
+				return
+			}
 		}
-		s.flush(ctx)
-		<-s.writing
-	}
-}
-
-// flush writes the queue to the connection. The caller holds the token.
-func (s *Session) flush(ctx context.Context) {
-	var buffer bytes.Buffer
-	for frames := s.take(); len(frames) > 0; frames = s.take() {
 		buffer.Reset()
 		if err := Encode(&buffer, frames); err != nil {
 			s.shut("fail")
@@ -332,7 +288,7 @@
 	st := newStream(s, f.Stream)
 	s.streams[f.Stream] = st
 	s.mu.Unlock()
-	return st, s.sendNow(f)
+	return st, s.Send(f)
 }
 
 func (s *Session) forget(id uint64) {
--- a/linker/stream.go
+++ b/linker/stream.go
@@ -143,7 +143,7 @@
 // Send sends a frame of the stream that takes no credit.
 func (st *Stream) Send(f Frame) error {
 	f.Stream = st.id
-	return st.session.sendNow(f)
+	return st.session.Send(f)
 }
 
 // Write sends body bytes as credit allows.
@@ -226,7 +226,7 @@
 
 // Close tells the peer that nothing more is read, and forgets the stream.
 func (st *Stream) Close() {
-	_ = st.session.Send(Frame{Stream: st.id, Close: true})
+	_ = st.Send(Frame{Close: true})
 	st.Forget()
 }
 
