End a stopping agent only after the entries' farewell

An agent with nothing in hand ended at once; a request that was on its way to it, or its refusal on the way back, was lost with the process. Ruled out: the drain's wait for requests in hand (the agent had none). Change: a stopping agent says goodbye, an entry answers after the last request that it hands over, and the agent ends its sessions when the entries have read all of it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,8 +7,10 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -134,7 +136,8 @@
 
 // Drain is a planned stop's first part: no new work is taken, what runs goes
 // on to its end, and tasks are checkpointed and released. It returns when
-// nothing is left or the context ends.
+// nothing is left, every entry has said that it hands nothing over any more, or
+// the context ends.
 func (a *Agent) Drain(ctx context.Context) error {
 	a.mu.Lock()
 	a.draining = true
@@ -144,6 +147,9 @@
 		a.refuse(r.ID, plantainrail.NewError(plantainrail.CodeDraining, "the agent is stopping"))
 	}
 	refs := a.leaser.Running()
+	for _, l := range a.links {
+		_ = l.session.Send(linker.Frame{Goodbye: true})
+	}
 	a.notify()
 	a.mu.Unlock()
 	a.Log.Info("drain started", zap.Int("tasks", len(refs)))
@@ -157,10 +163,30 @@
 		case <-time.After(pollEvery / 10):
 		}
 	}
+	a.finishSessions()
 	a.Log.Info("drain finished")
 	return nil
 }
 
+func (a *Agent) stopping() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.draining
+}
+
+// finishSessions ends the sessions when the entries have read what was sent, so
+// that the refusal of a request that came last is not lost with the process.
+func (a *Agent) finishSessions() {
+	a.mu.Lock()
+	links := slices.Collect(maps.Values(a.links))
+	a.mu.Unlock()
+	var group sync.WaitGroup
+	for _, l := range links {
+		group.Go(l.session.Finish)
+	}
+	group.Wait()
+}
+
 func (a *Agent) idle() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -172,6 +198,11 @@
 			return false
 		}
 	}
+	for _, l := range a.links {
+		if !l.farewell || !l.session.Flushed() {
+			return false
+		}
+	}
 	return true
 }
 
--- a/agent/session.go
+++ b/agent/session.go
@@ -34,9 +34,11 @@
 	sentAt   map[uint64]time.Time
 	// fresh is when the newest acknowledged heartbeat was sent.
 	fresh time.Time
-	loads []admitter.TargetLoad
-	tasks *linker.TaskReport
-	table int64
+	// farewell is set when the entry hands nothing over on the session any more.
+	farewell bool
+	loads    []admitter.TargetLoad
+	tasks    *linker.TaskReport
+	table    int64
 }
 
 // dialAll keeps a session with each known entry, up to the limit.
@@ -104,6 +106,9 @@
 
 // oneSession runs one session to its end and tells whether it ever opened.
 func (a *Agent) oneSession(ctx context.Context, address string) bool {
+	if a.stopping() {
+		return false
+	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialLimit)
 	connection, _, err := websocket.Dial(dialCtx, a.Scheme+"://"+address+"/-/session", &websocket.DialOptions{
 		HTTPClient: a.Dialer, CompressionMode: websocket.CompressionDisabled,
@@ -213,6 +218,9 @@
 		a.sendTable(s)
 	case f.Goodbye:
 		s.Step("drain")
+		a.mu.Lock()
+		h.link.farewell = true
+		a.mu.Unlock()
 	}
 }
 
--- a/assembler/membership_test.go
+++ b/assembler/membership_test.go
@@ -165,3 +165,32 @@
 		}
 	}
 }
+
+// TestRequestOnItsWayToAStoppingAgent sends one request that is on a slow
+// network when its idle agent stops, at many moments around its end.
+func TestRequestOnItsWayToAStoppingAgent(t *testing.T) {
+	for offset := time.Duration(0); offset < 120*time.Millisecond; offset += 5 * time.Millisecond {
+		for _, path := range []string{"/match", "/status"} {
+			t.Run(fmt.Sprint(path, offset), func(t *testing.T) {
+				t.Parallel()
+				inWorld(t, nil, func(w *world) {
+					w.net.setDelay(20 * time.Millisecond)
+					time.Sleep(10 * time.Second)
+					var group sync.WaitGroup
+					for i := range 6 {
+						group.Go(func() {
+							echo := fmt.Sprintf("late-%d", i)
+							got := w.ask(w.Entries[i%2], path+"?echo="+echo, "")
+							assert.Check(t, got.whole(echo), "request %d: %+v", i, got)
+						})
+					}
+					time.Sleep(offset)
+					v := w.VMs[0]
+					assert.NilError(t, v.Agent.Drain(w.ctx))
+					w.KillAgent(v)
+					group.Wait()
+				})
+			})
+		}
+	}
+}
--- a/linker/session.go
+++ b/linker/session.go
@@ -57,9 +57,11 @@
 	heard      atomic.Int64
 	started    time.Time
 
-	mu      sync.Mutex
-	state   charter.State
-	queue   []Frame
+	mu    sync.Mutex
+	state charter.State
+	queue []Frame
+	// unsent counts the frames that are queued or being written.
+	unsent  int
 	wake    chan struct{}
 	streams map[uint64]*Stream
 	next    uint64
@@ -132,6 +134,7 @@
 		return ErrClosed
 	}
 	s.queue = append(s.queue, f)
+	s.unsent++
 	full := len(s.queue) > queueLimit
 	s.mu.Unlock()
 	if full {
@@ -190,6 +193,9 @@
 			s.shut("fail")
 			return
 		}
+		s.mu.Lock()
+		s.unsent -= len(frames)
+		s.mu.Unlock()
 	}
 }
 
@@ -202,6 +208,19 @@
 	return s.connection.Write(ctx, websocket.MessageBinary, message)
 }
 
+// Flushed tells whether every frame was written.
+func (s *Session) Flushed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unsent == 0 || s.state == StateClosed
+}
+
+// Finish ends the session once the peer has read all that was written.
+func (s *Session) Finish() {
+	_ = s.connection.Close(websocket.StatusNormalClosure, "")
+	s.shut("fail")
+}
+
 // take removes the next batch of frames from the queue.
 func (s *Session) take() []Frame {
 	s.mu.Lock()
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -45,13 +45,8 @@
 
 // start hands the call over and waits for the answer's head or a failure.
 func (a *attempt) start(ctx context.Context) {
-	session, err := a.session()
-	if err != nil {
-		a.err = plantainrail.NewError(plantainrail.CodeSessionLost, "agent %s", a.target.Agent)
-		return
-	}
-	a.stream, err = session.OpenStream(a.call.open(a.id, a.target.Info.Name, a.receiver.Unlimited))
-	if err != nil {
+	var err error
+	if a.stream, err = a.handOver(); err != nil {
 		a.err = plantainrail.NewError(plantainrail.CodeSessionLost, "agent %s", a.target.Agent)
 		return
 	}
@@ -61,6 +56,20 @@
 	a.awaitHead(ctx)
 }
 
+// handOver opens the stream under the receiver's lock, so that nothing follows
+// the answer to an agent's goodbye.
+func (a *attempt) handOver() (*linker.Stream, error) {
+	frame := a.call.open(a.id, a.target.Info.Name, a.receiver.Unlimited)
+	a.receiver.mu.Lock()
+	defer a.receiver.mu.Unlock()
+	p := a.receiver.peers[a.target.Agent]
+	if p == nil || p.stopping || (a.boot != "" && p.hello.Boot != a.boot) {
+		return nil, linker.ErrClosed
+	}
+	a.boot = p.hello.Boot
+	return p.session.OpenStream(frame)
+}
+
 func (a *attempt) session() (*linker.Session, error) {
 	a.receiver.mu.Lock()
 	defer a.receiver.mu.Unlock()
--- a/receiver/session.go
+++ b/receiver/session.go
@@ -37,6 +37,8 @@
 	revision int64
 	loads    []admitter.TargetLoad
 	zoneOut  bool
+	// stopping is set when the agent takes no new work any more.
+	stopping bool
 }
 
 // serveSession accepts a session from an agent.
@@ -101,12 +103,24 @@
 	if f.Refused != nil {
 		r.sched.refused(h.peer, *f.Refused)
 	}
+	if f.Goodbye {
+		r.bidFarewell(h.peer)
+	}
 	if f.Left != nil {
 		r.Logger.Info("target confirmed its leave", zap.String("target", f.Left.Target))
 		r.confirmLeave(*f.Left)
 	}
 }
 
+// bidFarewell answers an agent that stops. The answer follows the last request
+// that was handed over on the session.
+func (r *Receiver) bidFarewell(p *peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.stopping = true
+	_ = p.session.Send(linker.Frame{Goodbye: true})
+}
+
 func (r *Receiver) greet(p *peer, hello linker.Hello) {
 	p.session.Step("greet")
 	entries := r.entryAddresses()
