Guard the cluster's agents and entries against the watchers of tests

Cause: the race detector found one data race, in the harness: a restart replaced a VM's agent while a check read it. None in the product's packages in the same run (request, publish, leave, zone, eviction, feed and answer proofs). Change: the agent is read atomically and the entries by copy. After: no race in the publish, table and new-entry proofs.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -9,6 +9,9 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -81,11 +84,13 @@
 	group   *errgroup.Group
 	ctx     context.Context
 	cancel  context.CancelFunc
+	mu      sync.Mutex
 
 	Log        *recorder.Recorder
 	LogAddress string
-	Entries    []*Entry
-	VMs        []*VM
+	// Entries grows by StartEntry; other goroutines take a copy by EntryList.
+	Entries []*Entry
+	VMs     []*VM
 }
 
 // Entry is one entry of a cluster.
@@ -100,10 +105,10 @@
 type VM struct {
 	Name   string
 	Zone   string
-	Agent  *agent.Agent
 	Target *responder.Responder
 	Worker *worker.Worker
 
+	agent     atomic.Pointer[agent.Agent]
 	listener  net.Listener
 	targetAt  string
 	workerAt  string
@@ -194,7 +199,9 @@
 		Router: build(zone, c.options.Seed+uint64(len(c.Entries))), Unlimited: c.options.Unlimited,
 		Logger: c.options.Logger.With(zap.String("entry", name)),
 	})
+	c.mu.Lock()
 	c.Entries = append(c.Entries, e)
+	c.mu.Unlock()
 	c.group.Go(func() error {
 		defer close(e.ended)
 		return e.Run(ctx)
@@ -202,6 +209,13 @@
 	return e, nil
 }
 
+// EntryList returns a copy of the entries that were ever started.
+func (c *Cluster) EntryList() []*Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.Entries)
+}
+
 // Kill ends an entry at once, as SIGKILL does.
 func (e *Entry) Kill() {
 	e.stop()
@@ -255,19 +269,22 @@
 	dial := c.options.Network.Dial(v.Name)
 	target := forwarder.New(dial)
 	context.AfterFunc(ctx, target.Close)
-	v.Agent = agent.New(agent.Options{
+	running := agent.New(agent.Options{
 		Name: v.Name, Zone: v.Zone, Capacity: c.options.Capacity, Entries: entries, MaxSessions: 16,
 		Listener: v.listener, Dialer: c.Client(v.Name), Scheme: "ws", Target: target,
 		Runtime: launcher.New("http://"+v.workerAt, c.Client(v.Name)),
 		Log:     c.options.Logger.With(zap.String("agent", v.Name)),
 	})
-	running := v.Agent
+	v.agent.Store(running)
 	c.group.Go(func() error {
 		defer close(ended)
 		return running.Run(ctx)
 	})
 }
 
+// Agent returns the VM's agent, the newest one after a restart.
+func (v *VM) Agent() *agent.Agent { return v.agent.Load() }
+
 // TargetAddress returns the address of the VM's target.
 func (v *VM) TargetAddress() string { return v.targetAt }
 
--- a/assembler/fault_test.go
+++ b/assembler/fault_test.go
@@ -54,7 +54,7 @@
 	{"entry drains", true, func(w *world, _ *assembler.VM) { go func() { _ = w.Entries[0].Stop(w.ctx) }() }, nil},
 	{"agent drains", true, func(w *world, v *assembler.VM) {
 		go func() {
-			_ = v.Agent.Drain(w.ctx)
+			_ = v.Agent().Drain(w.ctx)
 			w.KillAgent(v)
 		}()
 	}, nil},
--- a/assembler/membership_test.go
+++ b/assembler/membership_test.go
@@ -186,7 +186,7 @@
 					}
 					time.Sleep(offset)
 					v := w.VMs[0]
-					assert.NilError(t, v.Agent.Drain(w.ctx))
+					assert.NilError(t, v.Agent().Drain(w.ctx))
 					w.KillAgent(v)
 					group.Wait()
 				})
--- a/assembler/request_matrix_test.go
+++ b/assembler/request_matrix_test.go
@@ -103,7 +103,7 @@
 // victim is the VM that has a request, or the first one.
 func (w *world) victim() *assembler.VM {
 	for _, v := range w.VMs {
-		if v.Agent.Status().Open > 0 {
+		if v.Agent().Status().Open > 0 {
 			return v
 		}
 	}
--- a/assembler/table_test.go
+++ b/assembler/table_test.go
@@ -36,7 +36,7 @@
 	go func() {
 		defer close(ended)
 		for {
-			for _, e := range w.Entries {
+			for _, e := range w.EntryList() {
 				inForce := e.Table()
 				check(e, e.Name, inForce.Revision)
 				text := fmt.Sprint(inForce.Kinds)
@@ -46,7 +46,7 @@
 				content[inForce.Revision] = text
 			}
 			for _, v := range w.VMs {
-				check(v.Agent, v.Name, v.Agent.Revision())
+				check(v.Agent(), v.Name, v.Agent().Revision())
 			}
 			select {
 			case <-done:
@@ -69,7 +69,7 @@
 		}
 	}
 	for _, v := range w.VMs {
-		if v.Agent.Revision() != revision {
+		if v.Agent().Revision() != revision {
 			return false
 		}
 	}
@@ -166,7 +166,7 @@
 		added, err := w.StartEntry("entry-new", "a")
 		assert.NilError(t, err)
 		for _, v := range w.VMs {
-			v.Agent.Learn([]string{added.Address})
+			v.Agent().Learn([]string{added.Address})
 		}
 		for _, e := range w.Entries[:2] {
 			e.Kill()
--- a/assembler/task_test.go
+++ b/assembler/task_test.go
@@ -33,7 +33,7 @@
 func (w *world) busiest() *assembler.VM {
 	best := w.VMs[0]
 	for _, v := range w.VMs {
-		if len(v.Agent.Status().Tasks) > len(best.Agent.Status().Tasks) {
+		if len(v.Agent().Status().Tasks) > len(best.Agent().Status().Tasks) {
 			best = v
 		}
 	}
@@ -269,7 +269,7 @@
 					added, err := w.StartEntry(fmt.Sprintf("entry-new-%d", i), "a")
 					assert.NilError(t, err)
 					for _, v := range w.VMs {
-						v.Agent.Learn([]string{added.Address})
+						v.Agent().Learn([]string{added.Address})
 					}
 					e.Kill()
 				}
--- a/bencher/scenario.go
+++ b/bencher/scenario.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		v := t.cluster.VMs[i%len(t.cluster.VMs)]
-		_ = v.Agent.Drain(context.WithoutCancel(ctx))
+		_ = v.Agent().Drain(context.WithoutCancel(ctx))
 		t.cluster.KillAgent(v)
 		_ = t.cluster.RestartAgent(v)
 	}
