Stop what has just started when its zone is taken out

Orders to start and to stop shared one time of the last order, so a stop waited up to a second after the start. Ruled out: the zone's record (starts there ceased). Change: each has its own, and old ones are forgotten beyond 20,000. Before: a task that has just started is not stopped within 500 ms.

--- a/assembler/task_test.go
+++ b/assembler/task_test.go
@@ -347,3 +347,24 @@
 		w.finished("filler", 40)
 	})
 }
+
+// TestZoneOutStopsWhatHasJustStarted takes a zone out right after its tasks
+// have started.
+func TestZoneOutStopsWhatHasJustStarted(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		w.submit(w.Entries[0], "job", 3, 60_000)
+		w.until("running", func() bool { return w.running() == 3 })
+		v := w.busiest()
+		_, err := w.operator(w.Entries[1]).SetZone(w.ctx, receiver.ZoneChange{Zone: v.Zone, Out: true})
+		assert.NilError(t, err)
+		w.within(500*time.Millisecond, "stopped in the zone", func() bool {
+			for _, s := range w.Tallies().Spans {
+				if s.Zone == v.Zone && s.End.IsZero() {
+					return false
+				}
+			}
+			return true
+		})
+		w.finished("job", 3)
+	})
+}
--- a/receiver/scheduler.go
+++ b/receiver/scheduler.go
@@ -32,10 +32,12 @@
 	receiver *Receiver
 	wake     chan struct{}
 
-	mu       sync.Mutex
-	live     []string
-	busy     map[string]bool
-	orders   map[plantainrail.AttemptRef]time.Time
+	mu   sync.Mutex
+	live []string
+	busy map[string]bool
+	// starts and stops hold when each order was last sent.
+	starts   map[plantainrail.AttemptRef]time.Time
+	stops    map[plantainrail.AttemptRef]time.Time
 	failures map[string][]time.Time
 	reasons  map[string]string
 }
@@ -43,7 +45,8 @@
 func newScheduler(r *Receiver) *scheduler {
 	return &scheduler{
 		receiver: r, wake: make(chan struct{}, 1), busy: map[string]bool{},
-		orders: map[plantainrail.AttemptRef]time.Time{}, failures: map[string][]time.Time{}, reasons: map[string]string{},
+		starts: map[plantainrail.AttemptRef]time.Time{}, stops: map[plantainrail.AttemptRef]time.Time{},
+		failures: map[string][]time.Time{}, reasons: map[string]string{},
 	}
 }
 
@@ -133,6 +136,8 @@
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		forgetOld(s.starts, now)
+		forgetOld(s.stops, now)
 		for _, v := range vms {
 			steps = append(steps, s.reconcile(v, state)...)
 		}
@@ -151,6 +156,21 @@
 	}
 }
 
+// ordersKept bounds the orders whose times are remembered.
+const ordersKept = 20_000
+
+// forgetOld drops the times of orders that may be repeated anyway.
+func forgetOld(orders map[plantainrail.AttemptRef]time.Time, now time.Time) {
+	if len(orders) < ordersKept {
+		return
+	}
+	for ref, at := range orders {
+		if now.Sub(at) >= repeatEvery {
+			delete(orders, ref)
+		}
+	}
+}
+
 // reconcile goes through what one agent holds: ends that the log does not have
 // are proposed, and ends that it has are forgotten at the agent.
 func (s *scheduler) reconcile(v *vm, state *reducer.State) []plantainrail.TaskRecord {
@@ -200,18 +220,18 @@
 	if held && (!wantStop || status.Phase != plantainrail.PhaseRunning) {
 		return
 	}
-	if now.Sub(s.orders[ref]) < repeatEvery {
-		return
-	}
-	s.orders[ref] = now
 	if wantStop {
 		reason := "cancelled"
 		if out {
 			reason = "the availability zone is out"
 		}
-		s.evictNow(v, ref, reason)
+		s.evict(v, ref, reason)
+		return
+	}
+	if now.Sub(s.starts[ref]) < repeatEvery {
 		return
 	}
+	s.starts[ref] = now
 	_ = v.session.Send(linker.Frame{Start: &linker.TaskOrder{Start: plantainrail.TaskStart{
 		AttemptRef: ref, Incarnation: t.Incarnation, Kind: t.Job.Kind, Resources: t.Job.Resources,
 		Work: t.Job.Work, Checkpoint: t.Checkpoint,
@@ -221,14 +241,10 @@
 // evict orders a stop, at most once in a while.
 func (s *scheduler) evict(v *vm, ref plantainrail.AttemptRef, reason string) {
 	now := time.Now()
-	if now.Sub(s.orders[ref]) < repeatEvery {
+	if now.Sub(s.stops[ref]) < repeatEvery {
 		return
 	}
-	s.orders[ref] = now
-	s.evictNow(v, ref, reason)
-}
-
-func (s *scheduler) evictNow(v *vm, ref plantainrail.AttemptRef, reason string) {
+	s.stops[ref] = now
 	_ = v.session.Send(linker.Frame{Evict: &linker.EvictOrder{Ref: ref, Reason: reason}})
 	s.receiver.Logger.Info("task evicted", zap.String("task", ref.Task), zap.Int64("attempt", ref.Attempt), zap.String("cause", reason))
 }
@@ -344,7 +360,7 @@
 		if t.State != reducer.TaskAssigned || t.Job.Urgent || v == nil || state.Zones[v.hello.Zone].Out {
 			continue
 		}
-		if !urgent.Job.Resources.Fits(t.Job.Resources) || time.Since(s.orders[t.Ref()]) < repeatEvery {
+		if !urgent.Job.Resources.Fits(t.Job.Resources) || time.Since(s.stops[t.Ref()]) < repeatEvery {
 			continue
 		}
 		if victim == nil || t.Evictions < victim.Evictions || (t.Evictions == victim.Evictions && t.ID < victim.ID) {
