Count a caller that leaves a feed as no failure

Cause: the README's walk left a feed by Ctrl-C, and report burn showed one bad answer and a burn rate of 1000. The end of the caller's own connection was taken for an answer that was cut. Ruled out: the target (it wrote on until the connection closed). Change: the caller's leave is noted as that.

--- a/assembler/cluster_test.go
+++ b/assembler/cluster_test.go
@@ -199,3 +199,24 @@
 func cancelTeam(team string) plantainrail.CancelRecord {
 	return plantainrail.CancelRecord{Team: team}
 }
+
+// TestCallerThatLeavesAFeedBurnsNoBudget checks the burn report against what
+// the caller saw.
+func TestCallerThatLeavesAFeedBurnsNoBudget(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		ctx, cancel := context.WithTimeout(w.ctx, time.Second)
+		defer cancel()
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Entries[0].Address+"/feed?feed=1", nil)
+		assert.NilError(t, err)
+		response, err := w.Client("caller").Do(request)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		time.Sleep(time.Second)
+		burn, err := w.operator(w.Entries[0]).Burn(w.ctx)
+		assert.NilError(t, err)
+		for _, b := range burn {
+			assert.Equal(t, b.Long.Bad, int64(0), "%+v", b)
+		}
+	})
+}
--- a/receiver/request.go
+++ b/receiver/request.go
@@ -281,6 +281,10 @@
 			r.completed(c, a)
 			return
 		}
+		if err != nil && ctx.Err() != nil {
+			r.requests.note(c.id, Event{Event: "caller left", At: time.Now()})
+			panic(http.ErrAbortHandler)
+		}
 		if err != nil {
 			r.cut(c, a, err)
 		}
