--- a/agent/agent.go
+++ b/agent/agent.go
@@ -148,7 +148,7 @@
 	}
 	refs := a.leaser.Running()
 	for _, l := range a.links {
-		_ = l.session.Send(linker.Frame{Goodbye: true})
+		_ = l.session.Send(linker.Frame{GoAway: true})
 	}
 	a.notify()
 	a.mu.Unlock()
@@ -199,7 +199,7 @@
 		}
 	}
 	for _, l := range a.links {
-		if !l.farewell || !l.session.Flushed() {
+		if !l.drained || !l.session.Flushed() {
 			return false
 		}
 	}
--- a/agent/session.go
+++ b/agent/session.go
@@ -34,11 +34,11 @@
 	sentAt   map[uint64]time.Time
 	// fresh is when the newest acknowledged heartbeat was sent.
 	fresh time.Time
-	// farewell is set when the entry hands nothing over on the session any more.
-	farewell bool
-	loads    []admitter.TargetLoad
-	tasks    *linker.TaskReport
-	table    int64
+	// drained is set when the entry hands nothing over on the session any more.
+	drained bool
+	loads   []admitter.TargetLoad
+	tasks   *linker.TaskReport
+	table   int64
 }
 
 // dialAll keeps a session with each known entry, up to the limit.
@@ -216,10 +216,10 @@
 		}
 	case f.WantTable:
 		a.sendTable(s)
-	case f.Goodbye:
+	case f.GoAway:
 		s.Step("drain")
 		a.mu.Lock()
-		h.link.farewell = true
+		h.link.drained = true
 		a.mu.Unlock()
 	}
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -32,10 +32,10 @@
 	// settleLimit is how long an append that succeeded may stay unread before
 	// the record is appended again.
 	settleLimit = 2 * time.Second
-	// forsakeAfter is how long a reader whose records were dropped waits at the
+	// snapshotPatience is how long a reader whose records were dropped waits at the
 	// end of the log for a snapshot.
-	forsakeAfter = 10 * time.Second
-	idLength     = 12
+	snapshotPatience = 10 * time.Second
+	idLength         = 12
 )
 
 // Follower follows one log.
@@ -129,7 +129,7 @@
 	if f.state.Next >= batch.Next {
 		f.confirmed = started
 		f.atEnd = true
-		f.forsake(started)
+		f.skipSnapshot(started)
 	}
 	f.settle()
 	if len(batch.Records) > 0 {
@@ -138,7 +138,7 @@
 	}
 }
 
-func (f *Follower) forsake(now time.Time) {
+func (f *Follower) skipSnapshot(now time.Time) {
 	if f.state.Complete() {
 		f.incompleteSince = time.Time{}
 		return
@@ -146,9 +146,9 @@
 	if f.incompleteSince.IsZero() {
 		f.incompleteSince = now
 	}
-	if now.Sub(f.incompleteSince) > forsakeAfter {
+	if now.Sub(f.incompleteSince) > snapshotPatience {
 		f.logger.Warn("no snapshot covers the records that were dropped; going on without them")
-		f.state.Forsake()
+		f.state.SkipSnapshot()
 	}
 }
 
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -31,9 +31,9 @@
 	Forget    []AttemptRef `cbor:"8,keyasint,omitempty"`
 	Leave     *LeaveOrder  `cbor:"9,keyasint,omitempty"`
 	Tasks     *TaskReport  `cbor:"10,keyasint,omitempty"`
-	// Goodbye tells that the sender takes no new work on the session, from an
+	// GoAway tells that the sender takes no new work on the session, from an
 	// agent, or hands none over any more, from an entry.
-	Goodbye bool         `cbor:"11,keyasint,omitempty"`
+	GoAway  bool         `cbor:"11,keyasint,omitempty"`
 	Left    *LeaveOrder  `cbor:"12,keyasint,omitempty"`
 	Refused *TaskRefusal `cbor:"13,keyasint,omitempty"`
 	// WantTable asks for the agent's table, which is later than the entry's.
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -57,7 +57,7 @@
 }
 
 // handOver opens the stream under the receiver's lock, so that nothing follows
-// the answer to an agent's goodbye.
+// the answer to an agent's go-away.
 func (a *attempt) handOver() (*linker.Stream, error) {
 	frame := a.call.open(a.id, a.target.Info.Name, a.receiver.Unlimited)
 	a.receiver.mu.Lock()
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -144,7 +144,7 @@
 	r.unregister(ctx)
 	r.mu.Lock()
 	for _, p := range r.peers {
-		_ = p.session.Send(linker.Frame{Goodbye: true})
+		_ = p.session.Send(linker.Frame{GoAway: true})
 	}
 	r.mu.Unlock()
 	r.Logger.Info("drain finished", zap.Error(err))
--- a/receiver/scheduler.go
+++ b/receiver/scheduler.go
@@ -146,7 +146,7 @@
 				s.follow(now, t, vms[t.Worker], state)
 			}
 		}
-		s.quieten(now, state, vms, table)
+		s.capQuietHours(now, state, vms, table)
 		if current {
 			steps = append(steps, s.place(now, state, vms, table)...)
 		}
@@ -372,8 +372,8 @@
 	}
 }
 
-// quieten evicts tasks above the caps of quiet hours that have begun.
-func (s *scheduler) quieten(now time.Time, state *reducer.State, vms map[string]*vm, table plantainrail.Table) {
+// capQuietHours evicts tasks above the caps of quiet hours that have begun.
+func (s *scheduler) capQuietHours(now time.Time, state *reducer.State, vms map[string]*vm, table plantainrail.Table) {
 	type place struct{ zone, kind string }
 	running := map[place]int{}
 	for _, t := range state.Tasks {
--- a/receiver/session.go
+++ b/receiver/session.go
@@ -103,8 +103,8 @@
 	if f.Refused != nil {
 		r.sched.refused(h.peer, *f.Refused)
 	}
-	if f.Goodbye {
-		r.bidFarewell(h.peer)
+	if f.GoAway {
+		r.answerGoAway(h.peer)
 	}
 	if f.Left != nil {
 		r.Logger.Info("target confirmed its leave", zap.String("target", f.Left.Target))
@@ -112,13 +112,13 @@
 	}
 }
 
-// bidFarewell answers an agent that stops. The answer follows the last request
+// answerGoAway answers an agent that stops. The answer follows the last request
 // that was handed over on the session.
-func (r *Receiver) bidFarewell(p *peer) {
+func (r *Receiver) answerGoAway(p *peer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p.stopping = true
-	_ = p.session.Send(linker.Frame{Goodbye: true})
+	_ = p.session.Send(linker.Frame{GoAway: true})
 }
 
 func (r *Receiver) greet(p *peer, hello linker.Hello) {
--- a/reducer/snapshot.go
+++ b/reducer/snapshot.go
@@ -90,7 +90,7 @@
 }
 
 // Trim makes the state incomplete when retention dropped records that it never
-// read. It stays so until a snapshot comes that covers them, or Forsake.
+// read. It stays so until a snapshot comes that covers them, or SkipSnapshot.
 func (s *State) Trim(oldest plantainrail.Offset) {
 	s.Oldest = max(s.Oldest, oldest)
 	if oldest <= s.Next {
@@ -113,8 +113,8 @@
 // Complete tells whether the state holds all that the log ever said.
 func (s *State) Complete() bool { return !s.trimmed }
 
-// Forsake gives up the wait for a snapshot and folds what was read.
-func (s *State) Forsake() {
+// SkipSnapshot gives up the wait for a snapshot and folds what was read.
+func (s *State) SkipSnapshot() {
 	s.replay(s.first)
 }
 
