Let one piece serve the session look-up, the tallies and a comparison

An attempt looked its agent's session up in two places with the same check of the agent's process; the cluster and the process tests added the stand-ins' tallies up apart; the agent had its own string comparison.

--- a/agent/task.go
+++ b/agent/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -107,23 +108,13 @@
 	}
 	slices.SortFunc(r.Tasks, func(x, y plantainrail.TaskStatus) int {
 		if x.Task != y.Task {
-			return compare(x.Task, y.Task)
+			return strings.Compare(x.Task, y.Task)
 		}
 		return int(x.Attempt - y.Attempt)
 	})
 	return r
 }
 
-func compare(x, y string) int {
-	if x < y {
-		return -1
-	}
-	if x > y {
-		return 1
-	}
-	return 0
-}
-
 // orderStart admits an attempt and starts it in the runtime.
 func (a *Agent) orderStart(s *linker.Session, order linker.TaskOrder) {
 	if a.Runtime == nil {
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -319,26 +318,11 @@
 
 // Tallies gathers what the stand-ins saw.
 func (c *Cluster) Tallies() Tallies {
-	t := Tallies{Runs: map[string]int{}, Paths: map[string]string{}, Echoes: map[string]int{}, Lost: map[string][]time.Time{}}
+	t := NewTallies()
 	for _, v := range c.VMs {
-		target := v.Target.Tally()
-		for id, n := range target.Runs {
-			t.Runs[id] += n
-		}
-		maps.Copy(t.Paths, target.Paths)
-		for echo, n := range target.Echoes {
-			t.Echoes[echo] += n
-		}
-		t.Late += target.Late
-		t.Cut += target.Cut
-		tasks := v.Worker.Tally()
-		t.Spans = append(t.Spans, tasks.Spans...)
-		t.Overcommits += tasks.Overcommits
-	}
-	for _, r := range c.Log.Records() {
-		if r.Gone != nil {
-			t.Lost[r.Gone.Worker] = append(t.Lost[r.Gone.Worker], r.Time)
-		}
+		t.AddTarget(v.Target.Tally())
+		t.AddWorker(v.Worker.Tally())
 	}
+	t.AddLog(c.Log.Records())
 	return t
 }
--- a/assembler/tally.go
+++ b/assembler/tally.go
@@ -1,11 +1,14 @@
 package assembler
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/standin/responder"
 	"github.com/plantainrail/plantainrail/standin/worker"
 )
 
@@ -23,6 +26,39 @@
 	Lost map[string][]time.Time
 }
 
+// NewTallies returns empty Tallies.
+func NewTallies() Tallies {
+	return Tallies{Runs: map[string]int{}, Paths: map[string]string{}, Echoes: map[string]int{}, Lost: map[string][]time.Time{}}
+}
+
+// AddTarget adds what a target saw.
+func (t *Tallies) AddTarget(seen responder.Tally) {
+	for id, n := range seen.Runs {
+		t.Runs[id] += n
+	}
+	maps.Copy(t.Paths, seen.Paths)
+	for echo, n := range seen.Echoes {
+		t.Echoes[echo] += n
+	}
+	t.Late += seen.Late
+	t.Cut += seen.Cut
+}
+
+// AddWorker adds what a worker runtime saw.
+func (t *Tallies) AddWorker(seen worker.Tally) {
+	t.Spans = append(t.Spans, seen.Spans...)
+	t.Overcommits += seen.Overcommits
+}
+
+// AddLog adds the losses of VMs that the log recorded.
+func (t *Tallies) AddLog(records []plantainrail.Record) {
+	for _, r := range records {
+		if r.Gone != nil {
+			t.Lost[r.Gone.Worker] = append(t.Lost[r.Gone.Worker], r.Time)
+		}
+	}
+}
+
 // RunTwice counts the requests on the path that ran more than once.
 func (t Tallies) RunTwice(path string) int {
 	n := 0
--- a/cmd/plantainrail/fault_test.go
+++ b/cmd/plantainrail/fault_test.go
@@ -114,26 +114,14 @@
 // tallies gathers what the stand-ins saw.
 func (p *plant) tallies(t *testing.T) assembler.Tallies {
 	t.Helper()
-	all := assembler.Tallies{Runs: map[string]int{}, Paths: map[string]string{}, Lost: map[string][]time.Time{}}
+	all := assembler.NewTallies()
 	for _, address := range p.workers {
-		tally := getJSON[worker.Tally](t, "http://"+address+"/tally")
-		all.Spans = append(all.Spans, tally.Spans...)
-		all.Overcommits += tally.Overcommits
+		all.AddWorker(getJSON[worker.Tally](t, "http://"+address+"/tally"))
 	}
 	for _, address := range p.targets {
-		tally := getJSON[responder.Tally](t, "http://"+address+"/-/tally")
-		for id, n := range tally.Runs {
-			all.Runs[id] += n
-			all.Paths[id] = tally.Paths[id]
-		}
-		all.Late += tally.Late
-		all.Cut += tally.Cut
-	}
-	for _, r := range getJSON[[]plantainrail.Record](t, "http://"+p.log+"/records") {
-		if r.Gone != nil {
-			all.Lost[r.Gone.Worker] = append(all.Lost[r.Gone.Worker], r.Time)
-		}
+		all.AddTarget(getJSON[responder.Tally](t, "http://"+address+"/-/tally"))
 	}
+	all.AddLog(getJSON[[]plantainrail.Record](t, "http://"+p.log+"/records"))
 	return all
 }
 
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -62,23 +62,33 @@
 	frame := a.call.open(a.id, a.target.Info.Name, a.receiver.Unlimited)
 	a.receiver.mu.Lock()
 	defer a.receiver.mu.Unlock()
-	p := a.receiver.peers[a.target.Agent]
-	if p == nil || p.stopping || (a.boot != "" && p.hello.Boot != a.boot) {
+	p, err := a.peer()
+	if err != nil || p.stopping {
 		return nil, linker.ErrClosed
 	}
-	a.boot = p.hello.Boot
 	return p.session.OpenStream(frame)
 }
 
 func (a *attempt) session() (*linker.Session, error) {
 	a.receiver.mu.Lock()
 	defer a.receiver.mu.Unlock()
+	p, err := a.peer()
+	if err != nil {
+		return nil, err
+	}
+	return p.session, nil
+}
+
+// peer finds the agent's session and notes which process of the agent has it. It
+// fails when another process has come since. The caller holds the receiver's
+// lock.
+func (a *attempt) peer() (*peer, error) {
 	p := a.receiver.peers[a.target.Agent]
 	if p == nil || (a.boot != "" && p.hello.Boot != a.boot) {
 		return nil, linker.ErrClosed
 	}
 	a.boot = p.hello.Boot
-	return p.session, nil
+	return p, nil
 }
 
 // sendBody streams the rest of the body as the agent grants credit, which it
