--- a/bencher/bencher.go
+++ b/bencher/bencher.go
@@ -184,12 +184,23 @@
 		return errors.Wrap(err, "publish")
 	}
 	for _, e := range t.serving {
-		for e.Table().Revision == 0 || e.TargetCount() < targets {
-			select {
-			case <-ctx.Done():
-				return errors.New("the cluster did not come up")
-			case <-time.After(readyPoll):
-			}
+		if err := awaitEntry(ctx, e, targets, 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitEntry waits until an entry knows the targets and has the revision of the
+// table, or a later one, in force.
+func awaitEntry(ctx context.Context, e *assembler.Entry, targets int, revision int64) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for e.Table().Revision < revision || e.TargetCount() < targets {
+		select {
+		case <-ctx.Done():
+			return errors.New("the cluster did not come up")
+		case <-time.After(readyPoll):
 		}
 	}
 	return nil
@@ -208,8 +219,8 @@
 	if err != nil {
 		return
 	}
-	for ctx.Err() == nil && (added.Table().Revision == 0 || added.TargetCount() < targets) {
-		time.Sleep(readyPoll)
+	if err := awaitEntry(ctx, added, targets, 1); err != nil {
+		return
 	}
 	t.mu.Lock()
 	old := t.serving[0]
--- a/bencher/slope.go
+++ b/bencher/slope.go
@@ -167,19 +167,6 @@
 	})
 }
 
-func awaitTargets(ctx context.Context, c *assembler.Cluster, agents int) error {
-	ctx, cancel := context.WithTimeout(ctx, readyLimit)
-	defer cancel()
-	for c.Entries[0].TargetCount() < agents {
-		select {
-		case <-ctx.Done():
-			return errors.New("the agents did not come up")
-		case <-time.After(readyPoll):
-		}
-	}
-	return nil
-}
-
 // idleLength is how long idle sessions are watched.
 const idleLength = 4 * time.Second
 
@@ -195,7 +182,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := awaitTargets(ctx, c, agents); err != nil {
+		if err := awaitEntry(ctx, c.Entries[0], agents, 0); err != nil {
 			return nil, err
 		}
 		time.Sleep(idleLength / 4)
@@ -221,15 +208,15 @@
 		return nil, err
 	}
 	defer c.Close()
-	if err := awaitTargets(ctx, c, 1); err != nil {
+	if err := awaitEntry(ctx, c.Entries[0], 1, 0); err != nil {
 		return nil, err
 	}
 	entry := c.Entries[0]
 	if _, err := caller.New(entry.Address, "", nil).Publish(ctx, receiver.Publish{CSV: "kind,path,class,queue,deadline_ms\nmatch,/match,latency-critical,64,20000\n"}); err != nil {
 		return nil, errors.Wrap(err, "publish")
 	}
-	for entry.Table().Revision == 0 {
-		time.Sleep(readyPoll)
+	if err := awaitEntry(ctx, entry, 1, 1); err != nil {
+		return nil, err
 	}
 	client := c.Client("caller")
 	through, direct := "http://"+entry.Address+"/match", "http://"+c.VMs[0].TargetAddress()+"/match"
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -67,12 +67,11 @@
 	slow    float64
 	left    time.Time
 	away    bool
-	stop    chan struct{}
 }
 
 // New returns a Responder that does not announce itself yet.
 func New(o Options) *Responder {
-	return &Responder{options: o, tally: Tally{Runs: map[string]int{}, Paths: map[string]string{}, Echoes: map[string]int{}}, slow: 1, stop: make(chan struct{})}
+	return &Responder{options: o, tally: Tally{Runs: map[string]int{}, Paths: map[string]string{}, Echoes: map[string]int{}}, slow: 1}
 }
 
 // SetAddress sets the address that is announced.
