Choose the tests' ports out of reach of outgoing connections

Ruled out: two tests choosing one port (tests of the package run one after another, the port was held by no other listener in the log). Change: ports come from 20000-29999, below the range of outgoing connections, and none is chosen twice. Before: the new test fails at the first address (33885 lies in the range 32768-60999). After: it passes; the package's tests passed 3 times of 3. Conclusion: the race is gone rather than rarer.

--- a/cmd/plantainrail/main_test.go
+++ b/cmd/plantainrail/main_test.go
@@ -10,7 +10,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -68,13 +70,49 @@
 	return raw[max(0, len(raw)-limit):]
 }
 
-// freeAddress returns a loopback address that was free just now.
+const (
+	// firstPort and portCount bound the ports of the tests' processes. They lie
+	// below those that systems give to outgoing connections, so a connection
+	// cannot take a port between its choice and the process that listens there.
+	firstPort = 20_000
+	portCount = 10_000
+)
+
+var portsChosen atomic.Int64
+
+// freeAddress returns a loopback address that nothing else takes: no port is
+// chosen twice in a run, and one that is in use is passed over.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range portCount {
+		port := firstPort + (os.Getpid()+int(portsChosen.Add(1)))%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", address); err == nil {
+			assert.NilError(t, l.Close())
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
+}
+
+func TestFreeAddressesAreNeverTakenByOtherConnections(t *testing.T) {
+	low, high := 32_768, 65_535
+	if raw, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
+		_, err = fmt.Sscan(string(raw), &low, &high)
+		assert.NilError(t, err)
+	}
+	seen := map[string]bool{}
+	for range 200 {
+		address := freeAddress(t)
+		assert.Assert(t, !seen[address], "%s was chosen twice", address)
+		seen[address] = true
+		_, port, err := net.SplitHostPort(address)
+		assert.NilError(t, err)
+		number, err := strconv.Atoi(port)
+		assert.NilError(t, err)
+		assert.Assert(t, number < low || number > high, "%d may be taken by an outgoing connection", number)
+	}
 }
 
 func writeSettings(t *testing.T, settings map[string]any) string {
