Hold the quiet hours' noise and power by the log's order

Cause: the noise and power columns were read and nothing enforced them; two entries with stale views could together exceed quiet_tasks; eviction when quiet hours begin waited for the owner of each job and had no test. The scheduler walked every task, ended ones included, at each record. Ruled out: caps at the agents, since a zone's sum spans VMs. Change: columns quiet_noise and quiet_power cap a zone's sums; an assignment carries its zone, and the fold rejects one above a cap or in a zone that is out; every entry draws the same line when quiet hours begin. The state keeps the open jobs and the assigned tasks apart, and the scheduler walks only those.

--- a/code.go
+++ b/code.go
@@ -36,6 +36,7 @@
 	CodeOverCapacity    Code = 4003
 	CodeStartForbidden  Code = 4004
 	CodeStaleAttempt    Code = 4005
+	CodeCapReached      Code = 4006
 	CodeUnauthorized    Code = 5001
 	CodeForbidden       Code = 5002
 	CodeInternal        Code = 9001
@@ -92,6 +93,7 @@
 		{CodeOverCapacity, "over_capacity", http.StatusConflict, OutcomeNotRun, "the VM has not enough left", "none: the task is placed elsewhere"},
 		{CodeStartForbidden, "start_forbidden", http.StatusConflict, OutcomeNotRun, "the agent holds no permit to start work now", "none: the start is repeated when it is allowed"},
 		{CodeStaleAttempt, "stale_attempt", http.StatusConflict, OutcomeNotRun, "a newer attempt of the task exists", "none: the older attempt is stopped"},
+		{CodeCapReached, "cap_reached", http.StatusConflict, OutcomeNotRun, "a quiet-hour cap of the availability zone is reached", "none: the task is placed elsewhere, or waits until the quiet hours end"},
 		{CodeUnauthorized, "unauthorized", http.StatusUnauthorized, OutcomeNotRun, "the operator's token is missing or wrong", "pass --token, or set operator_token in the settings"},
 		{CodeForbidden, "forbidden", http.StatusForbidden, OutcomeNotRun, "operators' calls from other machines need a token", "set operator_token in the entry's settings"},
 		{CodeInternal, "internal", http.StatusInternalServerError, OutcomeUncertain, "an internal error occurred", "report it with the request id and the logs"},
--- a/kind.go
+++ b/kind.go
@@ -47,6 +47,10 @@
 	// QuietFrom and QuietTo bound the quiet hours as minutes after midnight UTC.
 	QuietFrom int `json:"quiet_from,omitempty"`
 	QuietTo   int `json:"quiet_to,omitempty"`
+	// QuietNoise and QuietPower cap the summed noise and power of a zone's tasks,
+	// of every kind, during the quiet hours of this row; -1 means no cap.
+	QuietNoise int `json:"quiet_noise"`
+	QuietPower int `json:"quiet_power"`
 	// QuietTasks is the cap on running tasks of this kind in a zone during the
 	// quiet hours; -1 means no cap.
 	QuietTasks int `json:"quiet_tasks"`
@@ -114,6 +118,40 @@
 	return best, best.Name != ""
 }
 
+// CapReached tells whether one more task of the kind would exceed a cap of the
+// quiet hours in a zone that runs the given numbers of tasks by kind. The lowest
+// of the rows' caps on noise and on power holds for the whole zone.
+func (t Table) CapReached(now time.Time, running map[string]int, k Kind) bool {
+	if k.QuietTasks >= 0 && k.Quiet(now) && running[k.Name] >= k.QuietTasks {
+		return true
+	}
+	noise, power := k.Noise, k.Power
+	noiseCap, powerCap := -1, -1
+	for _, row := range t.Kinds {
+		noise += row.Noise * running[row.Name]
+		power += row.Power * running[row.Name]
+		if row.Quiet(now) {
+			noiseCap = lowerCap(noiseCap, row.QuietNoise)
+			powerCap = lowerCap(powerCap, row.QuietPower)
+		}
+	}
+	return exceeds(k.Noise, noise, noiseCap) || exceeds(k.Power, power, powerCap)
+}
+
+// lowerCap returns the lower of two caps, of which -1 is none.
+func lowerCap(a, b int) int {
+	if a < 0 || (b >= 0 && b < a) {
+		return b
+	}
+	return a
+}
+
+// exceeds tells whether a task's part takes the sum above the cap. A task that
+// adds nothing exceeds no cap.
+func exceeds(part, sum, limit int) bool {
+	return part > 0 && limit >= 0 && sum > limit
+}
+
 // WithRevision returns a copy of t that carries the given revision.
 func (t Table) WithRevision(revision int64) Table {
 	t.Revision = revision
--- a/parser/column.go
+++ b/parser/column.go
@@ -51,6 +51,8 @@
 	number("noise", 0, maxCount, func(k *plantainrail.Kind) *int { return &k.Noise }),
 	number("power", 0, maxCount, func(k *plantainrail.Kind) *int { return &k.Power }),
 	{"quiet_hours", "hours in UTC as HH:MM-HH:MM", setQuiet, getQuiet},
+	number("quiet_noise", -1, maxCount, func(k *plantainrail.Kind) *int { return &k.QuietNoise }),
+	number("quiet_power", -1, maxCount, func(k *plantainrail.Kind) *int { return &k.QuietPower }),
 	number("quiet_tasks", -1, maxCount, func(k *plantainrail.Kind) *int { return &k.QuietTasks }),
 	{"quotas", "team=tasks pairs split by spaces, for example parks=10 rota=4", setQuotas, getQuotas},
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -49,9 +49,17 @@
 	quarantineShare = 0.25
 )
 
+// Room is what holds for every placement at one instant.
+type Room struct {
+	Now   time.Time
+	Table plantainrail.Table
+	// Running counts the tasks that have a worker, by zone and by kind.
+	Running map[string]map[string]int
+}
+
 // Place places the tasks in order, urgent ones first. It changes the workers'
-// Free as it goes, and skips a task that fits nowhere.
-func Place(now time.Time, tasks []Task, workers []*Worker) []Placement {
+// Free and the room's Running as it goes, and skips a task that fits nowhere.
+func Place(room Room, tasks []Task, workers []*Worker) []Placement {
 	slices.SortStableFunc(tasks, func(a, b Task) int {
 		switch {
 		case a.Urgent == b.Urgent:
@@ -64,16 +72,16 @@
 	aside := quarantined(workers)
 	placements := make([]Placement, 0, len(tasks))
 	for _, t := range tasks {
-		placements = append(placements, place(now, t, workers, aside))
+		placements = append(placements, place(room, t, workers, aside))
 	}
 	return placements
 }
 
-func place(now time.Time, t Task, workers []*Worker, aside map[string]bool) Placement {
+func place(room Room, t Task, workers []*Worker, aside map[string]bool) Placement {
 	var best *Worker
 	reason := "no worker is in a zone that is in"
 	for _, w := range workers {
-		why := unfit(now, t, w, workers, aside)
+		why := unfit(room, t, w, aside)
 		if why != "" {
 			reason = why
 			continue
@@ -90,11 +98,15 @@
 		best.ByKind = map[string]int{}
 	}
 	best.ByKind[t.Kind.Name]++
+	if room.Running[best.Zone] == nil {
+		room.Running[best.Zone] = map[string]int{}
+	}
+	room.Running[best.Zone][t.Kind.Name]++
 	return Placement{Task: t.ID, Worker: best.Name, Zone: best.Zone}
 }
 
 // unfit says why a worker cannot take a task, or nothing.
-func unfit(now time.Time, t Task, w *Worker, workers []*Worker, aside map[string]bool) string {
+func unfit(room Room, t Task, w *Worker, aside map[string]bool) string {
 	switch {
 	case !t.Resources.Fits(w.Capacity):
 		return "larger than any worker that is in"
@@ -104,22 +116,12 @@
 		return "the workers with room are in quarantine"
 	case !t.Resources.Fits(w.Free):
 		return "no worker has room"
-	case t.Kind.QuietTasks >= 0 && t.Kind.Quiet(now) && inZone(workers, w.Zone, t.Kind.Name) >= t.Kind.QuietTasks:
+	case room.Table.CapReached(room.Now, room.Running[w.Zone], t.Kind):
 		return "the quiet-hour cap is reached"
 	}
 	return ""
 }
 
-func inZone(workers []*Worker, zone, kind string) int {
-	n := 0
-	for _, w := range workers {
-		if w.Zone == zone {
-			n += w.ByKind[kind]
-		}
-	}
-	return n
-}
-
 // better prefers fewer tasks of the same kind, then more room.
 func better(t Task, w, than *Worker) bool {
 	if a, b := w.ByKind[t.Kind.Name], than.ByKind[t.Kind.Name]; a != b {
--- a/receiver/membership.go
+++ b/receiver/membership.go
@@ -234,8 +234,8 @@
 // session here for too long.
 func (m *membership) suspect(now time.Time, s *reducer.State) []keyedRecord {
 	missing := map[string]plantainrail.SuspectRecord{}
-	for _, t := range s.Tasks {
-		if t.Worker == "" || m.receiver.hears(t.Worker, t.Incarnation) || s.Suspects[t.Worker] != nil {
+	for _, t := range s.Assigned {
+		if m.receiver.hears(t.Worker, t.Incarnation) || s.Suspects[t.Worker] != nil {
 			continue
 		}
 		missing[t.Worker+" "+t.Incarnation] = plantainrail.SuspectRecord{Worker: t.Worker, Incarnation: t.Incarnation, Entry: m.receiver.Name}
--- a/receiver/operator_zone.go
+++ b/receiver/operator_zone.go
@@ -41,7 +41,7 @@
 			find(name).Out = z.Out
 			find(name).Epoch = z.Epoch
 		}
-		for _, t := range s.Tasks {
+		for _, t := range s.Assigned {
 			if zone, ok := agentZones[t.Worker]; ok {
 				find(zone).Tasks++
 			}
--- a/receiver/scheduler.go
+++ b/receiver/scheduler.go
@@ -1,8 +1,11 @@
 package receiver
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -141,8 +144,8 @@
 		for _, v := range vms {
 			steps = append(steps, s.reconcile(v, state)...)
 		}
-		for _, t := range state.Tasks {
-			if t.Worker != "" && s.owns(t.Job.ID) {
+		for _, t := range state.Assigned {
+			if s.owns(t.Job.ID) {
 				s.follow(now, t, vms[t.Worker], state)
 			}
 		}
@@ -257,7 +260,8 @@
 	}
 	workers := s.workers(now, state, vms)
 	var steps []plantainrail.TaskRecord
-	for _, p := range placer.Place(now, waiting, workers) {
+	room := placer.Room{Now: now, Table: table, Running: runningByZone(state)}
+	for _, p := range placer.Place(room, waiting, workers) {
 		t := byID[p.Task]
 		if p.Worker == "" {
 			s.reasons[t.ID] = p.Reason
@@ -269,7 +273,7 @@
 		delete(s.reasons, t.ID)
 		steps = append(steps, plantainrail.TaskRecord{
 			AttemptRef: plantainrail.AttemptRef{Task: t.ID, Attempt: t.Attempt + 1}, Step: plantainrail.StepAssign,
-			Worker: p.Worker, Incarnation: vms[p.Worker].hello.Incarnation,
+			Worker: p.Worker, Incarnation: vms[p.Worker].hello.Incarnation, Zone: p.Zone,
 		})
 	}
 	return steps
@@ -279,8 +283,8 @@
 	var tasks []placer.Task
 	byID := map[string]*reducer.Task{}
 	var jobs []*reducer.Job
-	for _, j := range state.Jobs {
-		if !j.Done() && s.owns(j.ID) {
+	for _, j := range state.Open {
+		if s.owns(j.ID) {
 			jobs = append(jobs, j)
 		}
 	}
@@ -331,7 +335,7 @@
 		}
 		return 1
 	})
-	for _, t := range state.Tasks {
+	for _, t := range state.Assigned {
 		if w := byName[t.Worker]; w != nil && w.Incarnation == t.Incarnation {
 			w.Free = w.Free.Minus(t.Job.Resources)
 			w.ByKind[t.Job.Kind]++
@@ -355,7 +359,7 @@
 // that was evicted least so far.
 func (s *scheduler) makeRoom(urgent *reducer.Task, state *reducer.State, vms map[string]*vm) {
 	var victim *reducer.Task
-	for _, t := range state.Tasks {
+	for _, t := range state.Assigned {
 		v := vms[t.Worker]
 		if t.State != reducer.TaskAssigned || t.Job.Urgent || v == nil || state.Zones[v.hello.Zone].Out {
 			continue
@@ -372,25 +376,55 @@
 	}
 }
 
-// capQuietHours evicts tasks above the caps of quiet hours that have begun.
+// runningByZone copies the counts of running tasks, which placing changes.
+func runningByZone(state *reducer.State) map[string]map[string]int {
+	zones := map[string]map[string]int{}
+	for zone, kinds := range state.Running {
+		zones[zone] = maps.Clone(kinds)
+	}
+	return zones
+}
+
+// capQuietHours evicts the tasks for which the caps of quiet hours that have
+// begun leave no room. Every entry draws the same line and orders the same stops,
+// so that the loss of one entry delays none.
 func (s *scheduler) capQuietHours(now time.Time, state *reducer.State, vms map[string]*vm, table plantainrail.Table) {
-	type place struct{ zone, kind string }
-	running := map[place]int{}
-	for _, t := range state.Tasks {
-		v := vms[t.Worker]
-		if t.State != reducer.TaskAssigned || v == nil {
-			continue
-		}
+	if !slices.ContainsFunc(table.Kinds, func(k plantainrail.Kind) bool { return k.Quiet(now) }) {
+		return
+	}
+	var tasks []*reducer.Task
+	for _, t := range state.Assigned {
+		tasks = append(tasks, t)
+	}
+	slices.SortFunc(tasks, func(a, b *reducer.Task) int { return compareWorth(table, a, b) })
+	kept := map[string]map[string]int{}
+	for _, t := range tasks {
 		kind, ok := table.Kind(t.Job.Kind)
-		if !ok || kind.QuietTasks < 0 || !kind.Quiet(now) {
+		if kept[t.Zone] == nil {
+			kept[t.Zone] = map[string]int{}
+		}
+		if !ok || !table.CapReached(now, kept[t.Zone], kind) {
+			kept[t.Zone][t.Job.Kind]++
 			continue
 		}
-		at := place{v.hello.Zone, kind.Name}
-		running[at]++
-		if running[at] > kind.QuietTasks && s.owns(t.Job.ID) {
-			s.evict(v, t.Ref(), "the quiet-hour cap is exceeded")
+		if v := vms[t.Worker]; v != nil && t.State == reducer.TaskAssigned {
+			s.evict(v, t.Ref(), "a quiet-hour cap is exceeded")
+		}
+	}
+}
+
+// compareWorth sorts tasks of urgent jobs and of heavy kinds first, then those
+// that were evicted most.
+func compareWorth(table plantainrail.Table, a, b *reducer.Task) int {
+	if a.Job.Urgent != b.Job.Urgent {
+		if a.Job.Urgent {
+			return -1
 		}
+		return 1
 	}
+	x, _ := table.Kind(a.Job.Kind)
+	y, _ := table.Kind(b.Job.Kind)
+	return cmp.Or(cmp.Compare(y.Weight, x.Weight), cmp.Compare(b.Evictions, a.Evictions), strings.Compare(a.ID, b.ID))
 }
 
 func stepKey(task string, step plantainrail.TaskStep) string {
--- a/record.go
+++ b/record.go
@@ -162,4 +162,6 @@
 	Incarnation string     `cbor:"4,keyasint,omitempty" json:"incarnation,omitempty"`
 	Checkpoint  Checkpoint `cbor:"5,keyasint,omitempty" json:"checkpoint,omitempty"`
 	Reason      string     `cbor:"6,keyasint,omitempty" json:"reason,omitempty"`
+	// Zone is the assigned worker's availability zone.
+	Zone string `cbor:"7,keyasint,omitempty" json:"zone,omitempty"`
 }
--- /dev/null
+++ b/reducer/cap_test.go
@@ -0,0 +1,79 @@
+package reducer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+const capTable = `kind,class,noise,power,quiet_hours,quiet_noise,quiet_power,quiet_tasks
+rebuild,batch,2,1,08:00-09:00,4,,
+notices,batch,0,5,08:00-09:00,,6,
+silent,batch,0,0,,,,
+`
+
+// placeIn assigns a task of its own of the kind to a worker in zone z.
+func (h *history) placeIn(id, kind string) Verdict {
+	h.add(plantainrail.Record{Job: &plantainrail.JobRecord{ID: id, Kind: kind, Team: "rota", Tasks: 1}})
+	return h.add(plantainrail.Record{Task: &plantainrail.TaskRecord{
+		AttemptRef: plantainrail.AttemptRef{Task: id + "/0", Attempt: 1}, Step: plantainrail.StepAssign,
+		Worker: "a", Incarnation: "1", Zone: "z",
+	}})
+}
+
+func TestAssignmentsOfAllEntriesStayWithinTheCaps(t *testing.T) {
+	cases := []struct {
+		name   string
+		before []string
+		kind   string
+		want   plantainrail.Code
+	}{
+		{"first of the loud kind", nil, "rebuild", 0},
+		{"noise at the cap", []string{"rebuild"}, "rebuild", 0},
+		{"noise above the cap", []string{"rebuild", "rebuild"}, "rebuild", plantainrail.CodeCapReached},
+		{"power shared by kinds", []string{"rebuild", "rebuild"}, "notices", plantainrail.CodeCapReached},
+		{"power of two of a kind", []string{"notices"}, "notices", plantainrail.CodeCapReached},
+		{"a kind that adds nothing", []string{"rebuild", "rebuild", "notices"}, "silent", 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHistory()
+			h.add(plantainrail.Record{Table: &plantainrail.TableRecord{Revision: 1, CSV: []byte(capTable)}})
+			for i, kind := range c.before {
+				h.placeIn(string(rune('a'+i)), kind)
+			}
+			assert.Equal(t, code(h.placeIn("last", c.kind)), c.want)
+		})
+	}
+}
+
+func TestPlaceOfAnEndedTaskIsFreeAgain(t *testing.T) {
+	h := newHistory()
+	h.add(plantainrail.Record{Table: &plantainrail.TableRecord{Revision: 1, CSV: []byte(capTable)}})
+	h.placeIn("a", "rebuild")
+	h.placeIn("b", "rebuild")
+	h.step("a/0", 1, plantainrail.StepFinish, "", "")
+	assert.Equal(t, code(h.placeIn("c", "rebuild")), plantainrail.Code(0))
+	record, err := h.state.Snapshot()
+	assert.NilError(t, err)
+	restored, err := restore(record)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, restored.Running["z"], map[string]int{"rebuild": 2})
+	assert.Equal(t, len(restored.Assigned), 2)
+	assert.Equal(t, len(restored.Open), 2)
+}
+
+func TestNothingIsAssignedInAZoneThatIsOut(t *testing.T) {
+	h := newHistory()
+	h.add(plantainrail.Record{Zone: &plantainrail.ZoneRecord{Zone: "z", Out: true}})
+	assert.Equal(t, code(h.placeIn("a", "rebuild")), plantainrail.CodeStartForbidden)
+}
+
+func code(v Verdict) plantainrail.Code {
+	if v.Err == nil {
+		return 0
+	}
+	return v.Err.Code
+}
--- a/reducer/job.go
+++ b/reducer/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/charter"
@@ -31,6 +32,7 @@
 		s.Tasks[t.ID] = t
 	}
 	s.Jobs[j.ID] = job
+	s.Open[j.ID] = job
 	s.usage[usageKey{j.Team, j.Kind}] += j.Tasks
 	return accepted
 }
@@ -48,8 +50,8 @@
 
 func (s *State) applyCancel(c plantainrail.CancelRecord) Verdict {
 	matched := false
-	for _, j := range s.Jobs {
-		if !matches(c, j.JobRecord) || j.Done() {
+	for _, j := range s.Open {
+		if !matches(c, j.JobRecord) {
 			continue
 		}
 		matched = true
@@ -73,13 +75,13 @@
 // applyTask takes a step of a task. An assignment names the attempt before it;
 // any other step names the attempt that it ends. A step of an older attempt is
 // rejected, so an attempt ends at most once and is resumed at most once.
-func (s *State) applyTask(r plantainrail.TaskRecord) Verdict {
+func (s *State) applyTask(r plantainrail.TaskRecord, at time.Time) Verdict {
 	t, ok := s.Tasks[r.Task]
 	if !ok {
 		return rejected(plantainrail.CodeNotFound, "no task %s", r.Task)
 	}
 	if r.Step == plantainrail.StepAssign {
-		return s.applyAssign(t, r)
+		return s.applyAssign(t, r, at)
 	}
 	if r.Attempt != t.Attempt || t.Worker == "" {
 		return rejected(plantainrail.CodeStaleAttempt, "attempt %d of %s is not the current one (%d)", r.Attempt, r.Task, t.Attempt)
@@ -87,21 +89,48 @@
 	return s.applyEnd(t, r)
 }
 
-func (s *State) applyAssign(t *Task, r plantainrail.TaskRecord) Verdict {
+// applyAssign gives a waiting task a worker. It holds the caps of the quiet
+// hours by the log's clock, so that two entries together cannot exceed them.
+func (s *State) applyAssign(t *Task, r plantainrail.TaskRecord, at time.Time) Verdict {
 	if r.Attempt != t.Attempt+1 || t.State != TaskWaiting {
 		return rejected(plantainrail.CodeStaleAttempt, "task %s is %s at attempt %d", t.ID, t.State, t.Attempt)
 	}
 	if s.Lost[r.Worker][r.Incarnation] {
 		return rejected(plantainrail.CodeNotFound, "worker %s was lost", r.Worker)
 	}
+	if s.Zones[r.Zone].Out {
+		return rejected(plantainrail.CodeStartForbidden, "zone %s is out", r.Zone)
+	}
+	kind, ok := s.kinds.Kind(t.Job.Kind)
+	if ok && s.kinds.CapReached(at, s.Running[r.Zone], kind) {
+		return rejected(plantainrail.CodeCapReached, "in zone %s", r.Zone)
+	}
 	t.State, _ = taskChart.Next(t.State, charter.Event(r.Step))
 	t.Attempt = r.Attempt
 	t.Worker = r.Worker
 	t.Incarnation = r.Incarnation
 	t.Reason = r.Reason
+	t.Zone = r.Zone
+	s.indexAssigned(t)
 	return accepted
 }
 
+func (s *State) indexAssigned(t *Task) {
+	s.Assigned[t.ID] = t
+	if s.Running[t.Zone] == nil {
+		s.Running[t.Zone] = map[string]int{}
+	}
+	s.Running[t.Zone][t.Job.Kind]++
+}
+
+func (s *State) unindexAssigned(t *Task) {
+	if s.Assigned[t.ID] == nil {
+		return
+	}
+	delete(s.Assigned, t.ID)
+	s.Running[t.Zone][t.Job.Kind]--
+}
+
 func (s *State) applyEnd(t *Task, r plantainrail.TaskRecord) Verdict {
 	if _, ok := taskChart.Next(t.State, charter.Event(r.Step)); !ok {
 		return rejected(plantainrail.CodeStaleAttempt, "task %s is %s", t.ID, t.State)
@@ -141,6 +170,8 @@
 	t.State = next
 	t.Reason = reason
 	if next != TaskAssigned && next != TaskStopping {
+		s.unindexAssigned(t)
+		t.Zone = ""
 		t.Worker = ""
 		t.Incarnation = ""
 	}
@@ -160,6 +191,7 @@
 
 // endJob keeps a bounded number of ended jobs for lookups.
 func (s *State) endJob(j *Job) {
+	delete(s.Open, j.ID)
 	s.ended = append(s.ended, j.ID)
 	if len(s.ended) <= endedJobs {
 		return
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/charter"
+	"github.com/plantainrail/plantainrail/parser"
 )
 
 const (
@@ -94,6 +95,8 @@
 	FailedOn map[string]bool
 	// Evictions counts releases of running attempts.
 	Evictions int
+	// Zone is the availability zone of the current attempt.
+	Zone string
 }
 
 // Ref names the task's current attempt.
@@ -128,6 +131,12 @@
 	Lost  map[string]map[string]bool
 	Jobs  map[string]*Job
 	Tasks map[string]*Task
+	// Open holds the jobs that have not ended, and Assigned the tasks that have
+	// a worker.
+	Open     map[string]*Job
+	Assigned map[string]*Task
+	// Running counts the tasks that have a worker, by zone and by kind.
+	Running map[string]map[string]int
 	// SnapshotAt is the offset of the latest snapshot record.
 	SnapshotAt plantainrail.Offset
 	// Oldest is the lowest offset that retention was seen to keep.
@@ -143,6 +152,7 @@
 	keyOrder []Claim
 	ended    []string
 	usage    map[usageKey]int
+	kinds    plantainrail.Table
 }
 
 // Claim is a claimed Idempotency-Key.
@@ -164,6 +174,9 @@
 		Lost:     map[string]map[string]bool{},
 		Jobs:     map[string]*Job{},
 		Tasks:    map[string]*Task{},
+		Open:     map[string]*Job{},
+		Assigned: map[string]*Task{},
+		Running:  map[string]map[string]int{},
 		ids:      map[string]Verdict{},
 		usage:    map[usageKey]int{},
 	}
@@ -226,7 +239,7 @@
 	case r.Cancel != nil:
 		return s.applyCancel(*r.Cancel)
 	case r.Task != nil:
-		return s.applyTask(*r.Task)
+		return s.applyTask(*r.Task, r.Time)
 	case r.Snapshot != nil:
 		s.SnapshotAt = r.Offset
 		return accepted
@@ -247,6 +260,7 @@
 
 func (s *State) setTable(r plantainrail.Record) {
 	s.Table = Revision{*r.Table, r.Offset, r.Time}
+	s.kinds, _ = parser.Parse(r.Table.CSV)
 	s.History = append(s.History, s.Table)
 	if len(s.History) > historyLimit {
 		s.History = s.History[1:]
@@ -348,7 +362,7 @@
 		s.Lost[g.Worker] = map[string]bool{}
 	}
 	s.Lost[g.Worker][g.Incarnation] = true
-	for _, t := range s.Tasks {
+	for _, t := range s.Assigned {
 		if t.Worker == g.Worker && t.Incarnation == g.Incarnation {
 			s.step(t, "gone", "the worker was lost")
 		}
--- a/reducer/snapshot.go
+++ b/reducer/snapshot.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/charter"
+	"github.com/plantainrail/plantainrail/parser"
 )
 
 // image is the encoded form of a State. Jobs are in ascending order of offset.
@@ -51,6 +52,7 @@
 	Failures    int                     `cbor:"6,keyasint,omitempty"`
 	FailedOn    map[string]bool         `cbor:"7,keyasint,omitempty"`
 	Evictions   int                     `cbor:"8,keyasint,omitempty"`
+	Zone        string                  `cbor:"9,keyasint,omitempty"`
 }
 
 // Snapshot encodes the state as of Next. It refuses while the state itself is
@@ -83,7 +85,7 @@
 	m := jobImage{Record: j.JobRecord, Offset: j.Offset}
 	for _, t := range j.Tasks {
 		m.Tasks = append(m.Tasks, taskImage{
-			t.State, t.Attempt, t.Worker, t.Incarnation, t.Checkpoint, t.Reason, t.Failures, t.FailedOn, t.Evictions,
+			t.State, t.Attempt, t.Worker, t.Incarnation, t.Checkpoint, t.Reason, t.Failures, t.FailedOn, t.Evictions, t.Zone,
 		})
 	}
 	return m
@@ -154,6 +156,7 @@
 	}
 	s := New()
 	s.Table, s.History = m.Table, m.History
+	s.kinds, _ = parser.Parse(m.Table.CSV)
 	fill(s.Entries, m.Entries)
 	fill(s.Zones, m.Zones)
 	fill(s.Leaving, m.Leaving)
@@ -184,10 +187,13 @@
 		task := &Task{
 			ID: taskID(m.Record.ID, i), Job: j, State: t.State, Attempt: t.Attempt, Worker: t.Worker,
 			Incarnation: t.Incarnation, Checkpoint: t.Checkpoint, Reason: t.Reason,
-			Failures: t.Failures, FailedOn: t.FailedOn, Evictions: t.Evictions,
+			Failures: t.Failures, FailedOn: t.FailedOn, Evictions: t.Evictions, Zone: t.Zone,
 		}
 		j.Tasks = append(j.Tasks, task)
 		s.Tasks[task.ID] = task
+		if task.Worker != "" {
+			s.indexAssigned(task)
+		}
 		if !task.Ended() {
 			j.open++
 		}
@@ -196,5 +202,7 @@
 	s.usage[usageKey{j.Team, j.Kind}] += j.open
 	if j.Done() {
 		s.ended = append(s.ended, j.ID)
+		return
 	}
+	s.Open[j.ID] = j
 }
