Throttle batch tasks while they slow a VM's targets

Cause: tasks kept all of their processors however slow the targets beside them became; nothing measured it. Ruled out: routing alone, since both sides of the scenario route alike and every VM has tasks.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -53,7 +53,10 @@
 	Target plantainrail.Target
 	// Runtime is nil on a VM that only serves requests.
 	Runtime plantainrail.Runtime
-	Log     *zap.Logger
+	// Unthrottled leaves tasks all of their processors. It serves the naive
+	// version in measurements.
+	Unthrottled bool
+	Log         *zap.Logger
 }
 
 // Agent is the process beside a VM's targets and tasks.
@@ -77,6 +80,8 @@
 	exchanges  map[string]*exchange
 	kept       *keeper
 	table      linker.TableUpdate
+	kinds      plantainrail.Table
+	gauge      gauge
 	links      map[string]*link
 	known      map[string]bool
 	changed    chan struct{}
@@ -128,6 +133,9 @@
 	group.Go(func() error { return a.dialAll(ctx) })
 	if a.Runtime != nil {
 		group.Go(func() error { return a.poll(ctx) })
+		if !a.Unthrottled {
+			group.Go(func() error { return a.throttle(ctx) })
+		}
 	}
 	err := group.Wait()
 	if ctx.Err() != nil {
@@ -229,6 +237,7 @@
 		return
 	}
 	a.table = t
+	a.parseKinds()
 	a.notify()
 	a.Log.Info("table in force", zap.Int64("revision", t.Revision))
 }
--- a/agent/exchange.go
+++ b/agent/exchange.go
@@ -25,6 +25,8 @@
 type exchange struct {
 	life context.Context
 	open linker.Open
+	// offered is when the request came to the agent.
+	offered time.Time
 
 	// flushing holds one token, which the writer to the attached stream takes.
 	flushing chan struct{}
@@ -47,7 +49,7 @@
 }
 
 func newExchange(life context.Context, open linker.Open, st *linker.Stream) *exchange {
-	return &exchange{life: life, open: open, stream: st, changed: make(chan struct{}), flushing: make(chan struct{}, 1)}
+	return &exchange{life: life, open: open, offered: time.Now(), stream: st, changed: make(chan struct{}), flushing: make(chan struct{}, 1)}
 }
 
 // notify wakes every waiter. The caller holds the lock.
--- a/agent/request.go
+++ b/agent/request.go
@@ -148,6 +148,7 @@
 		return
 	}
 	defer answer.Body.Close()
+	a.noteLatency(e)
 	e.update(func() {
 		e.head = &linker.Head{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength}
 	})
--- a/agent/task.go
+++ b/agent/task.go
@@ -107,7 +107,7 @@
 func (a *Agent) report() *linker.TaskReport {
 	r := &linker.TaskReport{Incarnation: a.leaser.Incarnation(), Free: a.leaser.Free()}
 	for _, t := range a.statuses {
-		t.Resources = plantainrail.Resources{}
+		t.Resources, t.Usage, t.Kind = plantainrail.Resources{}, plantainrail.Resources{}, ""
 		if t.Phase == plantainrail.PhaseRunning {
 			t.Checkpoint = nil
 		}
@@ -164,7 +164,7 @@
 	defer a.mu.Unlock()
 	a.note([]plantainrail.TaskStatus{{
 		AttemptRef: start.AttemptRef, Incarnation: start.Incarnation,
-		Phase: plantainrail.PhaseRunning, Resources: start.Resources,
+		Phase: plantainrail.PhaseRunning, Resources: start.Resources, Kind: start.Kind,
 	}})
 	a.Log.Info("task started", zap.String("task", start.Task), zap.Int64("attempt", start.Attempt))
 }
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -22,6 +22,7 @@
 	"github.com/plantainrail/plantainrail/appender"
 	"github.com/plantainrail/plantainrail/forwarder"
 	"github.com/plantainrail/plantainrail/launcher"
+	"github.com/plantainrail/plantainrail/placer"
 	"github.com/plantainrail/plantainrail/receiver"
 	"github.com/plantainrail/plantainrail/router"
 	"github.com/plantainrail/plantainrail/standin/recorder"
@@ -66,6 +67,12 @@
 	// Router builds each entry's router; nil means the product's.
 	Router    func(zone string, seed uint64) plantainrail.Router
 	Unlimited bool
+	// Placing chooses workers for tasks; nil means the product's.
+	Placing placer.Placing
+	// Unthrottled leaves tasks all of their processors.
+	Unthrottled bool
+	// Natures are what tasks of each kind are truly like.
+	Natures map[string]worker.Nature
 	Seed      uint64
 	Logger    *zap.Logger
 	Grace     time.Duration
@@ -196,6 +203,7 @@
 		Name: name, Zone: zone, Address: e.Address, Listener: listener,
 		Log:    appender.New("http://"+c.LogAddress, c.Client(name)),
 		Router: build(zone, c.options.Seed+uint64(len(c.Entries))), Unlimited: c.options.Unlimited,
+		Placing: c.options.Placing,
 		Logger: c.options.Logger.With(zap.String("entry", name)),
 	})
 	c.mu.Lock()
@@ -230,6 +238,7 @@
 
 func (c *Cluster) startVM(name, zone string) error {
 	v := &VM{Name: name, Zone: zone, Worker: worker.New(name, zone, c.options.Capacity)}
+	v.Worker.SetNatures(c.options.Natures)
 	listener, err := c.options.Network.Listen(name)
 	if err != nil {
 		return errors.Wrap(err, "listen")
@@ -244,7 +253,7 @@
 	}
 	v.Target = responder.New(responder.Options{
 		Info: info, Agent: "http://" + listener.Addr().String(), Client: c.Client(name),
-		Service: c.options.Service, Grace: c.options.Grace,
+		Service: c.options.Service, Grace: c.options.Grace, Slowdown: v.Worker.Slowdown,
 	})
 	if v.targetAt, err = c.serve(info.Name, v.Target); err != nil {
 		return err
@@ -271,7 +280,7 @@
 	running := agent.New(agent.Options{
 		Name: v.Name, Zone: v.Zone, Capacity: c.options.Capacity, Entries: entries, MaxSessions: 16,
 		Listener: v.listener, Dialer: c.Client(v.Name), Scheme: "ws", Target: target,
-		Runtime: launcher.New("http://"+v.workerAt, c.Client(v.Name)),
+		Runtime: launcher.New("http://"+v.workerAt, c.Client(v.Name)), Unthrottled: c.options.Unthrottled,
 		Log:     c.options.Logger.With(zap.String("agent", v.Name)),
 	})
 	v.agent.Store(running)
--- a/bencher/bencher.go
+++ b/bencher/bencher.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +17,7 @@
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/assembler"
 	"github.com/plantainrail/plantainrail/caller"
+	"github.com/plantainrail/plantainrail/filler"
 	"github.com/plantainrail/plantainrail/receiver"
 	"github.com/plantainrail/plantainrail/rotator"
 )
@@ -36,6 +38,8 @@
 	SendsPerRequest float64 `json:"sends_per_request"`
 	// Kinds holds the latencies by kind.
 	Kinds map[string]KindFigures `json:"kinds"`
+	// Batch is set in scenarios with batch work.
+	Batch *BatchFigures `json:"batch,omitempty"`
 }
 
 // KindFigures are the latencies of one kind's completed requests.
@@ -72,6 +76,9 @@
 	// Planned is set when the disturbance is made of planned stops alone, which
 	// may cut off nothing.
 	Planned bool
+	// Batch is set when batch work shares the VMs. Both sides route requests
+	// alike then, so that the difference is that of the task path.
+	Batch   bool
 	Disturb func(context.Context, *trial)
 }
 
@@ -82,6 +89,8 @@
 	gates    *gates
 	random   *rand.Rand
 
+	submitted atomic.Int64
+
 	mu      sync.Mutex
 	serving []*assembler.Entry
 	tally   *tally
@@ -104,6 +113,10 @@
 	out.Ratios["p999"] = ratio(out.Plantainrail.P999, out.Naive.P999)
 	out.Ratios["weighted"] = ratio(float64(out.Plantainrail.Weighted), float64(out.Naive.Weighted))
 	out.Ratios["capacity"] = float64(out.Plantainrail.Completed) / (s.capacity() * s.Length.Seconds())
+	if s.Batch {
+		out.Ratios["batch_work"] = ratio(out.Plantainrail.Batch.WorkS, out.Naive.Batch.WorkS)
+		out.Ratios["batch_finished"] = ratio(float64(out.Plantainrail.Batch.Finished), float64(out.Naive.Batch.Finished))
+	}
 	return out, nil
 }
 
@@ -142,7 +155,13 @@
 	t.load(ctx)
 	stop()
 	group.Wait()
-	figures, violations := t.tally.figures(t.cluster.Tallies(), s)
+	seen := t.cluster.Tallies()
+	figures, violations := t.tally.figures(seen, s)
+	if s.Batch {
+		batch, wrong := t.batch(seen)
+		figures.Batch = &batch
+		violations = append(violations, wrong...)
+	}
 	return figures, violations, nil
 }
 
@@ -160,7 +179,15 @@
 		},
 		Unlimited: naive, Grace: 3 * time.Second,
 	}
-	if naive {
+	if s.Batch {
+		o.Capacity = plantainrail.Resources{Processors: 4000, Memory: 16_000}
+		o.Natures = natures()
+		o.Unlimited = false
+	}
+	if naive && s.Batch {
+		o.Placing = filler.Place
+		o.Unthrottled = true
+	} else if naive {
 		o.Router = func(string, uint64) plantainrail.Router { return rotator.New() }
 	}
 	cluster, err := assembler.New(ctx, o)
@@ -177,9 +204,9 @@
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
 	deadline := strconv.Itoa(t.scenario.DeadlineMS)
-	csv := "kind,path,class,weight,queue,idempotent,deadline_ms\n" +
-		"match,/match,latency-critical,5,16,no," + deadline + "\n" +
-		"status,/status,latency-critical,1,16,yes," + deadline + "\n"
+	csv := "kind,path,class,weight,queue,idempotent,deadline_ms,slo_ms,processors,memory_mb\n" +
+		"match,/match,latency-critical,5,16,no," + deadline + ",40,,\n" +
+		"status,/status,latency-critical,1,16,yes," + deadline + ",40,,\n" + batchRows
 	if _, err := caller.New(t.serving[0].Address, "", nil).Publish(ctx, receiver.Publish{CSV: csv}); err != nil {
 		return errors.Wrap(err, "publish")
 	}
--- a/bencher/scenario.go
+++ b/bencher/scenario.go
@@ -15,6 +15,7 @@
 		{Name: "drain", Summary: "entries and agents are replaced one by one as planned", Rate: 200, Length: 12 * time.Second, Service: 20 * time.Millisecond, DeadlineMS: 5000, Slots: 8, Planned: true, Disturb: drain},
 		{Name: "overload", Summary: "twice the capacity of the targets", Rate: 1200, Length: 8 * time.Second, Service: 40 * time.Millisecond, DeadlineMS: 500, Slots: 4},
 		{Name: "flapping", Summary: "targets leave and return as another incarnation, again and again", Rate: 300, Length: 8 * time.Second, Service: 6 * time.Millisecond, DeadlineMS: 2000, Slots: 8, Planned: true, Disturb: flapping},
+		{Name: "colocation", Summary: "batch work in waves beside the targets, far from its declared sizes", Rate: 300, Length: 20 * time.Second, Service: 6 * time.Millisecond, DeadlineMS: 2000, Slots: 8, Batch: true, Disturb: colocation},
 	}
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -57,6 +57,9 @@
 	Running map[string]map[string]int
 }
 
+// Placing is a way to place tasks; Place is the product's.
+type Placing func(room Room, tasks []Task, workers []*Worker) []Placement
+
 // Place places the tasks in order, urgent ones first. It changes the workers'
 // Free and the room's Running as it goes, and skips a task that fits nowhere.
 func Place(room Room, tasks []Task, workers []*Worker) []Placement {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -19,6 +19,7 @@
 	"github.com/plantainrail/plantainrail/follower"
 	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/parser"
+	"github.com/plantainrail/plantainrail/placer"
 	"github.com/plantainrail/plantainrail/reducer"
 )
 
@@ -48,7 +49,9 @@
 	// Unlimited lets requests wait at targets without bound. It serves the
 	// naive version in measurements.
 	Unlimited bool
-	Logger    *zap.Logger
+	// Placing chooses workers for tasks; nil means placer.Place.
+	Placing placer.Placing
+	Logger  *zap.Logger
 	// DrainNotice replaces the default notice; 0 keeps it.
 	DrainNotice time.Duration
 }
@@ -91,6 +94,9 @@
 		drained: make(chan struct{}), requests: newJournal(), metrics: newMetrics(o.Name), burn: newBurnMeter(time.Now()),
 		peers: map[string]*peer{}, router: o.Router, leaves: map[linker.LeaveOrder][]chan struct{}{},
 	}
+	if r.Placing == nil {
+		r.Placing = placer.Place
+	}
 	r.sched = newScheduler(r)
 	r.server = &http.Server{Handler: r.handler(), ReadHeaderTimeout: headerLimit}
 	return r
--- a/receiver/scheduler.go
+++ b/receiver/scheduler.go
@@ -271,7 +271,7 @@
 	workers := s.workers(now, state, vms)
 	var steps []plantainrail.TaskRecord
 	room := placer.Room{Now: now, Table: table, Running: runningByZone(state)}
-	for _, p := range placer.Place(room, waiting, workers) {
+	for _, p := range s.receiver.Placing(room, waiting, workers) {
 		t := byID[p.Task]
 		if p.Worker == "" {
 			s.reasons[t.ID] = p.Reason
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -53,6 +53,9 @@
 	Client *http.Client
 	// Service is the time that one request takes; nil means none.
 	Service func(*http.Request) time.Duration
+	// Slowdown is by what the tasks on the same VM multiply that time; nil means
+	// that they do not.
+	Slowdown func() float64
 	// Grace is how long after a leave new requests may still begin.
 	Grace time.Duration
 }
@@ -247,6 +250,9 @@
 	if ms, err := strconv.Atoi(q.URL.Query().Get("ms")); err == nil {
 		service = time.Duration(ms) * time.Millisecond
 	}
+	if r.options.Slowdown != nil {
+		service = time.Duration(float64(service) * r.options.Slowdown())
+	}
 	r.mu.Lock()
 	service = time.Duration(float64(service) * r.slow * r.crowding())
 	r.mu.Unlock()
