Reserve measured sizes and keep throttled kinds off strained workers

Ruled out: lost work, since nothing was evicted. Change: package sizer learns the peak usage of each kind at the agents; an assignment reserves the corrected size, and the log holds the worker's capacity against it; agents name the kinds that they throttle, and no more of these are placed there.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -22,6 +22,7 @@
 	"github.com/plantainrail/plantainrail/admitter"
 	"github.com/plantainrail/plantainrail/leaser"
 	"github.com/plantainrail/plantainrail/linker"
+	"github.com/plantainrail/plantainrail/sizer"
 )
 
 const (
@@ -75,17 +76,19 @@
 	succeeds string
 	fencing  bool
 	// startsFrom is when attempts may start after a takeover.
-	startsFrom time.Time
-	statuses   map[plantainrail.AttemptRef]plantainrail.TaskStatus
-	exchanges  map[string]*exchange
-	kept       *keeper
-	table      linker.TableUpdate
-	kinds      plantainrail.Table
-	gauge      gauge
-	links      map[string]*link
-	known      map[string]bool
-	changed    chan struct{}
-	draining   bool
+	startsFrom     time.Time
+	statuses       map[plantainrail.AttemptRef]plantainrail.TaskStatus
+	exchanges      map[string]*exchange
+	kept           *keeper
+	table          linker.TableUpdate
+	kinds          plantainrail.Table
+	gauge          gauge
+	throttledKinds []string
+	sizer          *sizer.Sizer
+	links          map[string]*link
+	known          map[string]bool
+	changed        chan struct{}
+	draining       bool
 }
 
 // New returns an Agent.
@@ -94,7 +97,7 @@
 	a := &Agent{
 		Options: o, boot: newID(), life: life, end: end, admitter: admitter.New(), leaser: leaser.New(o.Capacity, newID()),
 		statuses:  map[plantainrail.AttemptRef]plantainrail.TaskStatus{},
-		exchanges: map[string]*exchange{}, kept: newKeeper(),
+		exchanges: map[string]*exchange{}, kept: newKeeper(), sizer: sizer.New(),
 		links: map[string]*link{}, known: map[string]bool{}, changed: make(chan struct{}),
 	}
 	for _, e := range o.Entries {
--- a/agent/task.go
+++ b/agent/task.go
@@ -97,6 +97,7 @@
 			changed = true
 		}
 		a.statuses[t.AttemptRef] = t
+		a.sizer.Observe(time.Now(), t.Kind, t.AttemptRef, t.Usage)
 	}
 	if changed {
 		a.notify()
@@ -105,7 +106,7 @@
 
 // report lists the attempts that this agent holds. The caller holds the lock.
 func (a *Agent) report() *linker.TaskReport {
-	r := &linker.TaskReport{Incarnation: a.leaser.Incarnation(), Free: a.leaser.Free()}
+	r := &linker.TaskReport{Incarnation: a.leaser.Incarnation(), Free: a.leaser.Free(), Sizes: a.sizer.Sizes(), Throttled: a.throttledKinds}
 	for _, t := range a.statuses {
 		t.Resources, t.Usage, t.Kind = plantainrail.Resources{}, plantainrail.Resources{}, ""
 		if t.Phase == plantainrail.PhaseRunning {
--- a/agent/throttle.go
+++ b/agent/throttle.go
@@ -76,7 +76,11 @@
 	window := a.gauge.read()
 	tasks := a.throttled()
 	a.mu.Unlock()
-	for ref, share := range decisions.Step(window, tasks) {
+	changed := decisions.Step(window, tasks)
+	a.mu.Lock()
+	a.throttledKinds = decisions.Throttled(tasks)
+	a.mu.Unlock()
+	for ref, share := range changed {
 		if err := a.Runtime.Throttle(ctx, ref, share); err != nil {
 			a.Log.Debug("task not throttled", zap.String("task", ref.Task), zap.Error(err))
 		}
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -69,13 +69,15 @@
 	Unlimited bool
 	// Placing chooses workers for tasks; nil means the product's.
 	Placing placer.Placing
+	// Declared makes tasks reserve what the table declares.
+	Declared bool
 	// Unthrottled leaves tasks all of their processors.
 	Unthrottled bool
 	// Natures are what tasks of each kind are truly like.
 	Natures map[string]worker.Nature
-	Seed      uint64
-	Logger    *zap.Logger
-	Grace     time.Duration
+	Seed    uint64
+	Logger  *zap.Logger
+	Grace   time.Duration
 }
 
 // Zone is an availability zone with its number of agents.
@@ -203,7 +205,7 @@
 		Name: name, Zone: zone, Address: e.Address, Listener: listener,
 		Log:    appender.New("http://"+c.LogAddress, c.Client(name)),
 		Router: build(zone, c.options.Seed+uint64(len(c.Entries))), Unlimited: c.options.Unlimited,
-		Placing: c.options.Placing,
+		Placing: c.options.Placing, Declared: c.options.Declared,
 		Logger: c.options.Logger.With(zap.String("entry", name)),
 	})
 	c.mu.Lock()
@@ -281,7 +283,7 @@
 		Name: v.Name, Zone: v.Zone, Capacity: c.options.Capacity, Entries: entries, MaxSessions: 16,
 		Listener: v.listener, Dialer: c.Client(v.Name), Scheme: "ws", Target: target,
 		Runtime: launcher.New("http://"+v.workerAt, c.Client(v.Name)), Unthrottled: c.options.Unthrottled,
-		Log:     c.options.Logger.With(zap.String("agent", v.Name)),
+		Log: c.options.Logger.With(zap.String("agent", v.Name)),
 	})
 	v.agent.Store(running)
 	c.group.Go(func() error {
--- a/bencher/bencher.go
+++ b/bencher/bencher.go
@@ -187,6 +187,7 @@
 	if naive && s.Batch {
 		o.Placing = filler.Place
 		o.Unthrottled = true
+		o.Declared = true
 	} else if naive {
 		o.Router = func(string, uint64) plantainrail.Router { return rotator.New() }
 	}
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -13,6 +13,7 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/admitter"
+	"github.com/plantainrail/plantainrail/sizer"
 )
 
 // Frame is the unit that sessions exchange. A frame holds the parts that are
@@ -131,6 +132,11 @@
 	Incarnation string                    `cbor:"0,keyasint"`
 	Tasks       []plantainrail.TaskStatus `cbor:"1,keyasint"`
 	Free        plantainrail.Resources    `cbor:"2,keyasint"`
+	// Sizes are what tasks were measured to use there.
+	Sizes []sizer.Size `cbor:"3,keyasint,omitempty"`
+	// Throttled names the kinds whose tasks there are throttled, since they slow
+	// the VM's targets.
+	Throttled []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Open hands a request to an agent.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -20,6 +20,8 @@
 	Failures int
 	// ByKind counts the tasks of each kind there.
 	ByKind map[string]int
+	// Throttled names the kinds that the worker has to throttle.
+	Throttled []string
 }
 
 // Task is a task that waits for a worker.
@@ -37,7 +39,9 @@
 	Task   string
 	Worker string
 	Zone   string
-	Reason string
+	// Reserved is what the task takes of the worker.
+	Reserved plantainrail.Resources
+	Reason   string
 }
 
 const (
@@ -105,7 +109,7 @@
 		room.Running[best.Zone] = map[string]int{}
 	}
 	room.Running[best.Zone][t.Kind.Name]++
-	return Placement{Task: t.ID, Worker: best.Name, Zone: best.Zone}
+	return Placement{Task: t.ID, Worker: best.Name, Zone: best.Zone, Reserved: t.Resources}
 }
 
 // unfit says why a worker cannot take a task, or nothing.
@@ -117,6 +121,8 @@
 		return "has failed on the workers that have room"
 	case aside[w.Name]:
 		return "the workers with room are in quarantine"
+	case !t.Urgent && slices.Contains(w.Throttled, t.Kind.Name):
+		return "the workers with room throttle this kind for their targets"
 	case !t.Resources.Fits(w.Free):
 		return "no worker has room"
 	case room.Table.CapReached(room.Now, room.Running[w.Zone], t.Kind):
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -49,6 +49,9 @@
 	// Unlimited lets requests wait at targets without bound. It serves the
 	// naive version in measurements.
 	Unlimited bool
+	// Declared makes tasks reserve what the table declares, whatever they were
+	// measured to use. It serves the naive version in measurements.
+	Declared bool
 	// Placing chooses workers for tasks; nil means placer.Place.
 	Placing placer.Placing
 	Logger  *zap.Logger
--- a/receiver/scheduler.go
+++ b/receiver/scheduler.go
@@ -16,6 +16,7 @@
 	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/placer"
 	"github.com/plantainrail/plantainrail/reducer"
+	"github.com/plantainrail/plantainrail/sizer"
 )
 
 const (
@@ -106,7 +107,9 @@
 	session *linker.Session
 	held    map[plantainrail.AttemptRef]plantainrail.TaskStatus
 	// reported is when the report of what is held arrived.
-	reported time.Time
+	reported  time.Time
+	sizes     []sizer.Size
+	throttled []string
 	// covered is set when the log's state is later than the report, so that an
 	// attempt which the state does not know is not merely new.
 	covered bool
@@ -121,7 +124,7 @@
 		if p.report == nil || p.report.Incarnation != p.hello.Incarnation {
 			continue
 		}
-		v := &vm{hello: p.hello, session: p.session, reported: p.reported, held: map[plantainrail.AttemptRef]plantainrail.TaskStatus{}}
+		v := &vm{hello: p.hello, session: p.session, reported: p.reported, sizes: p.report.Sizes, throttled: p.report.Throttled, held: map[plantainrail.AttemptRef]plantainrail.TaskStatus{}}
 		for _, t := range p.report.Tasks {
 			v.held[t.AttemptRef] = t
 		}
@@ -269,6 +272,9 @@
 		return nil
 	}
 	workers := s.workers(now, state, vms)
+	if !s.receiver.Declared {
+		correctSizes(waiting, vms)
+	}
 	var steps []plantainrail.TaskRecord
 	room := placer.Room{Now: now, Table: table, Running: runningByZone(state)}
 	for _, p := range s.receiver.Placing(room, waiting, workers) {
@@ -284,12 +290,28 @@
 		steps = append(steps, plantainrail.TaskRecord{
 			AttemptRef: plantainrail.AttemptRef{Task: t.ID, Attempt: t.Attempt + 1}, Step: plantainrail.StepAssign,
 			Worker: p.Worker, Incarnation: vms[p.Worker].hello.Incarnation, Zone: p.Zone,
-			Capacity: vms[p.Worker].hello.Capacity,
+			Capacity: vms[p.Worker].hello.Capacity, Reserved: p.Reserved,
 		})
 	}
 	return steps
 }
 
+// correctSizes lets the tasks reserve what their kinds were measured to use.
+func correctSizes(tasks []placer.Task, vms map[string]*vm) {
+	var sizes []sizer.Size
+	var largest plantainrail.Resources
+	for _, v := range vms {
+		sizes = append(sizes, v.sizes...)
+		if largest.Fits(v.hello.Capacity) {
+			largest = v.hello.Capacity
+		}
+	}
+	sizes = sizer.Merge(sizes)
+	for i, t := range tasks {
+		tasks[i].Resources = sizer.Correct(sizes, t.Kind.Name, t.Resources, largest)
+	}
+}
+
 func (s *scheduler) waiting(state *reducer.State, table plantainrail.Table) ([]placer.Task, map[string]*reducer.Task) {
 	var tasks []placer.Task
 	byID := map[string]*reducer.Task{}
@@ -335,7 +357,7 @@
 		}
 		w := &placer.Worker{
 			Name: name, Zone: v.hello.Zone, Incarnation: v.hello.Incarnation, Capacity: v.hello.Capacity,
-			Free: v.hello.Capacity, Failures: s.recentFailures(now, name), ByKind: map[string]int{},
+			Free: v.hello.Capacity, Failures: s.recentFailures(now, name), ByKind: map[string]int{}, Throttled: v.throttled,
 		}
 		byName[name] = w
 		list = append(list, w)
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -12,6 +12,8 @@
 package throttler
 
 import (
+	"slices"
+
 	"github.com/plantainrail/plantainrail"
 )
 
@@ -110,6 +112,23 @@
 // Blame returns what one whole task of the kind adds to the slowdown.
 func (t *Throttler) Blame(kind string) float64 { return t.blame[kind] }
 
+// Throttled names the kinds whose tasks are left less than half of their
+// processors on average.
+func (t *Throttler) Throttled(tasks []Task) []string {
+	counts := map[string]float64{}
+	for _, task := range tasks {
+		counts[task.Kind]++
+	}
+	var kinds []string
+	for kind, part := range t.mix(tasks) {
+		if part < counts[kind]/2 {
+			kinds = append(kinds, kind)
+		}
+	}
+	slices.Sort(kinds)
+	return kinds
+}
+
 // mix sums the shares of the tasks by kind, a whole task as 1.
 func (t *Throttler) mix(tasks []Task) map[string]float64 {
 	mix := map[string]float64{}
