Measure urgent starts, bad workers, lost owners and zones on the bench

Cause: no scenario put the task path under its failures against the naive side. Change: scenarios black-hole-worker, impossible-jobs, urgent-starts, owner-loss and zone-leaves-and-returns on top of the waves of colocation; the runtime is read every 200 ms in place of 500 ms.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,7 +27,7 @@
 
 const (
 	// pollEvery is the pace at which the runtime's tasks are read.
-	pollEvery = 500 * time.Millisecond
+	pollEvery = 200 * time.Millisecond
 	// DrainLimit bounds how long a stopping agent waits for requests and tasks.
 	DrainLimit = 60 * time.Second
 	// callLimit bounds one call to the VM's runtime.
--- a/bencher/bencher.go
+++ b/bencher/bencher.go
@@ -90,6 +90,10 @@
 	random   *rand.Rand
 
 	submitted atomic.Int64
+	// urgent holds when each urgent task was submitted.
+	urgent map[string]time.Time
+	// outFrom and outTo bound the time in which nothing may start in zone b.
+	outFrom, outTo time.Time
 
 	mu      sync.Mutex
 	serving []*assembler.Entry
@@ -166,7 +170,7 @@
 }
 
 func newTrial(ctx context.Context, s Scenario, seed uint64, naive bool) (*trial, error) {
-	t := &trial{scenario: s, gates: newGates(), random: rand.New(rand.NewPCG(seed, 1)), tally: newTally()}
+	t := &trial{scenario: s, gates: newGates(), random: rand.New(rand.NewPCG(seed, 1)), tally: newTally(), urgent: map[string]time.Time{}}
 	service := rand.New(rand.NewPCG(seed, 2))
 	var mu sync.Mutex
 	o := assembler.Options{
--- a/bencher/scenario.go
+++ b/bencher/scenario.go
@@ -16,6 +16,11 @@
 		{Name: "overload", Summary: "twice the capacity of the targets", Rate: 1200, Length: 8 * time.Second, Service: 40 * time.Millisecond, DeadlineMS: 500, Slots: 4},
 		{Name: "flapping", Summary: "targets leave and return as another incarnation, again and again", Rate: 300, Length: 8 * time.Second, Service: 6 * time.Millisecond, DeadlineMS: 2000, Slots: 8, Planned: true, Disturb: flapping},
 		{Name: "colocation", Summary: "batch work in waves beside the targets, far from its declared sizes", Rate: 300, Length: 20 * time.Second, Service: 6 * time.Millisecond, DeadlineMS: 2000, Slots: 8, Batch: true, Disturb: colocation},
+		{Name: "black-hole-worker", Summary: "one of six workers fails everything that it starts", Rate: 300, Length: 20 * time.Second, Service: 6 * time.Millisecond, DeadlineMS: 2000, Slots: 8, Batch: true, Disturb: besides(blackHole)},
+		{Name: "impossible-jobs", Summary: "jobs that fit on no VM come before the others", Rate: 300, Length: 20 * time.Second, Service: 6 * time.Millisecond, DeadlineMS: 2000, Slots: 8, Batch: true, Disturb: besides(impossible)},
+		{Name: "urgent-starts", Summary: "urgent jobs come to VMs that are full of batch work", Rate: 300, Length: 20 * time.Second, Service: 6 * time.Millisecond, DeadlineMS: 2000, Slots: 8, Batch: true, Disturb: besides(urgent)},
+		{Name: "owner-loss", Summary: "one of two entries dies among batch work", Rate: 300, Length: 20 * time.Second, Service: 6 * time.Millisecond, DeadlineMS: 2000, Slots: 8, Batch: true, Disturb: besides(ownerLoss)},
+		{Name: "zone-leaves-and-returns", Summary: "a zone is out for a third of the time", Rate: 300, Length: 20 * time.Second, Service: 6 * time.Millisecond, DeadlineMS: 2000, Slots: 8, Planned: true, Batch: true, Disturb: besides(zoneLeaves)},
 	}
 }
 
