Count a worker's failures at every entry that hears of them

Each entry counted only the failures whose step it had appended itself, so two entries reached the quarantine's 4 failures half as fast. Ruled out: the quarantine's share, since one of six may be set aside. Change: an entry counts each failure that it hears of once.

--- a/assembler/task_test.go
+++ b/assembler/task_test.go
@@ -555,7 +555,9 @@
 				urgent := receiver.JobSubmission{ID: name, Kind: "rebuild", Team: "rota", Tasks: 1, Work: 1000, Urgent: true}
 				_, err := w.operator(w.Entries[1]).Submit(w.ctx, urgent)
 				assert.NilError(t, err)
-				w.within(5100*time.Millisecond, "started", func() bool { return w.Tallies().FinishedTasks(name) == 1 || w.running() == 12 && len(w.Tallies().Spans) > 12 })
+				w.within(5100*time.Millisecond, "started", func() bool {
+					return w.Tallies().FinishedTasks(name) == 1 || w.running() == 12 && len(w.Tallies().Spans) > 12
+				})
 				w.net.setDelay(0)
 				w.finished(name, 1)
 				w.finished("job", 12)
@@ -564,3 +566,31 @@
 		})
 	}
 }
+
+// One of six workers fails everything that it starts. Both entries place tasks.
+func TestBadWorkerGetsFewStarts(t *testing.T) {
+	more := func(o *assembler.Options) {
+		for i := range o.Zones {
+			o.Zones[i].Agents = 2
+		}
+	}
+	inWorld(t, more, func(w *world) {
+		bad := w.VMs[0]
+		bad.Worker.SetBroken(true)
+		const jobs, tasks = 25, 8
+		for i := range jobs {
+			w.submit(w.Entries[i%2], fmt.Sprintf("job-%d", i), tasks, 1000)
+		}
+		for i := range jobs {
+			w.finished(fmt.Sprintf("job-%d", i), tasks)
+		}
+		starts := 0
+		spans := w.Tallies().Spans
+		for _, s := range spans {
+			if s.VM == bad.Name {
+				starts++
+			}
+		}
+		assert.Assert(t, starts*20 <= len(spans), "%d of %d starts", starts, len(spans))
+	})
+}
--- a/receiver/scheduler.go
+++ b/receiver/scheduler.go
@@ -510,7 +510,9 @@
 		if step.Step == plantainrail.StepAssign {
 			delete(s.proposed, step.Task)
 		}
-		if step.Step == plantainrail.StepFail && verdict.Accepted {
+		if step.Step == plantainrail.StepFail && err == nil {
+			// Of the entries that heard of the failure one had its step accepted;
+			// each counts it.
 			s.noteFailure(step)
 		}
 		s.mu.Unlock()
