--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/plantainrail/plantainrail"
@@ -361,10 +362,7 @@
 		loads = append(loads, TargetLoad{t.info, t.running, len(t.queue), t.state == "leaving"})
 	}
 	slices.SortFunc(loads, func(x, y TargetLoad) int {
-		if x.Info.Name < y.Info.Name {
-			return -1
-		}
-		return 1
+		return strings.Compare(x.Info.Name, y.Info.Name)
 	})
 	return loads
 }
--- a/bencher/bencher.go
+++ b/bencher/bencher.go
@@ -181,19 +181,14 @@
 			defer mu.Unlock()
 			return time.Duration(float64(s.Service) * (0.5 + service.Float64()))
 		},
-		Unlimited: naive, Grace: 3 * time.Second,
+		Grace: 3 * time.Second,
 	}
 	if s.Batch {
 		o.Capacity = plantainrail.Resources{Processors: 4000, Memory: 16_000}
 		o.Natures = natures()
-		o.Unlimited = false
 	}
-	if naive && s.Batch {
-		o.Placing = filler.Place
-		o.Unthrottled = true
-		o.Declared = true
-	} else if naive {
-		o.Router = func(string, uint64) plantainrail.Router { return rotator.New() }
+	if naive {
+		s.makeNaive(&o)
 	}
 	cluster, err := assembler.New(ctx, o)
 	if err != nil {
@@ -204,6 +199,19 @@
 	return t, nil
 }
 
+// makeNaive turns the half of the product that the scenario measures into its
+// naive version.
+func (s Scenario) makeNaive(o *assembler.Options) {
+	if s.Batch {
+		o.Placing = filler.Place
+		o.Unthrottled = true
+		o.Declared = true
+		return
+	}
+	o.Router = func(string, uint64) plantainrail.Router { return rotator.New() }
+	o.Unlimited = true
+}
+
 // ready publishes the table and waits until every entry knows every target.
 func (t *trial) ready(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
--- a/receiver/placing.go
+++ b/receiver/placing.go
@@ -104,10 +104,7 @@
 		list = append(list, w)
 	}
 	slices.SortFunc(list, func(a, b *placer.Worker) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
+		return strings.Compare(a.Name, b.Name)
 	})
 	for _, t := range state.Assigned {
 		if w := byName[t.Worker]; w != nil && w.Incarnation == t.Incarnation {
