Send a task's share again until the runtime holds it

Cause: a new agent took adopted tasks for whole, so what an earlier agent had cut was never given back; a call that failed was not repeated. Ruled out: the throttler, whose shares are right. Change: the agent keeps which shares the runtime took and sends the others.

--- a/agent/throttle.go
+++ b/agent/throttle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,32 +60,44 @@
 	ticker := time.NewTicker(throttleEvery)
 	defer ticker.Stop()
 	decisions := throttler.New()
+	applied := map[plantainrail.AttemptRef]int{}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			a.throttleOnce(ctx, decisions)
+			a.throttleOnce(ctx, decisions, applied)
 		}
 	}
 }
 
-func (a *Agent) throttleOnce(ctx context.Context, decisions *throttler.Throttler) {
+// throttleOnce takes one step. A share that the runtime is not known to hold,
+// because a call failed or an earlier agent made it, is sent again.
+func (a *Agent) throttleOnce(ctx context.Context, decisions *throttler.Throttler, applied map[plantainrail.AttemptRef]int) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	a.mu.Lock()
 	window := a.gauge.read()
 	tasks := a.throttled()
 	a.mu.Unlock()
-	changed := decisions.Step(window, tasks)
+	decisions.Step(window, tasks)
 	a.mu.Lock()
 	a.throttledKinds = decisions.Throttled(tasks)
 	a.mu.Unlock()
-	for ref, share := range changed {
-		if err := a.Runtime.Throttle(ctx, ref, share); err != nil {
-			a.Log.Debug("task not throttled", zap.String("task", ref.Task), zap.Error(err))
+	running := map[plantainrail.AttemptRef]bool{}
+	for _, t := range tasks {
+		running[t.AttemptRef] = true
+		share := decisions.Share(t.AttemptRef)
+		if applied[t.AttemptRef] == share {
+			continue
+		}
+		if err := a.Runtime.Throttle(ctx, t.AttemptRef, share); err != nil {
+			a.Log.Debug("task not throttled", zap.String("task", t.Task), zap.Error(err))
+			continue
 		}
+		applied[t.AttemptRef] = share
 	}
+	maps.DeleteFunc(applied, func(ref plantainrail.AttemptRef, _ int) bool { return !running[ref] })
 }
 
 // throttled lists the running tasks of batch kinds. The caller holds the lock.
