Share what the task path wrote twice and spare repeated cap checks

Cause: read again as a newcomer. Two functions of the agent stopped an attempt in the runtime and looked up how it ended; a cap was worked out for every worker of a zone, though it is one answer for the zone; during quiet hours every pass of the scheduler sorted all assigned tasks, whether or not a cap was exceeded. Change: one stopInRuntime serves both; the cap is worked out once for each task and zone; the counts that the state keeps tell whether there is anything to sort for. The scheduler keeps the report instead of copies of its parts; one urgentFirst, operator, Share and known replace their repetitions. Not measured: what the passes cost before and after.

--- a/agent/task.go
+++ b/agent/task.go
@@ -175,14 +175,14 @@
 // answers. An attempt that did run is reported as it ended.
 func (a *Agent) startFailed(s *linker.Session, start plantainrail.TaskStart, cause error) {
 	a.Log.Warn("task not started", zap.String("task", start.Task), zap.Error(cause))
-	ended, ran, err := a.endAttempt(start)
+	ended, ran, err := a.endAttempt(start.AttemptRef)
 	for err != nil {
 		select {
 		case <-time.After(pollEvery):
 		case <-a.life.Done():
 			return
 		}
-		ended, ran, err = a.endAttempt(start)
+		ended, ran, err = a.endAttempt(start.AttemptRef)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -196,18 +196,11 @@
 }
 
 // endAttempt stops an attempt and tells whether it ever ran, and how it ended.
-func (a *Agent) endAttempt(start plantainrail.TaskStart) (ended plantainrail.TaskStatus, ran bool, err error) {
+func (a *Agent) endAttempt(ref plantainrail.AttemptRef) (ended plantainrail.TaskStatus, ran bool, err error) {
 	ctx, cancel := context.WithTimeout(a.life, callLimit)
 	defer cancel()
-	if _, err := a.Runtime.Stop(ctx, start.AttemptRef); err != nil {
-		return ended, false, err
-	}
-	_, tasks, err := a.Runtime.Tasks(ctx)
-	i := slices.IndexFunc(tasks, func(t plantainrail.TaskStatus) bool { return t.AttemptRef == start.AttemptRef })
-	if err != nil || i < 0 {
-		return ended, false, err
-	}
-	return tasks[i], true, nil
+	_, ended, ran, err = a.stopInRuntime(ctx, ref)
+	return ended, ran, err
 }
 
 // stopTask checkpoints and stops an attempt. An attempt that never came here
@@ -236,11 +229,15 @@
 	}
 	ended := plantainrail.TaskStatus{AttemptRef: ref, Incarnation: incarnation, Phase: plantainrail.PhaseReleased, Reason: reason}
 	if known {
-		var err error
-		if ended, err = a.stopInRuntime(ctx, ended); err != nil {
+		checkpoint, found, ran, err := a.stopInRuntime(ctx, ref)
+		if err != nil {
 			a.Log.Warn("task not stopped", zap.String("task", ref.Task), zap.Error(err))
 			return
 		}
+		ended.Checkpoint = checkpoint
+		if ran && found.Phase != plantainrail.PhaseReleased {
+			ended = found
+		}
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -248,24 +245,20 @@
 	a.Log.Info("task stopped", zap.String("task", ref.Task), zap.Int64("attempt", ref.Attempt), zap.String("phase", string(ended.Phase)), zap.String("cause", reason))
 }
 
-// stopInRuntime stops an attempt and returns how it ended; it may have finished
-// or failed just before.
-func (a *Agent) stopInRuntime(ctx context.Context, released plantainrail.TaskStatus) (plantainrail.TaskStatus, error) {
-	checkpoint, err := a.Runtime.Stop(ctx, released.AttemptRef)
+// stopInRuntime stops an attempt and returns its last checkpoint and what the
+// runtime says of it, which may be that it finished or failed just before. It
+// returns ran as false when the attempt never ran there.
+func (a *Agent) stopInRuntime(ctx context.Context, ref plantainrail.AttemptRef) (checkpoint plantainrail.Checkpoint, ended plantainrail.TaskStatus, ran bool, err error) {
+	checkpoint, err = a.Runtime.Stop(ctx, ref)
 	if err != nil {
-		return released, err
+		return nil, ended, false, err
 	}
-	released.Checkpoint = checkpoint
 	_, tasks, err := a.Runtime.Tasks(ctx)
-	if err != nil {
-		return released, err
-	}
-	for _, t := range tasks {
-		if t.AttemptRef == released.AttemptRef && t.Phase != plantainrail.PhaseReleased {
-			return t, nil
-		}
+	i := slices.IndexFunc(tasks, func(t plantainrail.TaskStatus) bool { return t.AttemptRef == ref })
+	if err != nil || i < 0 {
+		return checkpoint, ended, false, err
 	}
-	return released, nil
+	return checkpoint, tasks[i], true, nil
 }
 
 // forgetTasks drops ended attempts whose end is in the log.
--- a/assembler/order_test.go
+++ b/assembler/order_test.go
@@ -37,10 +37,7 @@
 			v.Worker.SetLossy(true)
 		}
 		w.submit(w.Entries[0], "job", 3, 0)
-		w.until("known", func() bool {
-			job, err := w.operator(w.Entries[1]).Job(w.ctx, "job")
-			return err == nil && job.Done
-		})
+		w.known(w.Entries[1], "job")
 		time.Sleep(20 * time.Second)
 		w.judgeTasks()
 		assert.Equal(t, len(w.Tallies().Spans), 3, "%+v", w.Tallies().Spans)
@@ -63,10 +60,7 @@
 		for _, v := range w.VMs {
 			w.net.set(pair(v.Name, "entry-0"), healthy)
 		}
-		w.until("known", func() bool {
-			job, err := w.operator(w.Entries[0]).Job(w.ctx, "job")
-			return err == nil && job.Done
-		})
+		w.known(w.Entries[0], "job")
 		w.judgeTasks()
 		assert.Equal(t, len(w.Tallies().Spans), 3, "%+v", w.Tallies().Spans)
 	})
--- a/assembler/task_test.go
+++ b/assembler/task_test.go
@@ -49,6 +49,15 @@
 	assert.Equal(w.t, tallies.Overcommits, 0)
 }
 
+// known waits until an entry knows that a job is done.
+func (w *world) known(e *assembler.Entry, id string) {
+	w.t.Helper()
+	w.until("known", func() bool {
+		job, err := w.operator(e).Job(w.ctx, id)
+		return err == nil && job.Done
+	})
+}
+
 // finished waits for a job's end, by what the workers saw.
 func (w *world) finished(id string, tasks int) {
 	w.t.Helper()
@@ -160,10 +169,7 @@
 		assert.Equal(t, w.Tallies().FinishedTasks("job"), 3)
 		assert.Equal(t, len(w.Tallies().Spans), 3)
 		w.Log.SetFaults(recorder.Faults{})
-		w.until("known", func() bool {
-			job, err := w.operator(w.Entries[1]).Job(w.ctx, "job")
-			return err == nil && job.Done
-		})
+		w.known(w.Entries[1], "job")
 		w.judgeTasks()
 	})
 }
--- a/bencher/bencher.go
+++ b/bencher/bencher.go
@@ -220,7 +220,7 @@
 	csv := "kind,path,class,weight,queue,idempotent,deadline_ms,slo_ms,processors,memory_mb\n" +
 		"match,/match,latency-critical,5,16,no," + deadline + ",40,,\n" +
 		"status,/status,latency-critical,1,16,yes," + deadline + ",40,,\n" + batchRows
-	if _, err := caller.New(t.serving[0].Address, "", nil).Publish(ctx, receiver.Publish{CSV: csv}); err != nil {
+	if _, err := t.operator(0).Publish(ctx, receiver.Publish{CSV: csv}); err != nil {
 		return errors.Wrap(err, "publish")
 	}
 	for _, e := range t.serving {
@@ -253,6 +253,11 @@
 	return t.serving[n%len(t.serving)]
 }
 
+// operator calls an entry as an operator does.
+func (t *trial) operator(n int) *caller.Caller {
+	return caller.New(t.entry(n).Address, "", nil)
+}
+
 // replaceEntry adds an entry and then stops the oldest one as planned.
 func (t *trial) replaceEntry(ctx context.Context, name string) {
 	added, err := t.cluster.StartEntry(name, "a")
--- a/bencher/colocation.go
+++ b/bencher/colocation.go
@@ -9,7 +9,6 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/assembler"
-	"github.com/plantainrail/plantainrail/caller"
 	"github.com/plantainrail/plantainrail/receiver"
 	"github.com/plantainrail/plantainrail/standin/worker"
 )
@@ -93,7 +92,7 @@
 }
 
 func (t *trial) submitWave(ctx context.Context, n int) {
-	operator := caller.New(t.entry(n).Address, "", nil)
+	operator := t.operator(n)
 	for _, kind := range batchKinds {
 		job := receiver.JobSubmission{ID: fmt.Sprintf("%s-%d", kind, n), Kind: kind, Team: "bench", Tasks: waveTasks, Work: waveWork}
 		if _, err := operator.Submit(ctx, job); err == nil {
@@ -119,7 +118,7 @@
 func impossible(ctx context.Context, t *trial) {
 	for n := 0; ; n++ {
 		job := receiver.JobSubmission{ID: fmt.Sprintf("vast-%d", n), Kind: "vast", Team: "bench", Tasks: waveTasks, Work: waveWork}
-		_, _ = caller.New(t.entry(n).Address, "", nil).Submit(ctx, job)
+		_, _ = t.operator(n).Submit(ctx, job)
 		if !pause(ctx, waveEvery) {
 			return
 		}
@@ -131,7 +130,7 @@
 	for n := 0; pause(ctx, urgentEvery); n++ {
 		job := receiver.JobSubmission{ID: fmt.Sprintf("urgent-%d", n), Kind: "sweep", Team: "bench", Tasks: 1, Work: urgentWork, Urgent: true}
 		at := time.Now()
-		if _, err := caller.New(t.entry(n).Address, "", nil).Submit(ctx, job); err != nil {
+		if _, err := t.operator(n).Submit(ctx, job); err != nil {
 			continue
 		}
 		t.mu.Lock()
@@ -159,7 +158,7 @@
 		if !pause(ctx, third) {
 			return
 		}
-		_, _ = caller.New(t.entry(0).Address, "", nil).SetZone(ctx, receiver.ZoneChange{Zone: "b", Out: out, Operator: "bench"})
+		_, _ = t.operator(0).SetZone(ctx, receiver.ZoneChange{Zone: "b", Out: out, Operator: "bench"})
 		if out {
 			t.outFrom = time.Now().Add(zoneGrace)
 			t.outTo = time.Now().Add(third)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -87,8 +87,12 @@
 func place(room Room, t Task, workers []*Worker, aside map[string]bool) Placement {
 	var best *Worker
 	reason := "no worker is in a zone that is in"
+	capped := map[string]bool{}
 	for _, w := range workers {
-		why := unfit(room, t, w, aside)
+		if _, known := capped[w.Zone]; !known {
+			capped[w.Zone] = room.Table.CapReached(room.Now, room.Running[w.Zone], t.Kind)
+		}
+		why := unfit(t, w, aside, capped[w.Zone])
 		if why != "" {
 			reason = why
 			continue
@@ -113,7 +117,7 @@
 }
 
 // unfit says why a worker cannot take a task, or nothing.
-func unfit(room Room, t Task, w *Worker, aside map[string]bool) string {
+func unfit(t Task, w *Worker, aside map[string]bool, capped bool) string {
 	switch {
 	case !t.Resources.Fits(w.Capacity):
 		return "larger than any worker that is in"
@@ -125,7 +129,7 @@
 		return "the workers with room throttle this kind for their targets"
 	case !t.Resources.Fits(w.Free):
 		return "no worker has room"
-	case room.Table.CapReached(room.Now, room.Running[w.Zone], t.Kind):
+	case capped:
 		return "the quiet-hour cap is reached"
 	}
 	return ""
--- a/receiver/placing.go
+++ b/receiver/placing.go
@@ -61,13 +61,7 @@
 		}
 	}
 	slices.SortFunc(jobs, func(a, b *reducer.Job) int {
-		if a.Urgent != b.Urgent {
-			if a.Urgent {
-				return -1
-			}
-			return 1
-		}
-		return int(a.Offset - b.Offset)
+		return cmp.Or(urgentFirst(a.Urgent, b.Urgent), cmp.Compare(a.Offset, b.Offset))
 	})
 	for _, j := range jobs {
 		kind, _ := table.Kind(j.Kind)
@@ -98,7 +92,7 @@
 		}
 		w := &placer.Worker{
 			Name: name, Zone: v.hello.Zone, Incarnation: v.hello.Incarnation, Capacity: v.hello.Capacity,
-			Free: v.hello.Capacity, Failures: s.recentFailures(now, name), ByKind: map[string]int{}, Throttled: v.throttled,
+			Free: v.hello.Capacity, Failures: s.recentFailures(now, name), ByKind: map[string]int{}, Throttled: v.report.Throttled,
 		}
 		byName[name] = w
 		list = append(list, w)
@@ -161,7 +155,7 @@
 // begun leave no room. Every entry draws the same line and orders the same stops,
 // so that the loss of one entry delays none.
 func (s *scheduler) capQuietHours(now time.Time, state *reducer.State, vms map[string]*vm, table plantainrail.Table) {
-	if !slices.ContainsFunc(table.Kinds, func(k plantainrail.Kind) bool { return k.Quiet(now) }) {
+	if !capExceeded(now, state, table) {
 		return
 	}
 	var tasks []*reducer.Task
@@ -197,7 +191,7 @@
 	var sizes []sizer.Size
 	var largest plantainrail.Resources
 	for _, v := range vms {
-		sizes = append(sizes, v.sizes...)
+		sizes = append(sizes, v.report.Sizes...)
 		if largest.Fits(v.hello.Capacity) {
 			largest = v.hello.Capacity
 		}
@@ -217,16 +211,42 @@
 	return zones
 }
 
+// capExceeded tells whether any zone runs more than the caps allow, from the
+// counts alone: it does when some task would not be let in beside the others.
+func capExceeded(now time.Time, state *reducer.State, table plantainrail.Table) bool {
+	if !slices.ContainsFunc(table.Kinds, func(k plantainrail.Kind) bool { return k.Quiet(now) }) {
+		return false
+	}
+	for _, running := range runningByZone(state) {
+		for _, kind := range table.Kinds {
+			if running[kind.Name] == 0 {
+				continue
+			}
+			running[kind.Name]--
+			if table.CapReached(now, running, kind) {
+				return true
+			}
+			running[kind.Name]++
+		}
+	}
+	return false
+}
+
+// urgentFirst compares two tasks or jobs by urgency.
+func urgentFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
 // compareWorth sorts tasks of urgent jobs and of heavy kinds first, then those
 // that were evicted most.
 func compareWorth(table plantainrail.Table, a, b *reducer.Task) int {
-	if a.Job.Urgent != b.Job.Urgent {
-		if a.Job.Urgent {
-			return -1
-		}
-		return 1
-	}
 	x, _ := table.Kind(a.Job.Kind)
 	y, _ := table.Kind(b.Job.Kind)
-	return cmp.Or(cmp.Compare(y.Weight, x.Weight), cmp.Compare(b.Evictions, a.Evictions), strings.Compare(a.ID, b.ID))
+	return cmp.Or(urgentFirst(a.Job.Urgent, b.Job.Urgent), cmp.Compare(y.Weight, x.Weight), cmp.Compare(b.Evictions, a.Evictions), strings.Compare(a.ID, b.ID))
 }
--- a/receiver/scheduler.go
+++ b/receiver/scheduler.go
@@ -14,7 +14,6 @@
 	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/placer"
 	"github.com/plantainrail/plantainrail/reducer"
-	"github.com/plantainrail/plantainrail/sizer"
 )
 
 const (
@@ -108,10 +107,9 @@
 	hello   linker.Hello
 	session *linker.Session
 	held    map[plantainrail.AttemptRef]plantainrail.TaskStatus
-	// reported is when the report of what is held arrived.
-	reported  time.Time
-	sizes     []sizer.Size
-	throttled []string
+	report  *linker.TaskReport
+	// reported is when the report arrived.
+	reported time.Time
 	// covered is set when the log's state is later than the report, so that an
 	// attempt which the state does not know is not merely new.
 	covered bool
@@ -126,7 +124,7 @@
 		if p.report == nil || p.report.Incarnation != p.hello.Incarnation {
 			continue
 		}
-		v := &vm{hello: p.hello, session: p.session, reported: p.reported, sizes: p.report.Sizes, throttled: p.report.Throttled, held: map[plantainrail.AttemptRef]plantainrail.TaskStatus{}}
+		v := &vm{hello: p.hello, session: p.session, report: p.report, reported: p.reported, held: map[plantainrail.AttemptRef]plantainrail.TaskStatus{}}
 		for _, t := range p.report.Tasks {
 			v.held[t.AttemptRef] = t
 		}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -81,10 +81,7 @@
 	shares := make(map[plantainrail.AttemptRef]int, len(tasks))
 	changed := map[plantainrail.AttemptRef]int{}
 	for _, task := range tasks {
-		old, known := t.shares[task.AttemptRef]
-		if !known {
-			old = Whole
-		}
+		old := t.Share(task.AttemptRef)
 		share := old
 		switch {
 		case strained && guilty[task.Kind]:
