--- /dev/null
+++ b/agent/local.go
@@ -0,0 +1,99 @@
+package agent
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+// announcementLimit bounds the body of a call from a target, in bytes.
+const announcementLimit = 64 << 10
+
+// localHandler serves the VM's own targets and the operators of the VM.
+func (a *Agent) localHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /announce", a.announce)
+	mux.HandleFunc("POST /leave", a.leaveCall)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /status", a.status)
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	return mux
+}
+
+func readTarget(w http.ResponseWriter, r *http.Request) (plantainrail.TargetInfo, bool) {
+	var info plantainrail.TargetInfo
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, announcementLimit)).Decode(&info)
+	if err != nil || info.Name == "" || info.Incarnation == "" {
+		http.Error(w, "name and incarnation are needed", http.StatusBadRequest)
+		return info, false
+	}
+	return info, true
+}
+
+// announce takes a target's announcement, which it repeats every second.
+func (a *Agent) announce(w http.ResponseWriter, r *http.Request) {
+	info, ok := readTarget(w, r)
+	if !ok {
+		return
+	}
+	if info.Address == "" || len(info.Kinds) == 0 || info.Slots < 1 || info.Connections < info.Slots {
+		http.Error(w, "address, kinds, slots and at least as many connections are needed", http.StatusBadRequest)
+		return
+	}
+	a.mu.Lock()
+	known := a.admitter.Present(time.Now(), info.Name, info.Incarnation)
+	a.admitter.Announce(time.Now(), info)
+	if !known {
+		a.notify()
+	}
+	a.mu.Unlock()
+	if !known {
+		a.Log.Info("target announced", zap.String("target", info.Name), zap.String("incarnation", info.Incarnation))
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// leaveCall takes a target's word that it leaves.
+func (a *Agent) leaveCall(w http.ResponseWriter, r *http.Request) {
+	info, ok := readTarget(w, r)
+	if !ok {
+		return
+	}
+	if !a.leaveTarget(info.Name, info.Incarnation) {
+		http.Error(w, "no such target", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Status is what an agent tells about itself.
+type Status struct {
+	Agent       string                    `json:"agent"`
+	Incarnation string                    `json:"incarnation"`
+	Revision    int64                     `json:"revision"`
+	Sessions    []string                  `json:"sessions"`
+	Open        int                       `json:"open"`
+	Tasks       []plantainrail.TaskStatus `json:"tasks"`
+}
+
+func (a *Agent) status(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(a.Status())
+}
+
+// Status returns a view of the agent for operators and tests.
+func (a *Agent) Status() Status {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := Status{Agent: a.Name, Incarnation: a.leaser.Incarnation(), Revision: a.table.Revision, Open: a.admitter.Open()}
+	for address := range a.links {
+		s.Sessions = append(s.Sessions, address)
+	}
+	s.Tasks = a.report().Tasks
+	return s
+}
--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,167 @@
+// Package caller is the client of an entry's operators' calls.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/receiver"
+)
+
+const (
+	callLimit  = 15 * time.Second
+	replyLimit = 64 << 20
+)
+
+// Caller calls one entry.
+type Caller struct {
+	base   string
+	token  string
+	client *http.Client
+}
+
+// FailureError is a failure that an entry reported.
+type FailureError struct {
+	receiver.Failure
+}
+
+// Error returns the message and what to do next in one line.
+func (e *FailureError) Error() string {
+	return e.Message + "; " + e.Action
+}
+
+// New returns a Caller for the entry at an address or base URL.
+func New(entry, token string, client *http.Client) *Caller {
+	if !strings.Contains(entry, "://") {
+		entry = "http://" + entry
+	}
+	if client == nil {
+		client = &http.Client{Timeout: callLimit}
+	}
+	return &Caller{entry, token, client}
+}
+
+func (c *Caller) call(ctx context.Context, method, path string, body, reply any) error {
+	var reader io.Reader
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "encode call")
+		}
+		reader = bytes.NewReader(raw)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
+	if err != nil {
+		return errors.Wrap(err, "call")
+	}
+	request.GetBody = nil
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "cannot reach entry %s; check --entry", c.base)
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, replyLimit))
+	if err != nil {
+		return errors.Wrap(err, "read reply")
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		var failure FailureError
+		if json.Unmarshal(raw, &failure) != nil || failure.Code == 0 {
+			return errors.Errorf("entry %s: %s", c.base, response.Status)
+		}
+		return &failure
+	}
+	return errors.Wrap(json.Unmarshal(raw, reply), "read reply")
+}
+
+func get[T any](ctx context.Context, c *Caller, path string) (T, error) {
+	var out T
+	return out, c.call(ctx, http.MethodGet, path, nil, &out)
+}
+
+func post[T any](ctx context.Context, c *Caller, path string, body any) (T, error) {
+	var out T
+	return out, c.call(ctx, http.MethodPost, path, body, &out)
+}
+
+// Table returns the table in force.
+func (c *Caller) Table(ctx context.Context) (receiver.TableReply, error) {
+	return get[receiver.TableReply](ctx, c, "/-/table")
+}
+
+// History returns the kept revisions, the oldest first.
+func (c *Caller) History(ctx context.Context) ([]receiver.TableReply, error) {
+	return get[[]receiver.TableReply](ctx, c, "/-/table/history")
+}
+
+// Publish publishes a table.
+func (c *Caller) Publish(ctx context.Context, p receiver.Publish) (receiver.TableReply, error) {
+	return post[receiver.TableReply](ctx, c, "/-/table", p)
+}
+
+// Targets lists the targets.
+func (c *Caller) Targets(ctx context.Context) ([]receiver.TargetReply, error) {
+	return get[[]receiver.TargetReply](ctx, c, "/-/targets")
+}
+
+// Leave makes a target leave.
+func (c *Caller) Leave(ctx context.Context, l receiver.Leave) (receiver.LeaveReply, error) {
+	return post[receiver.LeaveReply](ctx, c, "/-/targets/leave", l)
+}
+
+// Entries lists the entries.
+func (c *Caller) Entries(ctx context.Context) ([]receiver.EntryReply, error) {
+	return get[[]receiver.EntryReply](ctx, c, "/-/entries")
+}
+
+// Request returns what an entry remembers of a request.
+func (c *Caller) Request(ctx context.Context, id string) (receiver.Account, error) {
+	return get[receiver.Account](ctx, c, "/-/requests/"+url.PathEscape(id))
+}
+
+// Zones lists the availability zones.
+func (c *Caller) Zones(ctx context.Context) ([]receiver.ZoneReply, error) {
+	return get[[]receiver.ZoneReply](ctx, c, "/-/zones")
+}
+
+// SetZone takes a zone out or brings it back.
+func (c *Caller) SetZone(ctx context.Context, z receiver.ZoneChange) (receiver.ZoneReply, error) {
+	return post[receiver.ZoneReply](ctx, c, "/-/zones", z)
+}
+
+// Submit submits a job.
+func (c *Caller) Submit(ctx context.Context, j receiver.JobSubmission) (receiver.JobReply, error) {
+	return post[receiver.JobReply](ctx, c, "/-/jobs", j)
+}
+
+// Jobs lists the jobs.
+func (c *Caller) Jobs(ctx context.Context) ([]receiver.JobReply, error) {
+	return get[[]receiver.JobReply](ctx, c, "/-/jobs")
+}
+
+// Job returns one job with its tasks.
+func (c *Caller) Job(ctx context.Context, id string) (receiver.JobReply, error) {
+	return get[receiver.JobReply](ctx, c, "/-/jobs/"+url.PathEscape(id))
+}
+
+// Cancel cancels the jobs that match.
+func (c *Caller) Cancel(ctx context.Context, match plantainrail.CancelRecord) (plantainrail.CancelRecord, error) {
+	return post[plantainrail.CancelRecord](ctx, c, "/-/jobs/cancel", match)
+}
+
+// Burn returns the entry's service-level burn by kind.
+func (c *Caller) Burn(ctx context.Context) ([]receiver.BurnReport, error) {
+	return get[[]receiver.BurnReport](ctx, c, "/-/burn")
+}
--- /dev/null
+++ b/cmd/plantainrail/main_test.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail/caller"
+	"github.com/plantainrail/plantainrail/receiver"
+)
+
+// patience bounds every wait; it is no verdict on speed.
+const patience = 60 * time.Second
+
+var program string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "plantainrail")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(folder, "plantainrail")
+	build := exec.Command("go", "build", "-o", program, ".")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// start starts the program and ends it with the test.
+func start(t *testing.T, args ...string) *exec.Cmd {
+	t.Helper()
+	command := exec.Command(program, args...)
+	output, err := os.CreateTemp(t.TempDir(), "output")
+	assert.NilError(t, err)
+	command.Stdout = output
+	command.Stderr = output
+	assert.NilError(t, command.Start())
+	t.Cleanup(func() {
+		_ = command.Process.Signal(syscall.SIGCONT)
+		_ = command.Process.Kill()
+		_ = command.Wait()
+		if t.Failed() {
+			raw, _ := os.ReadFile(output.Name())
+			t.Logf("%v:\n%s", args, tail(raw))
+		}
+	})
+	return command
+}
+
+func tail(raw []byte) []byte {
+	const limit = 4000
+	return raw[max(0, len(raw)-limit):]
+}
+
+// freeAddress returns a loopback address that was free just now.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func writeSettings(t *testing.T, settings map[string]any) string {
+	t.Helper()
+	raw, err := json.Marshal(settings)
+	assert.NilError(t, err)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	assert.NilError(t, os.WriteFile(path, raw, 0o600))
+	return path
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never: %s", what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+const testTable = `kind,path,class,weight,idempotent,deadline_ms,processors,memory_mb
+match,/match,latency-critical,5,no,30000,,
+status,/status,latency-critical,1,yes,30000,,
+feed,/feed,latency-critical,1,yes,30000,,
+rebuild,,batch,3,,,1,512
+`
+
+// plant is a set of real processes.
+type plant struct {
+	log     string
+	entries []string
+	agents  []string
+	targets []string
+	workers []string
+
+	entryCommands  []*exec.Cmd
+	agentCommands  []*exec.Cmd
+	agentSettings  []string
+	entryClients   []*caller.Caller
+	targetNames    []string
+	workerCommands []*exec.Cmd
+}
+
+// newPlant starts a log, entries, and VMs with an agent, a target and a worker
+// each, and publishes testTable. Route replaces the address by which agents
+// reach an entry.
+func newPlant(t *testing.T, entries, vms int, route func(string) string) *plant {
+	t.Helper()
+	p := &plant{log: freeAddress(t)}
+	start(t, "standin", "log", "--listen", p.log)
+	var routed []string
+	for i := range entries {
+		address := freeAddress(t)
+		public := address
+		if route != nil {
+			public = route(address)
+		}
+		routed = append(routed, public)
+		settings := writeSettings(t, map[string]any{
+			"role": "entry", "name": fmt.Sprintf("entry-%d", i), "zone": "zone-0", "listen": address, "address": public,
+			"log_service": "http://" + p.log,
+		})
+		p.entries = append(p.entries, address)
+		p.entryCommands = append(p.entryCommands, start(t, "entry", "--settings", settings))
+		p.entryClients = append(p.entryClients, caller.New(address, "", nil))
+	}
+	for i := range vms {
+		p.addVM(t, i, routed)
+	}
+	eventually(t, "table published", func() bool {
+		_, err := p.entryClients[0].Publish(context.Background(), receiver.Publish{ID: "first", CSV: testTable, Editor: "test"})
+		return err == nil
+	})
+	for _, c := range p.entryClients {
+		eventually(t, "targets known", func() bool {
+			targets, err := c.Targets(context.Background())
+			table, terr := c.Table(context.Background())
+			return err == nil && terr == nil && len(targets) == vms && table.Revision == 1
+		})
+	}
+	return p
+}
+
+func (p *plant) addVM(t *testing.T, i int, entries []string) {
+	t.Helper()
+	agent, target, worker := freeAddress(t), freeAddress(t), freeAddress(t)
+	zone := fmt.Sprintf("zone-%d", i)
+	name := fmt.Sprintf("vm-%d", i)
+	p.workerCommands = append(p.workerCommands, start(t, "standin", "worker", "--listen", worker, "--name", name, "--zone", zone))
+	settings := writeSettings(t, map[string]any{
+		"role": "agent", "name": name, "zone": zone, "listen": agent, "entries": entries,
+		"capacity": map[string]any{"processors": 32000, "memory_mb": 128000}, "runtime": "http://" + worker,
+	})
+	eventually(t, "worker up", func() bool { return reachable(worker) })
+	p.agentSettings = append(p.agentSettings, settings)
+	p.agentCommands = append(p.agentCommands, start(t, "agent", "--settings", settings))
+	start(t, "standin", "target", "--listen", target, "--name", name+"-target", "--agent", "http://"+agent, "--kinds", "match,status,feed")
+	p.agents = append(p.agents, agent)
+	p.targets = append(p.targets, target)
+	p.workers = append(p.workers, worker)
+	p.targetNames = append(p.targetNames, name+"-target")
+}
+
+func reachable(address string) bool {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome string
+	body    string
+	id      string
+	err     error
+}
+
+func ask(address, path, key string) answer {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("slot"))
+	if err != nil {
+		return answer{err: err}
+	}
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header.Get("X-Outcome"), string(body), response.Header.Get("X-Request-Id"), err}
+}
+
+func TestRequestAndJobThroughSeparateProcesses(t *testing.T) {
+	p := newPlant(t, 1, 1, nil)
+	got := ask(p.entries[0], "/match?echo=hello", "")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, got.id+" hello 4\n")
+
+	ctx := context.Background()
+	job, err := p.entryClients[0].Submit(ctx, receiver.JobSubmission{ID: "week-49", Kind: "rebuild", Team: "rota", Tasks: 3, Work: 300})
+	assert.NilError(t, err)
+	eventually(t, "job finished", func() bool {
+		shown, err := p.entryClients[0].Job(ctx, job.ID)
+		return err == nil && shown.States["finished"] == 3
+	})
+}
--- /dev/null
+++ b/command/dev/dev.go
@@ -0,0 +1,97 @@
+// Package dev is the command "dev".
+package dev
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/plantainrail/plantainrail/command/factory"
+)
+
+// Options are what the command needs to run.
+type Options struct {
+	*factory.Factory
+	// Deadline ends the run; zero means when the user interrupts it.
+	Deadline time.Time
+	AsJSON   bool
+	LogLevel string
+	Seed     uint64
+}
+
+// Command holds the flags.
+type Command struct {
+	For      time.Duration `help:"How long to run; until Ctrl-C by default."`
+	JSON     bool          `name:"json" help:"Write the final summary as one JSON object on the last line."`
+	LogLevel string        `default:"error" help:"Write the parts' logs to stderr: debug, info, warn or error."`
+	Seed     uint64        `default:"1" help:"Seed of the load."`
+
+	run func(*Options) error
+}
+
+// New returns the command. A run function replaces what it does.
+func New(run func(*Options) error) Command {
+	if run == nil {
+		run = Run
+	}
+	return Command{run: run}
+}
+
+// Run checks the flags and runs the command.
+func (c *Command) Run(f *factory.Factory) error {
+	if c.For < 0 {
+		return factory.Usagef("--for must not be negative")
+	}
+	o := &Options{Factory: f, AsJSON: c.JSON, LogLevel: c.LogLevel, Seed: c.Seed}
+	if c.For > 0 {
+		o.Deadline = time.Now().Add(c.For)
+	}
+	return c.run(o)
+}
+
+// summaryEvery is the pace of the live summary.
+const summaryEvery = time.Second
+
+// Run runs the cluster with its load and prints a summary of what the callers
+// and the stand-ins saw.
+func Run(o *Options) error {
+	ctx := o.Context
+	if !o.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, o.Deadline)
+		defer cancel()
+	}
+	s, err := newScene(o)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	if err := s.publish(ctx); err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.load(ctx) }()
+	ticker := time.NewTicker(summaryEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-ended:
+			return report(o, s.summary(), err)
+		case <-ticker.C:
+			fmt.Fprintln(o.Err, s.summary())
+		}
+	}
+}
+
+func report(o *Options, final Summary, err error) error {
+	if err != nil {
+		return errors.Wrap(err, "load")
+	}
+	if o.AsJSON {
+		return o.Line(final)
+	}
+	_, err = fmt.Fprintln(o.Out, final)
+	return errors.Wrap(err, "write")
+}
--- /dev/null
+++ b/command/job/show/show.go
@@ -0,0 +1,52 @@
+// Package show is the command "job show" and "job explain".
+package show
+
+import (
+	"strconv"
+
+	"github.com/plantainrail/plantainrail/command/factory"
+)
+
+// Options are what the command needs to run.
+type Options struct {
+	*factory.Factory
+	ID     string
+	AsJSON bool
+}
+
+// Command holds the flags.
+type Command struct {
+	ID   string `arg:"" name:"id" help:"The job."`
+	JSON bool   `name:"json" help:"Write the job as JSON."`
+
+	run func(*Options) error
+}
+
+// New returns the command. A run function replaces what it does.
+func New(run func(*Options) error) Command {
+	if run == nil {
+		run = Run
+	}
+	return Command{run: run}
+}
+
+// Run checks the flags and runs the command.
+func (c *Command) Run(f *factory.Factory) error {
+	return c.run(&Options{Factory: f, ID: c.ID, AsJSON: c.JSON})
+}
+
+// Run shows a job's tasks: where each is, and why it waits or was moved.
+func Run(o *Options) error {
+	job, err := o.Caller().Job(o.Context, o.ID)
+	if err != nil {
+		return err
+	}
+	if o.AsJSON {
+		return o.JSON(job)
+	}
+	var rows [][]string
+	for _, t := range job.Detail {
+		rows = append(rows, []string{t.ID, t.State, strconv.FormatInt(t.Attempt, 10), t.Worker, strconv.Itoa(t.Evictions), t.Reason})
+	}
+	return o.Table([]string{"task", "state", "attempt", "worker", "evictions", "reason"}, rows)
+}
--- /dev/null
+++ b/command/root/root.go
@@ -0,0 +1,178 @@
+// Package root is the program's command line: nouns, and verbs below them.
+package root
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/plantainrail/plantainrail/caller"
+	"github.com/plantainrail/plantainrail/command/agent"
+	"github.com/plantainrail/plantainrail/command/chart"
+	"github.com/plantainrail/plantainrail/command/codes"
+	"github.com/plantainrail/plantainrail/command/dev"
+	"github.com/plantainrail/plantainrail/command/entry/list"
+	"github.com/plantainrail/plantainrail/command/entry/serve"
+	"github.com/plantainrail/plantainrail/command/factory"
+	"github.com/plantainrail/plantainrail/command/job/cancel"
+	joblist "github.com/plantainrail/plantainrail/command/job/list"
+	jobshow "github.com/plantainrail/plantainrail/command/job/show"
+	"github.com/plantainrail/plantainrail/command/job/submit"
+	"github.com/plantainrail/plantainrail/command/job/wait"
+	"github.com/plantainrail/plantainrail/command/request/explain"
+	settingscheck "github.com/plantainrail/plantainrail/command/settings/check"
+	"github.com/plantainrail/plantainrail/command/settings/keys"
+	"github.com/plantainrail/plantainrail/command/standin/recorder"
+	"github.com/plantainrail/plantainrail/command/standin/responder"
+	"github.com/plantainrail/plantainrail/command/standin/worker"
+	tablecheck "github.com/plantainrail/plantainrail/command/table/check"
+	"github.com/plantainrail/plantainrail/command/table/diff"
+	"github.com/plantainrail/plantainrail/command/table/get"
+	"github.com/plantainrail/plantainrail/command/table/history"
+	"github.com/plantainrail/plantainrail/command/table/publish"
+	"github.com/plantainrail/plantainrail/command/table/revert"
+	"github.com/plantainrail/plantainrail/command/target/leave"
+	targetlist "github.com/plantainrail/plantainrail/command/target/list"
+	"github.com/plantainrail/plantainrail/command/zone/set"
+	zoneshow "github.com/plantainrail/plantainrail/command/zone/show"
+)
+
+// Line is the whole command line.
+type Line struct {
+	Entry  string `env:"PLANTAINRAIL_ENTRY" default:"127.0.0.1:7400" help:"Address or base URL of an entry." group:"Operators"`
+	Token  string `env:"PLANTAINRAIL_TOKEN" help:"The operators' token." group:"Operators"`
+	Editor string `env:"PLANTAINRAIL_EDITOR" help:"Who makes the change; the login name by default." group:"Operators"`
+
+	EntryNoun struct {
+		Serve serve.Command `cmd:"" default:"withargs" help:"Serve as an entry."`
+		List  list.Command  `cmd:"" help:"List the registered entries."`
+	} `cmd:"" name:"entry" help:"Entries: take callers' requests, serve operators, place tasks."`
+	Agent   agent.Command `cmd:"" help:"Serve as the agent beside a VM's targets and tasks."`
+	Standin struct {
+		Log    recorder.Command  `cmd:"" help:"Serve a log in memory."`
+		Target responder.Command `cmd:"" help:"Serve a target that announces itself."`
+		Worker worker.Command    `cmd:"" help:"Serve a worker runtime that only spends time."`
+	} `cmd:"" help:"Small stand-ins for the platform."`
+	Dev   dev.Command `cmd:"" help:"Run a small cluster with load in one process."`
+	Table struct {
+		Get     get.Command        `cmd:"" help:"Write the table in force as CSV."`
+		Check   tablecheck.Command `cmd:"" help:"Check a table without publishing it."`
+		Diff    diff.Command       `cmd:"" help:"Show what a file would change."`
+		Publish publish.Command    `cmd:"" help:"Publish a table."`
+		History history.Command    `cmd:"" help:"List the kept revisions."`
+		Revert  revert.Command     `cmd:"" name:"revert-to" help:"Publish an earlier revision's content anew."`
+	} `cmd:"" help:"The table of kinds of work."`
+	Target struct {
+		List  targetlist.Command `cmd:"" help:"List the targets."`
+		Leave leave.Command      `cmd:"" help:"Make a target leave."`
+	} `cmd:"" help:"Targets: the service instances that answer requests."`
+	Request struct {
+		Explain explain.Command `cmd:"" help:"Tell what became of a request."`
+	} `cmd:"" help:"Requests of callers."`
+	Zone struct {
+		Out  set.Command      `cmd:"" help:"Take an availability zone out."`
+		In   set.Command      `cmd:"" help:"Bring an availability zone back."`
+		Show zoneshow.Command `cmd:"" help:"List the availability zones."`
+	} `cmd:"" help:"Availability zones."`
+	Job struct {
+		Submit  submit.Command  `cmd:"" help:"Submit a job of batch tasks."`
+		List    joblist.Command `cmd:"" help:"List the jobs."`
+		Show    jobshow.Command `cmd:"" help:"Show a job's tasks."`
+		Explain jobshow.Command `cmd:"" help:"Tell why each task is where it is."`
+		Cancel  cancel.Command  `cmd:"" help:"Cancel jobs."`
+		Wait    wait.Command    `cmd:"" help:"Wait until a job has ended."`
+	} `cmd:"" help:"Batch jobs."`
+	Settings struct {
+		Check settingscheck.Command `cmd:"" help:"Check a settings file."`
+		Keys  keys.Command          `cmd:"" help:"List the settings keys."`
+	} `cmd:"" help:"Settings of entries and agents."`
+	Codes codes.Command `cmd:"" help:"List the result codes."`
+	Chart chart.Command `cmd:"" help:"Write a state chart as a diagram."`
+}
+
+// New returns the command line with every command in place.
+func New() *Line {
+	l := &Line{
+		Agent: agent.New(nil), Dev: dev.New(nil), Codes: codes.New(nil), Chart: chart.New(nil),
+	}
+	l.EntryNoun.Serve, l.EntryNoun.List = serve.New(nil), list.New(nil)
+	l.Standin.Log, l.Standin.Target, l.Standin.Worker = recorder.New(nil), responder.New(nil), worker.New(nil)
+	l.Table.Get, l.Table.Check, l.Table.Diff = get.New(nil), tablecheck.New(nil), diff.New(nil)
+	l.Table.Publish, l.Table.History, l.Table.Revert = publish.New(nil), history.New(nil), revert.New(nil)
+	l.Target.List, l.Target.Leave = targetlist.New(nil), leave.New(nil)
+	l.Request.Explain = explain.New(nil)
+	l.Zone.Out, l.Zone.In, l.Zone.Show = set.New(true, nil), set.New(false, nil), zoneshow.New(nil)
+	l.Job.Submit, l.Job.List, l.Job.Show = submit.New(nil), joblist.New(nil), jobshow.New(nil)
+	l.Job.Explain, l.Job.Cancel, l.Job.Wait = jobshow.New(nil), cancel.New(nil), wait.New(nil)
+	l.Settings.Check, l.Settings.Keys = settingscheck.New(nil), keys.New(nil)
+	return l
+}
+
+const description = `A scheduler for latency-critical and batch work on the same VMs.
+
+Examples:
+  plantainrail dev --for 15s
+  plantainrail table get > table.csv
+  plantainrail table publish table.csv --base 3
+  plantainrail zone out aarhus-1
+  plantainrail job submit --kind rota-rebuild --team rota --tasks 7`
+
+// Run parses the arguments, runs the command and returns the exit code.
+func Run(f *factory.Factory, args []string) int {
+	line := New()
+	exit := -1
+	parser, err := kong.New(
+		line, kong.Name("plantainrail"), kong.Description(description), kong.Writers(f.Out, f.Err),
+		kong.Exit(func(code int) { exit = code }), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
+	if err != nil {
+		fmt.Fprintln(f.Err, err)
+		return factory.ExitFailure
+	}
+	command, err := parser.Parse(args)
+	if exit >= 0 {
+		return exit
+	}
+	if err != nil {
+		fmt.Fprintf(f.Err, "plantainrail: %v; see plantainrail --help\n", err)
+		return factory.ExitUsage
+	}
+	f.Entry, f.Token, f.Editor = line.Entry, line.Token, editor(line.Editor)
+	return code(f.Context, f.Err, command.Run(f))
+}
+
+func editor(given string) string {
+	if given != "" {
+		return given
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return fmt.Sprintf("user %d", os.Getuid())
+}
+
+// code writes an error in one line and returns the exit code for it.
+func code(ctx context.Context, out io.Writer, err error) int {
+	var usage factory.UsageError
+	var failure *caller.FailureError
+	switch {
+	case err == nil:
+		return factory.ExitOK
+	case ctx.Err() != nil:
+		fmt.Fprintln(out, "plantainrail: interrupted")
+		return factory.ExitCancel
+	case errors.As(err, &usage):
+		fmt.Fprintf(out, "plantainrail: %v; see --help\n", err)
+		return factory.ExitUsage
+	case errors.As(err, &failure):
+		fmt.Fprintf(out, "plantainrail: %v\n", err)
+		return factory.ExitFailure
+	}
+	fmt.Fprintf(out, "plantainrail: %v\n", err)
+	return factory.ExitFailure
+}
--- /dev/null
+++ b/command/table/get/get.go
@@ -0,0 +1,51 @@
+// Package get is the command "table get".
+package get
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/plantainrail/plantainrail/command/factory"
+)
+
+// Options are what the command needs to run.
+type Options struct {
+	*factory.Factory
+	AsJSON bool
+}
+
+// Command holds the flags.
+type Command struct {
+	JSON bool `name:"json" help:"Write the reply as JSON."`
+
+	run func(*Options) error
+}
+
+// New returns the command. A run function replaces what it does.
+func New(run func(*Options) error) Command {
+	if run == nil {
+		run = Run
+	}
+	return Command{run: run}
+}
+
+// Run checks the flags and runs the command.
+func (c *Command) Run(f *factory.Factory) error {
+	return c.run(&Options{Factory: f, AsJSON: c.JSON})
+}
+
+// Run writes the table in force as CSV.
+func Run(o *Options) error {
+	table, err := o.Caller().Table(o.Context)
+	if err != nil {
+		return err
+	}
+	if o.AsJSON {
+		return o.JSON(table)
+	}
+	fmt.Fprintf(o.Err, "revision %d\n", table.Revision)
+	_, err = io.WriteString(o.Out, table.CSV)
+	return errors.Wrap(err, "write")
+}
--- /dev/null
+++ b/command/table/history/history.go
@@ -0,0 +1,51 @@
+// Package history is the command "table history".
+package history
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/plantainrail/plantainrail/command/factory"
+)
+
+// Options are what the command needs to run.
+type Options struct {
+	*factory.Factory
+	AsJSON bool
+}
+
+// Command holds the flags.
+type Command struct {
+	JSON bool `name:"json" help:"Write the revisions as JSON."`
+
+	run func(*Options) error
+}
+
+// New returns the command. A run function replaces what it does.
+func New(run func(*Options) error) Command {
+	if run == nil {
+		run = Run
+	}
+	return Command{run: run}
+}
+
+// Run checks the flags and runs the command.
+func (c *Command) Run(f *factory.Factory) error {
+	return c.run(&Options{Factory: f, AsJSON: c.JSON})
+}
+
+// Run lists the kept revisions.
+func Run(o *Options) error {
+	history, err := o.Caller().History(o.Context)
+	if err != nil {
+		return err
+	}
+	if o.AsJSON {
+		return o.JSON(history)
+	}
+	var rows [][]string
+	for _, h := range history {
+		rows = append(rows, []string{strconv.FormatInt(h.Revision, 10), h.Time.Format(time.RFC3339), h.Editor})
+	}
+	return o.Table([]string{"revision", "time", "editor"}, rows)
+}
--- /dev/null
+++ b/command/target/list/list.go
@@ -0,0 +1,54 @@
+// Package list is the command "target list".
+package list
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/plantainrail/plantainrail/command/factory"
+)
+
+// Options are what the command needs to run.
+type Options struct {
+	*factory.Factory
+	AsJSON bool
+}
+
+// Command holds the flags.
+type Command struct {
+	JSON bool `name:"json" help:"Write the targets as JSON."`
+
+	run func(*Options) error
+}
+
+// New returns the command. A run function replaces what it does.
+func New(run func(*Options) error) Command {
+	if run == nil {
+		run = Run
+	}
+	return Command{run: run}
+}
+
+// Run checks the flags and runs the command.
+func (c *Command) Run(f *factory.Factory) error {
+	return c.run(&Options{Factory: f, AsJSON: c.JSON})
+}
+
+// Run lists the targets that the entry knows.
+func Run(o *Options) error {
+	targets, err := o.Caller().Targets(o.Context)
+	if err != nil {
+		return err
+	}
+	if o.AsJSON {
+		return o.JSON(targets)
+	}
+	var rows [][]string
+	for _, t := range targets {
+		rows = append(rows, []string{
+			t.Name, t.Zone, t.State, strings.Join(t.Kinds, " "), strconv.Itoa(t.Running), strconv.Itoa(t.Queued),
+			strconv.FormatFloat(t.LatencyMS, 'f', 1, 64),
+		})
+	}
+	return o.Table([]string{"target", "zone", "state", "kinds", "running", "queued", "latency ms"}, rows)
+}
--- /dev/null
+++ b/command/zone/show/show.go
@@ -0,0 +1,54 @@
+// Package show is the command "zone show".
+package show
+
+import (
+	"strconv"
+
+	"github.com/plantainrail/plantainrail/command/factory"
+)
+
+// Options are what the command needs to run.
+type Options struct {
+	*factory.Factory
+	AsJSON bool
+}
+
+// Command holds the flags.
+type Command struct {
+	JSON bool `name:"json" help:"Write the zones as JSON."`
+
+	run func(*Options) error
+}
+
+// New returns the command. A run function replaces what it does.
+func New(run func(*Options) error) Command {
+	if run == nil {
+		run = Run
+	}
+	return Command{run: run}
+}
+
+// Run checks the flags and runs the command.
+func (c *Command) Run(f *factory.Factory) error {
+	return c.run(&Options{Factory: f, AsJSON: c.JSON})
+}
+
+// Run lists the availability zones.
+func Run(o *Options) error {
+	zones, err := o.Caller().Zones(o.Context)
+	if err != nil {
+		return err
+	}
+	if o.AsJSON {
+		return o.JSON(zones)
+	}
+	var rows [][]string
+	for _, z := range zones {
+		state := "in"
+		if z.Out {
+			state = "out"
+		}
+		rows = append(rows, []string{z.Zone, state, strconv.FormatInt(z.Epoch, 10), strconv.Itoa(z.Agents), strconv.Itoa(z.Tasks)})
+	}
+	return o.Table([]string{"zone", "state", "epoch", "agents", "tasks"}, rows)
+}
--- /dev/null
+++ b/parser/column.go
@@ -0,0 +1,191 @@
+package parser
+
+import (
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+// column reads and writes one column of the table. set returns false for a
+// value that is not allowed.
+type column struct {
+	name    string
+	allowed string
+	set     func(*plantainrail.Kind, string) bool
+	get     func(plantainrail.Kind) string
+}
+
+const (
+	maxWeight      = 1000
+	maxDeadlineMS  = 24 * 60 * 60 * 1000
+	maxCount       = 1_000_000
+	milliPerCore   = 1000
+	minutesPerHour = 60
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+	teamPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+	hourPattern = regexp.MustCompile(`^([01][0-9]|2[0-3]):([0-5][0-9])-([01][0-9]|2[0-3]):([0-5][0-9])$`)
+)
+
+var columns = []column{
+	{"kind", "a name of small letters, digits and hyphens that begins with a letter", setName, func(k plantainrail.Kind) string { return k.Name }},
+	{"path", "a URL path that begins with /", setPath, func(k plantainrail.Kind) string { return k.Path }},
+	{"class", "latency-critical or batch", setClass, func(k plantainrail.Kind) string { return string(k.Class) }},
+	number("weight", 1, maxWeight, func(k *plantainrail.Kind) *int { return &k.Weight }),
+	number("limit", 0, maxCount, func(k *plantainrail.Kind) *int { return &k.Limit }),
+	number("queue", 0, maxCount, func(k *plantainrail.Kind) *int { return &k.Queue }),
+	flag("idempotent", func(k *plantainrail.Kind) *bool { return &k.Idempotent }),
+	flag("feed", func(k *plantainrail.Kind) *bool { return &k.Feed }),
+	number("deadline_ms", 1, maxDeadlineMS, func(k *plantainrail.Kind) *int { return &k.DeadlineMS }),
+	number("slo_ms", 0, maxDeadlineMS, func(k *plantainrail.Kind) *int { return &k.SLOMS }),
+	{"processors", "cores from 0 to 1024, for example 0.5", setCores, getCores},
+	number("memory_mb", 0, 1<<24, func(k *plantainrail.Kind) *int { return &k.Resources.Memory }),
+	number("accelerators", 0, 64, func(k *plantainrail.Kind) *int { return &k.Resources.Accelerators }),
+	number("noise", 0, maxCount, func(k *plantainrail.Kind) *int { return &k.Noise }),
+	number("power", 0, maxCount, func(k *plantainrail.Kind) *int { return &k.Power }),
+	{"quiet_hours", "hours in UTC as HH:MM-HH:MM", setQuiet, getQuiet},
+	number("quiet_tasks", -1, maxCount, func(k *plantainrail.Kind) *int { return &k.QuietTasks }),
+	{"quotas", "team=tasks pairs split by spaces, for example parks=10 rota=4", setQuotas, getQuotas},
+}
+
+// ColumnNames lists the table's columns in their order.
+func ColumnNames() []string {
+	names := make([]string, 0, len(columns))
+	for _, c := range columns {
+		names = append(names, c.name)
+	}
+	return names
+}
+
+func findColumn(name string) (column, bool) {
+	i := slices.IndexFunc(columns, func(c column) bool { return c.name == name })
+	if i < 0 {
+		return column{}, false
+	}
+	return columns[i], true
+}
+
+func findMust(name string) column {
+	c, _ := findColumn(name)
+	return c
+}
+
+func number(name string, low, high int, field func(*plantainrail.Kind) *int) column {
+	return column{
+		name, fmt.Sprintf("a whole number from %d to %d", low, high),
+		func(k *plantainrail.Kind, cell string) bool {
+			n, err := strconv.Atoi(cell)
+			if err != nil || n < low || n > high {
+				return false
+			}
+			*field(k) = n
+			return true
+		},
+		func(k plantainrail.Kind) string { return strconv.Itoa(*field(&k)) },
+	}
+}
+
+func flag(name string, field func(*plantainrail.Kind) *bool) column {
+	return column{
+		name, "yes or no",
+		func(k *plantainrail.Kind, cell string) bool {
+			switch strings.ToLower(cell) {
+			case "yes", "true":
+				*field(k) = true
+			case "no", "false":
+				*field(k) = false
+			default:
+				return false
+			}
+			return true
+		},
+		func(k plantainrail.Kind) string {
+			if *field(&k) {
+				return "yes"
+			}
+			return "no"
+		},
+	}
+}
+
+func setName(k *plantainrail.Kind, cell string) bool {
+	k.Name = cell
+	return namePattern.MatchString(cell)
+}
+
+func setPath(k *plantainrail.Kind, cell string) bool {
+	k.Path = cell
+	return strings.HasPrefix(cell, "/") && !strings.ContainsAny(cell, " ?#")
+}
+
+func setClass(k *plantainrail.Kind, cell string) bool {
+	k.Class = plantainrail.Class(cell)
+	return k.Class == plantainrail.ClassBatch || k.Class == plantainrail.ClassLatencyCritical
+}
+
+func setCores(k *plantainrail.Kind, cell string) bool {
+	cores, err := strconv.ParseFloat(cell, 64)
+	if err != nil || math.IsNaN(cores) || cores < 0 || cores > 1024 {
+		return false
+	}
+	k.Resources.Processors = int(math.Round(cores * milliPerCore))
+	return true
+}
+
+func getCores(k plantainrail.Kind) string {
+	return strconv.FormatFloat(float64(k.Resources.Processors)/milliPerCore, 'f', -1, 64)
+}
+
+func setQuiet(k *plantainrail.Kind, cell string) bool {
+	m := hourPattern.FindStringSubmatch(cell)
+	if m == nil {
+		return false
+	}
+	k.QuietFrom = minutes(m[1], m[2])
+	k.QuietTo = minutes(m[3], m[4])
+	return k.QuietFrom != k.QuietTo
+}
+
+func minutes(hour, minute string) int {
+	h, _ := strconv.Atoi(hour)
+	m, _ := strconv.Atoi(minute)
+	return h*minutesPerHour + m
+}
+
+func getQuiet(k plantainrail.Kind) string {
+	if k.QuietFrom == k.QuietTo {
+		return ""
+	}
+	return fmt.Sprintf("%02d:%02d-%02d:%02d", k.QuietFrom/minutesPerHour, k.QuietFrom%minutesPerHour, k.QuietTo/minutesPerHour, k.QuietTo%minutesPerHour)
+}
+
+func setQuotas(k *plantainrail.Kind, cell string) bool {
+	k.Quotas = nil
+	for _, pair := range strings.Fields(cell) {
+		team, count, ok := strings.Cut(pair, "=")
+		n, err := strconv.Atoi(count)
+		if !ok || err != nil || n < 0 || n > maxCount || !teamPattern.MatchString(team) {
+			return false
+		}
+		if _, twice := k.Quota(team); twice {
+			return false
+		}
+		k.Quotas = append(k.Quotas, plantainrail.Quota{Team: team, Tasks: n})
+	}
+	return true
+}
+
+func getQuotas(k plantainrail.Kind) string {
+	pairs := make([]string, 0, len(k.Quotas))
+	for _, q := range k.Quotas {
+		pairs = append(pairs, fmt.Sprintf("%s=%d", q.Team, q.Tasks))
+	}
+	return strings.Join(pairs, " ")
+}
--- /dev/null
+++ b/record.go
@@ -0,0 +1,165 @@
+package plantainrail
+
+import "time"
+
+// RecordType names the kind of a log record.
+type RecordType string
+
+// Types of log records.
+const (
+	RecordTable   RecordType = "table"
+	RecordEntry   RecordType = "entry"
+	RecordKey     RecordType = "key"
+	RecordZone    RecordType = "zone"
+	RecordLeave   RecordType = "leave"
+	RecordSuspect RecordType = "suspect"
+	RecordVote    RecordType = "vote"
+	RecordGone    RecordType = "gone"
+	RecordJob     RecordType = "job"
+	RecordCancel  RecordType = "cancel"
+	RecordTask    RecordType = "task"
+	// RecordSnapshot repeats the whole state so that retention drops nothing
+	// that still counts.
+	RecordSnapshot RecordType = "snapshot"
+)
+
+// Record is one entry of the log. Exactly one of the pointers is set, the one
+// that Type names.
+type Record struct {
+	// ID is unique to the record; a record that is appended again keeps it.
+	ID     string     `cbor:"0,keyasint" json:"id"`
+	Type   RecordType `cbor:"1,keyasint" json:"type"`
+	Offset Offset     `cbor:"2,keyasint,omitempty" json:"offset"`
+	// Time is the log service's clock at the append.
+	Time time.Time `cbor:"3,keyasint,omitempty" json:"time"`
+
+	Table   *TableRecord   `cbor:"10,keyasint,omitempty" json:"table,omitempty"`
+	Entry   *EntryRecord   `cbor:"11,keyasint,omitempty" json:"entry,omitempty"`
+	Key     *KeyRecord     `cbor:"12,keyasint,omitempty" json:"key,omitempty"`
+	Zone    *ZoneRecord    `cbor:"13,keyasint,omitempty" json:"zone,omitempty"`
+	Leave   *LeaveRecord   `cbor:"14,keyasint,omitempty" json:"leave,omitempty"`
+	Suspect *SuspectRecord `cbor:"15,keyasint,omitempty" json:"suspect,omitempty"`
+	Vote    *VoteRecord    `cbor:"16,keyasint,omitempty" json:"vote,omitempty"`
+	Gone    *GoneRecord    `cbor:"17,keyasint,omitempty" json:"gone,omitempty"`
+	Job     *JobRecord     `cbor:"18,keyasint,omitempty" json:"job,omitempty"`
+	Cancel  *CancelRecord  `cbor:"19,keyasint,omitempty" json:"cancel,omitempty"`
+	Task    *TaskRecord    `cbor:"20,keyasint,omitempty" json:"task,omitempty"`
+
+	Snapshot *SnapshotRecord `cbor:"21,keyasint,omitempty" json:"snapshot,omitempty"`
+}
+
+// TableRecord publishes a revision of the table.
+type TableRecord struct {
+	Revision int64  `cbor:"0,keyasint" json:"revision"`
+	Base     int64  `cbor:"1,keyasint" json:"base"`
+	CSV      []byte `cbor:"2,keyasint" json:"csv"`
+	Editor   string `cbor:"3,keyasint" json:"editor"`
+}
+
+// SnapshotRecord holds the encoded state after all records below AsOf.
+type SnapshotRecord struct {
+	AsOf  Offset `cbor:"0,keyasint" json:"as_of"`
+	State []byte `cbor:"1,keyasint" json:"state"`
+}
+
+// EntryRecord registers an entry, or takes its registration back.
+type EntryRecord struct {
+	Name        string `cbor:"0,keyasint" json:"name"`
+	Incarnation string `cbor:"1,keyasint" json:"incarnation"`
+	Address     string `cbor:"2,keyasint" json:"address"`
+	Zone        string `cbor:"3,keyasint" json:"zone"`
+	Left        bool   `cbor:"4,keyasint,omitempty" json:"left,omitempty"`
+}
+
+// KeyRecord claims an Idempotency-Key for one request at one agent.
+type KeyRecord struct {
+	Key     string `cbor:"0,keyasint" json:"key"`
+	Request string `cbor:"1,keyasint" json:"request"`
+	Agent   string `cbor:"2,keyasint" json:"agent"`
+	// Boot names the agent's process.
+	Boot string `cbor:"4,keyasint" json:"boot"`
+	// Replaces is the voided request whose claim this one takes over.
+	Replaces string `cbor:"3,keyasint,omitempty" json:"replaces,omitempty"`
+}
+
+// ZoneRecord takes an availability zone out or brings it back.
+type ZoneRecord struct {
+	Zone string `cbor:"0,keyasint" json:"zone"`
+	Out  bool   `cbor:"1,keyasint" json:"out"`
+	// Base is the zone's epoch that the record was written against.
+	Base     int64  `cbor:"2,keyasint" json:"base"`
+	Operator string `cbor:"3,keyasint" json:"operator"`
+}
+
+// LeaveRecord marks one incarnation of a target as leaving.
+type LeaveRecord struct {
+	Target      string `cbor:"0,keyasint" json:"target"`
+	Incarnation string `cbor:"1,keyasint" json:"incarnation"`
+}
+
+// SuspectRecord proposes that an incarnation of a worker is lost.
+type SuspectRecord struct {
+	Worker      string `cbor:"0,keyasint" json:"worker"`
+	Incarnation string `cbor:"1,keyasint" json:"incarnation"`
+	Entry       string `cbor:"2,keyasint" json:"entry"`
+}
+
+// VoteRecord answers a suspicion: the entry renews no more leases of the
+// worker, or it still hears the worker.
+type VoteRecord struct {
+	Worker    string `cbor:"0,keyasint" json:"worker"`
+	Suspicion Offset `cbor:"1,keyasint" json:"suspicion"`
+	Entry     string `cbor:"2,keyasint" json:"entry"`
+	Alive     bool   `cbor:"3,keyasint" json:"alive"`
+}
+
+// GoneRecord frees the attempts of an incarnation of a worker.
+type GoneRecord struct {
+	Worker      string `cbor:"0,keyasint" json:"worker"`
+	Incarnation string `cbor:"1,keyasint" json:"incarnation"`
+	// Suspicion is the suspicion that was waited out, or 0 when the worker's
+	// own agent said that the incarnation is over.
+	Suspicion Offset `cbor:"2,keyasint" json:"suspicion"`
+}
+
+// JobRecord accepts a job. Its ID makes a repeated submission harmless.
+type JobRecord struct {
+	ID     string `cbor:"0,keyasint" json:"id"`
+	Kind   string `cbor:"1,keyasint" json:"kind"`
+	Team   string `cbor:"2,keyasint" json:"team"`
+	Tasks  int    `cbor:"3,keyasint" json:"tasks"`
+	Work   int    `cbor:"4,keyasint" json:"work"`
+	Urgent bool   `cbor:"5,keyasint,omitempty" json:"urgent,omitempty"`
+	// Resources is what each task reserves, from the table row at submission.
+	Resources Resources `cbor:"6,keyasint" json:"resources"`
+	// Quota caps the team's unfinished tasks of the kind; nil means no cap.
+	Quota *int `cbor:"7,keyasint,omitempty" json:"quota,omitempty"`
+}
+
+// CancelRecord cancels every unfinished job that matches its set fields.
+type CancelRecord struct {
+	Job  string `cbor:"0,keyasint,omitempty" json:"job,omitempty"`
+	Team string `cbor:"1,keyasint,omitempty" json:"team,omitempty"`
+	Kind string `cbor:"2,keyasint,omitempty" json:"kind,omitempty"`
+}
+
+// TaskStep is a step in the life of a task that the log records.
+type TaskStep string
+
+// Steps of a task.
+const (
+	StepAssign  TaskStep = "assign"
+	StepRelease TaskStep = "release"
+	StepFinish  TaskStep = "finish"
+	StepFail    TaskStep = "fail"
+)
+
+// TaskRecord is one step of one attempt of a task.
+type TaskRecord struct {
+	AttemptRef
+	Step        TaskStep   `cbor:"2,keyasint" json:"step"`
+	Worker      string     `cbor:"3,keyasint,omitempty" json:"worker,omitempty"`
+	Incarnation string     `cbor:"4,keyasint,omitempty" json:"incarnation,omitempty"`
+	Checkpoint  Checkpoint `cbor:"5,keyasint,omitempty" json:"checkpoint,omitempty"`
+	Reason      string     `cbor:"6,keyasint,omitempty" json:"reason,omitempty"`
+}
--- /dev/null
+++ b/standin/recorder/recorder.go
@@ -0,0 +1,194 @@
+// Package recorder is a stand-in for the platform's log service: an
+// append-only log in memory with offsets and limited retention, whose outages,
+// slowness and lost replies can be switched on.
+package recorder
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/appender"
+)
+
+// Faults are the failures that a Recorder shows.
+type Faults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// LoseReplies takes appends and answers them with an error.
+	LoseReplies bool `json:"lose_replies"`
+	// DelayMS delays every call, in milliseconds.
+	DelayMS int `json:"delay_ms"`
+}
+
+// Recorder is a log in memory. It is an http.Handler.
+type Recorder struct {
+	mux *http.ServeMux
+
+	mu      sync.Mutex
+	records []plantainrail.Record
+	oldest  plantainrail.Offset
+	limit   int
+	changed chan struct{}
+	faults  Faults
+	appends int
+}
+
+// New returns an empty log that keeps the newest records up to the limit; 0
+// keeps all.
+func New(limit int) *Recorder {
+	r := &Recorder{mux: http.NewServeMux(), limit: limit, changed: make(chan struct{})}
+	r.mux.HandleFunc("POST /append", r.append)
+	r.mux.HandleFunc("GET /read", r.read)
+	r.mux.HandleFunc("PUT /faults", r.putFaults)
+	r.mux.HandleFunc("GET /records", r.list)
+	return r
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Recorder) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if q.URL.Path == "/append" || q.URL.Path == "/read" {
+		f := r.Faults()
+		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+		if f.Down {
+			http.Error(w, "the log service is down", http.StatusServiceUnavailable)
+			return
+		}
+	}
+	r.mux.ServeHTTP(w, q)
+}
+
+// SetFaults switches failures on and off.
+func (r *Recorder) SetFaults(f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+// Faults returns the failures that are switched on.
+func (r *Recorder) Faults() Faults {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
+
+// Records returns a copy of the kept records.
+func (r *Recorder) Records() []plantainrail.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]plantainrail.Record(nil), r.records...)
+}
+
+// Appends returns the number of append calls taken.
+func (r *Recorder) Appends() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.appends
+}
+
+// Trim drops all but the newest records, as the end of retention does.
+func (r *Recorder) Trim(keep int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trim(keep)
+}
+
+func (r *Recorder) trim(keep int) {
+	if drop := len(r.records) - keep; drop > 0 {
+		r.oldest += plantainrail.Offset(drop)
+		r.records = append(r.records[:0:0], r.records[drop:]...)
+	}
+}
+
+func (r *Recorder) append(w http.ResponseWriter, q *http.Request) {
+	var records []plantainrail.Record
+	if err := cbor.NewDecoder(q.Body).Decode(&records); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	first := r.oldest + plantainrail.Offset(len(r.records))
+	for i, record := range records {
+		record.Offset = first + plantainrail.Offset(i)
+		record.Time = time.Now()
+		r.records = append(r.records, record)
+	}
+	r.appends++
+	if r.limit > 0 {
+		r.trim(r.limit)
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+	lost := r.faults.LoseReplies
+	r.mu.Unlock()
+	if lost {
+		http.Error(w, "the reply was lost", http.StatusBadGateway)
+		return
+	}
+	reply(w, appender.Appended{Offset: first})
+}
+
+// readLimit is the number of records in one reply.
+const readLimit = 2000
+
+func (r *Recorder) read(w http.ResponseWriter, q *http.Request) {
+	from, _ := strconv.ParseInt(q.URL.Query().Get("from"), 10, 64)
+	wait, _ := strconv.Atoi(q.URL.Query().Get("wait_ms"))
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		batch, changed := r.batch(plantainrail.Offset(from))
+		if len(batch.Records) > 0 {
+			reply(w, batch)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			reply(w, batch)
+			return
+		case <-q.Context().Done():
+			return
+		}
+	}
+}
+
+func (r *Recorder) batch(from plantainrail.Offset) (plantainrail.Batch, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := plantainrail.Batch{Oldest: r.oldest, Next: r.oldest + plantainrail.Offset(len(r.records))}
+	start := max(from, r.oldest) - r.oldest
+	if int(start) < len(r.records) {
+		end := min(int(start)+readLimit, len(r.records))
+		b.Records = append(b.Records, r.records[start:end]...)
+	}
+	return b, r.changed
+}
+
+func reply(w http.ResponseWriter, body any) {
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(raw)
+}
+
+func (r *Recorder) putFaults(w http.ResponseWriter, q *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(q.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (r *Recorder) list(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(r.Records())
+}
