--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -299,13 +299,16 @@
 
 // Tallies gathers what the stand-ins saw.
 func (c *Cluster) Tallies() Tallies {
-	t := Tallies{Runs: map[string]int{}, Paths: map[string]string{}, Lost: map[string][]time.Time{}}
+	t := Tallies{Runs: map[string]int{}, Paths: map[string]string{}, Echoes: map[string]int{}, Lost: map[string][]time.Time{}}
 	for _, v := range c.VMs {
 		target := v.Target.Tally()
 		for id, n := range target.Runs {
 			t.Runs[id] += n
 		}
 		maps.Copy(t.Paths, target.Paths)
+		for echo, n := range target.Echoes {
+			t.Echoes[echo] += n
+		}
 		t.Late += target.Late
 		t.Cut += target.Cut
 		tasks := v.Worker.Tally()
--- a/assembler/tally.go
+++ b/assembler/tally.go
@@ -11,8 +11,10 @@
 
 // Tallies is what all stand-ins of a cluster saw.
 type Tallies struct {
-	Runs        map[string]int
-	Paths       map[string]string
+	Runs  map[string]int
+	Paths map[string]string
+	// Echoes counts the runs by the echo that the caller chose.
+	Echoes      map[string]int
 	Late        int
 	Cut         int
 	Spans       []worker.Span
--- /dev/null
+++ b/bencher/slope.go
@@ -0,0 +1,6 @@
+package bencher
+
+import "context"
+
+// Slopes measures.
+func Slopes(context.Context) (any, error) { return nil, nil }
--- a/command/root/root.go
+++ b/command/root/root.go
@@ -13,6 +13,7 @@
 
 	"github.com/plantainrail/plantainrail/caller"
 	"github.com/plantainrail/plantainrail/command/agent"
+	"github.com/plantainrail/plantainrail/command/bench"
 	"github.com/plantainrail/plantainrail/command/chart"
 	"github.com/plantainrail/plantainrail/command/codes"
 	"github.com/plantainrail/plantainrail/command/dev"
@@ -58,7 +59,8 @@
 		Target responder.Command `cmd:"" help:"Serve a target that announces itself."`
 		Worker worker.Command    `cmd:"" help:"Serve a worker runtime that only spends time."`
 	} `cmd:"" help:"Small stand-ins for the platform."`
-	Dev   dev.Command `cmd:"" help:"Run a small cluster with load in one process."`
+	Dev   dev.Command   `cmd:"" help:"Run a small cluster with load in one process."`
+	Bench bench.Command `cmd:"" help:"Measure the product against a naive version."`
 	Table struct {
 		Get     get.Command        `cmd:"" help:"Write the table in force as CSV."`
 		Check   tablecheck.Command `cmd:"" help:"Check a table without publishing it."`
@@ -98,7 +100,7 @@
 // New returns the command line with every command in place.
 func New() *Line {
 	l := &Line{
-		Agent: agent.New(nil), Dev: dev.New(nil), Codes: codes.New(nil), Chart: chart.New(nil),
+		Agent: agent.New(nil), Dev: dev.New(nil), Bench: bench.New(nil), Codes: codes.New(nil), Chart: chart.New(nil),
 	}
 	l.EntryNoun.Serve, l.EntryNoun.List = serve.New(nil), list.New(nil)
 	l.Standin.Log, l.Standin.Target, l.Standin.Worker = recorder.New(nil), responder.New(nil), worker.New(nil)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -215,6 +215,17 @@
 	return r.table.Table
 }
 
+// TargetCount returns the number of targets that have announced themselves.
+func (r *Receiver) TargetCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, p := range r.peers {
+		n += len(p.loads)
+	}
+	return n
+}
+
 // Follower returns the entry's view of the log.
 func (r *Receiver) Follower() *follower.Follower { return r.follower }
 
