--- /dev/null
+++ b/command/root/root_test.go
@@ -0,0 +1,66 @@
+package root
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/command/codes"
+	"github.com/plantainrail/plantainrail/command/factory"
+	"github.com/plantainrail/plantainrail/command/settings/keys"
+)
+
+func run(args ...string) (exit int, out, errs string) {
+	var stdout, stderr bytes.Buffer
+	f := &factory.Factory{In: strings.NewReader("kind,weight\na,0\n"), Out: &stdout, Err: &stderr, Context: context.Background()}
+	exit = Run(f, args)
+	return exit, stdout.String(), stderr.String()
+}
+
+func TestExitCodes(t *testing.T) {
+	cases := []struct {
+		name string
+		args []string
+		exit int
+		errs string
+	}{
+		{"unknown command", []string{"fly"}, factory.ExitUsage, "see plantainrail --help"},
+		{"missing flag", []string{"table", "publish", "-"}, factory.ExitUsage, "--base"},
+		{"flag out of range", []string{"table", "publish", "-", "--base=-1"}, factory.ExitUsage, "0 or more"},
+		{"nothing to cancel", []string{"job", "cancel"}, factory.ExitUsage, "name a job"},
+		{"unknown scenario", []string{"bench", "--scenario", "x"}, factory.ExitUsage, "--list"},
+		{"bad cell", []string{"table", "check", "-"}, factory.ExitFailure, "row 1, column weight"},
+		{"no entry", []string{"--entry", "127.0.0.1:1", "zone", "show"}, factory.ExitFailure, "check --entry"},
+		{"help", []string{"--help"}, factory.ExitOK, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			exit, _, errs := run(c.args...)
+			assert.Equal(t, exit, c.exit, errs)
+			assert.Assert(t, strings.Contains(errs, c.errs), errs)
+		})
+	}
+}
+
+func TestTablesAreSplitByTabsWhenPiped(t *testing.T) {
+	exit, out, _ := run("codes")
+	assert.Equal(t, exit, factory.ExitOK)
+	assert.Equal(t, strings.Count(out, "\n"), len(plantainrail.CodeTable()))
+	assert.Assert(t, strings.HasPrefix(out, "1001\tbad_request\t400\tnot_run\t"), out)
+}
+
+// TestPagesAreUpToDate compares the pages that commands write.
+func TestPagesAreUpToDate(t *testing.T) {
+	for path, want := range map[string]string{
+		"../../docs/CODES.md": codes.Markdown(plantainrail.CodeTable()), "../../docs/SETTINGS.md": keys.Markdown(),
+	} {
+		raw, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		assert.Equal(t, string(raw), want)
+	}
+}
--- /dev/null
+++ b/linker/frame_test.go
@@ -0,0 +1,44 @@
+package linker
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestFramesSurviveTheWire(t *testing.T) {
+	deadline := time.UnixMicro(1_790_000_000_000_000).UTC()
+	frames := []Frame{
+		{Stream: 7, Open: &Open{ID: "r.1", Kind: "match", Deadline: deadline, Length: -1}, Data: []byte("slot"), End: true},
+		{Heartbeat: &Heartbeat{Sequence: 3, Changed: true}},
+		{Ack: &Ack{Sequence: 3, Renewed: true, Permit: true}},
+	}
+	var buffer bytes.Buffer
+	assert.NilError(t, Encode(&buffer, frames))
+	got, err := Decode(buffer.Bytes())
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), len(frames))
+	assert.Assert(t, got[0].Open.Deadline.Equal(deadline))
+	assert.DeepEqual(t, got[0].Data, frames[0].Data)
+	assert.DeepEqual(t, got[2].Ack, frames[2].Ack)
+}
+
+func FuzzDecode(f *testing.F) {
+	var buffer bytes.Buffer
+	_ = Encode(&buffer, []Frame{{Stream: 1, Head: &Head{Status: 200}, Data: []byte("x")}})
+	f.Add(buffer.Bytes())
+	f.Add([]byte{0xa1, 0x00, 0x9f, 0xff})
+	f.Fuzz(func(t *testing.T, message []byte) {
+		frames, err := Decode(message)
+		if err != nil {
+			return
+		}
+		var again bytes.Buffer
+		assert.NilError(t, Encode(&again, frames))
+		got, err := Decode(again.Bytes())
+		assert.NilError(t, err)
+		assert.Equal(t, len(got), len(frames))
+	})
+}
--- a/loader/key.go
+++ b/loader/key.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"regexp"
 	"slices"
+	"strconv"
 )
 
 // Key describes one settings key.
@@ -52,7 +53,7 @@
 	{"operator_token", onlyEntry, false, "", "at least 16 characters, or nothing for loopback alone", "what operators' calls must carry", text(func(s *Settings) *string { return &s.OperatorToken }, longEnough)},
 	{"log_level", both, false, "info", "debug, info, warn or error", "the least level that is logged", text(func(s *Settings) *string { return &s.LogLevel }, isLevel)},
 	{"entries", onlyAgent, true, nil, "a list of at least one IP number and port", "the entries to dial first; the others are learned", setEntries},
-	{"max_sessions", onlyAgent, false, json.Number("8"), "a whole number from 1 to 64", "how many sessions with entries are held at once", whole(func(s *Settings) *int { return &s.MaxSessions }, 1, maxSessions)},
+	{"max_sessions", onlyAgent, false, json.Number(strconv.Itoa(defaultLinks)), "a whole number from 1 to 64", "how many sessions with entries are held at once", whole(func(s *Settings) *int { return &s.MaxSessions }, 1, maxSessions)},
 	{"capacity.processors", onlyAgent, false, json.Number("0"), "a whole number from 0 to 1048576", "thousandths of a core that tasks may reserve", whole(func(s *Settings) *int { return &s.Capacity.Processors }, 0, maxCores)},
 	{"capacity.memory_mb", onlyAgent, false, json.Number("0"), "a whole number from 0 to 16777216", "mebibytes that tasks may reserve", whole(func(s *Settings) *int { return &s.Capacity.Memory }, 0, maxMemory)},
 	{"capacity.accelerators", onlyAgent, false, json.Number("0"), "a whole number from 0 to 64", "devices that tasks may reserve", whole(func(s *Settings) *int { return &s.Capacity.Accelerators }, 0, maxDevices)},
--- /dev/null
+++ b/loader/loader_test.go
@@ -0,0 +1,40 @@
+package loader
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const entry = `{"role": "entry", "name": "e", "zone": "a", "listen": "127.0.0.1:1", "log_service": "http://127.0.0.1:2"`
+
+func TestProblems(t *testing.T) {
+	cases := []struct {
+		name, settings, key, value string
+	}{
+		{"unknown key", entry + `, "colour": "red"}`, "colour", `"red"`},
+		{"wrong type", entry + `, "log_level": 3}`, "log_level", "3"},
+		{"name instead of an IP number", entry + `, "address": "localhost:1"}`, "address", `"localhost:1"`},
+		{"inner key", entry + `, "tls": {"certificate": "c.pem"}}`, "tls.key", `""`},
+		{"short token", entry + `, "operator_token": "short"}`, "operator_token", `"short"`},
+		{"no role", `{}`, "role", "null"},
+		{"key of the other role", entry + `, "max_sessions": 3}`, "max_sessions", "3"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse([]byte(c.settings))
+			var problems Problems
+			assert.Assert(t, errors.As(err, &problems), "%v", err)
+			assert.Equal(t, problems[0].Key, c.key)
+			assert.Equal(t, problems[0].Value, c.value)
+		})
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	s, err := Parse([]byte(`{"role": "agent", "name": "v", "zone": "a", "listen": "127.0.0.1:1", "entries": ["127.0.0.1:2"]}`))
+	assert.NilError(t, err)
+	assert.Equal(t, s.MaxSessions, defaultLinks)
+	assert.Equal(t, s.LogLevel, "info")
+}
