--- a/command/factory/factory.go
+++ b/command/factory/factory.go
@@ -64,6 +64,15 @@
 	return caller.New(f.Entry, f.Token, nil)
 }
 
+// Base returns the base URL of another entry's address, with the scheme that
+// the named entry is reached by.
+func (f *Factory) Base(address string) string {
+	if strings.HasPrefix(f.Entry, "https://") {
+		return "https://" + address
+	}
+	return "http://" + address
+}
+
 // Table writes rows in aligned columns with a header on a terminal, and
 // separated by tabs without one elsewhere.
 func (f *Factory) Table(header []string, rows [][]string) error {
--- /dev/null
+++ b/command/report/burn/burn.go
@@ -0,0 +1,140 @@
+// Package burn is the command "report burn".
+package burn
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/plantainrail/plantainrail/caller"
+	"github.com/plantainrail/plantainrail/command/factory"
+	"github.com/plantainrail/plantainrail/receiver"
+)
+
+// Options are what the command needs to run.
+type Options struct {
+	*factory.Factory
+	AsJSON bool
+}
+
+// Command holds the flags.
+type Command struct {
+	JSON bool `name:"json" help:"Write the report as JSON."`
+
+	run func(*Options) error
+}
+
+// New returns the command. A run function replaces what it does.
+func New(run func(*Options) error) Command {
+	if run == nil {
+		run = Run
+	}
+	return Command{run: run}
+}
+
+// Run checks the flags and runs the command.
+func (c *Command) Run(f *factory.Factory) error {
+	return c.run(&Options{Factory: f, AsJSON: c.JSON})
+}
+
+// Report is the burn of one kind over every entry that answered.
+type Report struct {
+	Kind      string  `json:"kind"`
+	SLOMS     int     `json:"slo_ms"`
+	Objective float64 `json:"objective"`
+	ShortGood int64   `json:"short_good"`
+	ShortBad  int64   `json:"short_bad"`
+	LongGood  int64   `json:"long_good"`
+	LongBad   int64   `json:"long_bad"`
+	ShortRate float64 `json:"short_rate"`
+	LongRate  float64 `json:"long_rate"`
+	// KnownSince is the latest instant since which every entry has counts; what
+	// lies before is not known.
+	KnownSince time.Time `json:"known_since"`
+	// Missing names the registered entries that did not answer.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// Run gathers the burn from every registered entry and shows the kind that
+// burns fastest first.
+func Run(o *Options) error {
+	entries, err := o.Caller().Entries(o.Context)
+	if err != nil {
+		return err
+	}
+	var reports []receiver.BurnReport
+	var missing []string
+	for _, e := range entries {
+		burn, err := caller.New(o.Base(e.Address), o.Token, nil).Burn(o.Context)
+		if err != nil {
+			missing = append(missing, e.Name)
+			continue
+		}
+		reports = append(reports, burn...)
+	}
+	merged := Merge(reports, missing)
+	if o.AsJSON {
+		return o.JSON(merged)
+	}
+	for _, name := range missing {
+		fmt.Fprintf(o.Err, "entry %s did not answer; its counts are not known\n", name)
+	}
+	return o.Table([]string{"kind", "slo ms", "burn 5 m", "burn 1 h", "good 1 h", "bad 1 h", "known since"}, rows(merged))
+}
+
+// Merge sums the entries' reports by kind, the fastest burn first.
+func Merge(reports []receiver.BurnReport, missing []string) []Report {
+	byKind := map[string]*Report{}
+	for _, b := range reports {
+		r, ok := byKind[b.Kind]
+		if !ok {
+			r = &Report{Kind: b.Kind, SLOMS: b.SLOMS, Objective: b.Objective, Missing: missing}
+			byKind[b.Kind] = r
+		}
+		r.ShortGood += b.Short.Good
+		r.ShortBad += b.Short.Bad
+		r.LongGood += b.Long.Good
+		r.LongBad += b.Long.Bad
+		if b.Known.After(r.KnownSince) {
+			r.KnownSince = b.Known
+		}
+	}
+	list := make([]Report, 0, len(byKind))
+	for _, r := range byKind {
+		r.ShortRate = rate(r.ShortGood, r.ShortBad, r.Objective)
+		r.LongRate = rate(r.LongGood, r.LongBad, r.Objective)
+		list = append(list, *r)
+	}
+	slices.SortFunc(list, func(a, b Report) int {
+		switch {
+		case a.ShortRate > b.ShortRate:
+			return -1
+		case a.ShortRate < b.ShortRate:
+			return 1
+		case a.Kind < b.Kind:
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// rate is the share of bad answers over the share that the objective allows.
+func rate(good, bad int64, objective float64) float64 {
+	if good+bad == 0 {
+		return 0
+	}
+	return float64(bad) / float64(good+bad) / (1 - objective)
+}
+
+func rows(reports []Report) [][]string {
+	list := make([][]string, 0, len(reports))
+	for _, r := range reports {
+		list = append(list, []string{
+			r.Kind, strconv.Itoa(r.SLOMS), strconv.FormatFloat(r.ShortRate, 'f', 2, 64), strconv.FormatFloat(r.LongRate, 'f', 2, 64),
+			strconv.FormatInt(r.LongGood, 10), strconv.FormatInt(r.LongBad, 10), r.KnownSince.Format(time.RFC3339),
+		})
+	}
+	return list
+}
--- a/command/root/root.go
+++ b/command/root/root.go
@@ -25,6 +25,7 @@
 	jobshow "github.com/plantainrail/plantainrail/command/job/show"
 	"github.com/plantainrail/plantainrail/command/job/submit"
 	"github.com/plantainrail/plantainrail/command/job/wait"
+	"github.com/plantainrail/plantainrail/command/report/burn"
 	"github.com/plantainrail/plantainrail/command/request/explain"
 	settingscheck "github.com/plantainrail/plantainrail/command/settings/check"
 	"github.com/plantainrail/plantainrail/command/settings/keys"
@@ -76,6 +77,9 @@
 	Request struct {
 		Explain explain.Command `cmd:"" help:"Tell what became of a request."`
 	} `cmd:"" help:"Requests of callers."`
+	Report struct {
+		Burn burn.Command `cmd:"" help:"Show each kind's service-level burn over every entry."`
+	} `cmd:"" help:"Reports over every entry."`
 	Zone struct {
 		Out  set.Command      `cmd:"" help:"Take an availability zone out."`
 		In   set.Command      `cmd:"" help:"Bring an availability zone back."`
@@ -107,7 +111,7 @@
 	l.Table.Get, l.Table.Check, l.Table.Diff = get.New(nil), tablecheck.New(nil), diff.New(nil)
 	l.Table.Publish, l.Table.History, l.Table.Revert = publish.New(nil), history.New(nil), revert.New(nil)
 	l.Target.List, l.Target.Leave = targetlist.New(nil), leave.New(nil)
-	l.Request.Explain = explain.New(nil)
+	l.Request.Explain, l.Report.Burn = explain.New(nil), burn.New(nil)
 	l.Zone.Out, l.Zone.In, l.Zone.Show = set.New(true, nil), set.New(false, nil), zoneshow.New(nil)
 	l.Job.Submit, l.Job.List, l.Job.Show = submit.New(nil), joblist.New(nil), jobshow.New(nil)
 	l.Job.Explain, l.Job.Cancel, l.Job.Wait = jobshow.New(nil), cancel.New(nil), wait.New(nil)
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -104,9 +104,6 @@
 // TaskOrder asks an agent to start an attempt that the log has assigned to it.
 type TaskOrder struct {
 	Start plantainrail.TaskStart `cbor:"0,keyasint"`
-	// Sequence is the latest heartbeat that the entry had read; an agent
-	// refuses an order that is based on an old one.
-	Sequence uint64 `cbor:"1,keyasint"`
 }
 
 // TaskRefusal tells that an attempt was not started, and never will be.
--- a/receiver/metrics.go
+++ b/receiver/metrics.go
@@ -1,7 +1,6 @@
 package receiver
 
 import (
-	"encoding/json"
 	"expvar"
 	"sync"
 	"time"
@@ -105,9 +104,3 @@
 func milliseconds(k *kindMetrics, quantile float64) float64 {
 	return float64(k.latency.ValueAtQuantile(quantile)) / 1000
 }
-
-// String implements expvar.Var.
-func (m *metrics) String() string {
-	raw, _ := json.Marshal(m.snapshot())
-	return string(raw)
-}
--- a/receiver/scheduler.go
+++ b/receiver/scheduler.go
@@ -96,10 +96,9 @@
 
 // vm is one agent with a session here.
 type vm struct {
-	hello    linker.Hello
-	session  *linker.Session
-	sequence uint64
-	held     map[plantainrail.AttemptRef]plantainrail.TaskStatus
+	hello   linker.Hello
+	session *linker.Session
+	held    map[plantainrail.AttemptRef]plantainrail.TaskStatus
 }
 
 func (s *scheduler) vms() map[string]*vm {
@@ -111,7 +110,7 @@
 		if p.report == nil || p.report.Incarnation != p.hello.Incarnation {
 			continue
 		}
-		v := &vm{hello: p.hello, session: p.session, sequence: p.sequence, held: map[plantainrail.AttemptRef]plantainrail.TaskStatus{}}
+		v := &vm{hello: p.hello, session: p.session, held: map[plantainrail.AttemptRef]plantainrail.TaskStatus{}}
 		for _, t := range p.report.Tasks {
 			v.held[t.AttemptRef] = t
 		}
@@ -213,7 +212,7 @@
 		s.evictNow(v, ref, reason)
 		return
 	}
-	_ = v.session.Send(linker.Frame{Start: &linker.TaskOrder{Sequence: v.sequence, Start: plantainrail.TaskStart{
+	_ = v.session.Send(linker.Frame{Start: &linker.TaskOrder{Start: plantainrail.TaskStart{
 		AttemptRef: ref, Incarnation: t.Incarnation, Kind: t.Job.Kind, Resources: t.Job.Resources,
 		Work: t.Job.Work, Checkpoint: t.Checkpoint,
 	}}})
--- a/receiver/session.go
+++ b/receiver/session.go
@@ -28,10 +28,9 @@
 
 // peer is the entry's end of the session with one agent.
 type peer struct {
-	session  *linker.Session
-	hello    linker.Hello
-	sequence uint64
-	report   *linker.TaskReport
+	session *linker.Session
+	hello   linker.Hello
+	report  *linker.TaskReport
 	// entries is the list of entries that the agent was last told.
 	entries []string
 	// revision is the newest table that the agent is known or sent to have.
@@ -179,7 +178,6 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p.sequence = beat.Sequence
 	if !slices.Equal(entries, p.entries) {
 		ack.Entries = entries
 		p.entries = entries
