--- a/decider/session.go
+++ b/decider/session.go
@@ -135,8 +135,9 @@
 	o.planner.Report(vm, o.d.Now())
 	o.d.Logger.Info("VM seen", zap.String("node", vm.Life.Node), zap.String("worker", vm.Life.ID), zap.Int64("born", vm.Life.Born),
 		zap.String("service", vm.Service), zap.Strings("labels", vm.Labels), zap.Bool("draining", vm.Draining))
+	starts, stops := o.planner.Wanted(vm.Life)
 	_ = a.session.Send(linker.Frame{Orders: &linker.WorkOrders{
-		Epoch: o.epoch, Life: vm.Life, Whole: true, Starts: o.planner.Wanted(vm.Life),
+		Epoch: o.epoch, Life: vm.Life, Whole: true, Starts: starts, Stops: stops,
 	}})
 	o.poke()
 }
--- a/minder/hold.go
+++ b/minder/hold.go
@@ -35,8 +35,11 @@
 		life := m.vm.Life
 		epoch := m.epoch
 		hold := plantainrail.Hold{Seen: m.noted, Deadline: m.deadline(), Wait: holdWait}
-		if len(m.ends) > 0 || !m.whole {
+		switch {
+		case len(m.ends) > 0 || !m.whole:
 			hold.Wait = 0
+		case m.mixed():
+			hold.Wait = paceEvery
 		}
 		m.mu.Unlock()
 		if life.IsZero() {
@@ -122,6 +125,7 @@
 	m.heldAt = sent
 	m.takeEnds(held.Ended)
 	m.reconcile()
+	m.pace()
 	return len(m.ends) > 0
 }
 
--- a/minder/session.go
+++ b/minder/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -244,7 +245,7 @@
 		}
 	}
 	for _, ref := range o.Stops {
-		m.stop(ref, "ordered")
+		m.unwant(ref)
 	}
 	if o.Noted > m.noted {
 		m.note(o.Noted)
@@ -272,14 +273,9 @@
 // want takes in a run that the owner wants, and starts it unless it runs or has
 // ended.
 func (m *Minder) want(order plantainrail.RunOrder) {
-	if m.wanted[order.Ref] != nil {
+	if m.wanted[order.Ref] != nil || m.ended(order.Ref) {
 		return
 	}
-	for _, end := range m.ends {
-		if end.Ref == order.Ref {
-			return
-		}
-	}
 	r := &run{order: order}
 	m.wanted[order.Ref] = r
 	if _, runs := m.running[order.Ref]; runs {
@@ -289,6 +285,23 @@
 	m.start(r)
 }
 
+// unwant ends a run that the owner believes to be here. The owner is told when
+// it was never begun.
+func (m *Minder) unwant(ref plantainrail.RunRef) {
+	if m.ended(ref) {
+		return
+	}
+	if m.wanted[ref] == nil {
+		m.wanted[ref] = &run{order: plantainrail.RunOrder{Ref: ref}}
+	}
+	m.stop(ref, "ordered")
+}
+
+// ended tells whether the worker lists an end of the run.
+func (m *Minder) ended(ref plantainrail.RunRef) bool {
+	return slices.ContainsFunc(m.ends, func(end plantainrail.RunEnd) bool { return end.Ref == ref })
+}
+
 // note drops the ends that the store holds.
 func (m *Minder) note(number int64) {
 	m.noted = number
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -94,6 +94,19 @@
 	if placed || !j.State.Final() {
 		p.active[j.ID] = j
 	}
+	if j.State.Final() {
+		// An earlier owner may not have reached the workers with its stops.
+		p.stopAll(j, string(j.State))
+	}
+}
+
+// stopAll ends all runs of a job.
+func (p *Planner) stopAll(j *Job, reason string) {
+	j.each(func(id plantainrail.TaskID, t *Task) {
+		if t.Phase == Placed {
+			p.stop(id, t, reason)
+		}
+	})
 }
 
 // Configure sets what the operators have in force.
@@ -203,19 +216,22 @@
 	}
 }
 
-// Wanted lists the runs that a worker should hold.
-func (p *Planner) Wanted(life plantainrail.Life) []plantainrail.RunOrder {
+// Wanted lists the runs that a worker should hold, and those that it may hold
+// and should not.
+func (p *Planner) Wanted(life plantainrail.Life) (orders []plantainrail.RunOrder, stops []plantainrail.RunRef) {
 	v := p.vms[life]
 	if v == nil {
-		return nil
+		return nil, nil
 	}
-	var orders []plantainrail.RunOrder
-	for _, run := range v.runs {
-		if run.committed && !run.stopping {
+	for ref, run := range v.runs {
+		switch {
+		case run.stopping:
+			stops = append(stops, ref)
+		case run.committed:
 			orders = append(orders, run.order())
 		}
 	}
-	return orders
+	return orders, stops
 }
 
 // end moves a task on by the end of its newest run.
@@ -277,11 +293,7 @@
 func (p *Planner) close(j *Job, state State) {
 	j.State = state
 	p.touch(j)
-	j.each(func(id plantainrail.TaskID, t *Task) {
-		if t.Phase == Placed {
-			p.stop(id, t, string(state))
-		}
-	})
+	p.stopAll(j, string(state))
 	p.rest(j)
 }
 
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -38,6 +38,7 @@
 	step := r.step()
 	return plantainrail.RunOrder{
 		Ref: r.ref(), Spec: r.job.Spec, Saved: r.task.Saved, Filler: step.Filler, TailTarget: step.TailTarget,
+		Image: step.Image,
 	}
 }
 
