Slow fillers per image, and only once a service stays over its target

Cause: the shared throttler cut every filler at the first look over the target and gave 5 % back at a time, so fillers piled up on the VMs where they were slow (70 % of their time lost). Ruled out: strain from 0.75 of the target, halving to a standstill at once, placing alone.

--- a/minder/minder.go
+++ b/minder/minder.go
@@ -68,7 +68,7 @@
 	// its runs and ends.
 	heldAt   time.Time
 	clock    workerClock
-	pacer    pacer
+	pacing   pacing
 	session  *linker.Session
 	sequence uint64
 	sentAt   map[uint64]time.Time
@@ -107,7 +107,7 @@
 	return &Minder{
 		Options: o, wanted: map[plantainrail.RunRef]*run{}, stopping: map[plantainrail.RunRef]bool{},
 		running: map[plantainrail.RunRef]plantainrail.RunStatus{}, sentAt: map[uint64]time.Time{},
-		changed: make(chan struct{}, 1), owners: newOwners(), pacer: newPacer(),
+		changed: make(chan struct{}, 1), owners: newOwners(), pacing: newPacing(),
 	}
 }
 
@@ -171,7 +171,7 @@
 	m.unreachable, m.whole, m.noted, m.told, m.announced = false, false, 0, 0, 0
 	m.ends, m.clock = nil, workerClock{}
 	m.grantedUntil = time.Time{}
-	m.shown, m.pacer = nil, newPacer()
+	m.shown, m.pacing = nil, newPacing()
 	clear(m.wanted)
 	clear(m.stopping)
 	clear(m.running)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/pacer"
 )
 
 // Times are the limits that the planner keeps.
@@ -57,10 +58,12 @@
 	Book       *Book
 	times      Times
 	settlement plantainrail.Settlement
-	vms        map[plantainrail.Life]*vm
-	active     map[string]*Job
-	changed    map[string]*Job
-	stops      []Stop
+	// presses tells which images of fillers slow which images of services.
+	presses *pacer.Model
+	vms     map[plantainrail.Life]*vm
+	active  map[string]*Job
+	changed map[string]*Job
+	stops   []Stop
 }
 
 // New returns a planner that takes over the jobs of a book at the instant.
@@ -69,7 +72,7 @@
 func New(book *Book, times Times, now time.Time) *Planner {
 	p := &Planner{
 		Book: book, times: times, vms: map[plantainrail.Life]*vm{},
-		active: map[string]*Job{}, changed: map[string]*Job{},
+		active: map[string]*Job{}, changed: map[string]*Job{}, presses: pacer.NewModel(),
 	}
 	for _, j := range book.jobs {
 		p.adopt(j, now)
@@ -164,11 +167,12 @@
 		if run == nil {
 			continue
 		}
-		run.percent = status.Percent
+		run.percent, run.figure = status.Percent, status.Figure
 		if status.Saved != "" {
 			run.task.Saved = status.Saved
 		}
 	}
+	v.learn(p.presses)
 }
 
 // Ended takes in ends that a worker lists. The caller may tell the worker that
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -20,10 +20,12 @@
 
 // placedRun is a run that was assigned to a VM and has not ended.
 type placedRun struct {
-	job       *Job
-	id        plantainrail.TaskID
-	task      *Task
-	percent   int
+	job     *Job
+	id      plantainrail.TaskID
+	task    *Task
+	percent int
+	// figure is the worker's newest one: a tail latency or processors in use.
+	figure    int
 	committed bool
 	stopping  bool
 }
@@ -36,10 +38,13 @@
 
 func (r *placedRun) order() plantainrail.RunOrder {
 	step := r.step()
-	return plantainrail.RunOrder{
-		Ref: r.ref(), Spec: r.job.Spec, Saved: r.task.Saved, Filler: step.Filler, TailTarget: step.TailTarget,
-		Image: step.Image,
+	order := plantainrail.RunOrder{
+		Ref: r.ref(), Spec: r.job.Spec, Saved: r.task.Saved, Filler: step.Filler, TailTarget: step.TailTarget, Image: step.Image,
 	}
+	if step.Filler {
+		order.CPU = step.CPU
+	}
+	return order
 }
 
 // vm is one life of a VM's worker.
--- a/work.go
+++ b/work.go
@@ -231,6 +231,8 @@
 	Filler     bool   `cbor:"3,keyasint,omitempty"`
 	TailTarget int    `cbor:"4,keyasint,omitempty"`
 	Image      string `cbor:"5,keyasint,omitempty"`
+	// CPU is what a filler would use, in thousandths of a core.
+	CPU int `cbor:"6,keyasint,omitempty"`
 }
 
 // Worker runs tasks on one VM. Each call names the life that it is meant for
