Spread fillers; slow them only after 2.75 s over a target

Cause: placing fillers by the learned harm gathered them on few VMs, and cutting early cost more than the excesses did. Placing by harm is taken out again.

--- a/minder/session.go
+++ b/minder/session.go
@@ -196,14 +196,11 @@
 		clear(m.sentAt)
 	}
 	m.sentAt[m.sequence] = m.Now()
-	mixed := m.mixed()
 	shown := make(map[plantainrail.RunRef]plantainrail.RunStatus, len(m.running))
 	var changed []plantainrail.RunStatus
 	for ref, status := range m.running {
 		shown[ref] = status
-		r := m.wanted[ref]
-		measured := mixed && r != nil && (r.order.Filler || r.order.TailTarget > 0)
-		if status.Saved != m.shown[ref].Saved || measured {
+		if status.Saved != m.shown[ref].Saved {
 			changed = append(changed, status)
 		}
 	}
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -21,7 +21,7 @@
 	Whole = 100
 	// restore is what a calm step gives back, in percent; probe is what it gives
 	// back against the model's advice.
-	restore = 50
+	restore = 100
 	probe   = 25
 	// standstill is the pace below which fillers are stopped altogether, in
 	// percent.
@@ -31,7 +31,7 @@
 	// patience is how long a service may be over its target before fillers are
 	// slowed down: most fillers end sooner than that. It is below half of the four
 	// seconds that fillers may do harm.
-	patience = 1500 * time.Millisecond
+	patience = 2750 * time.Millisecond
 	// futileAfter is how long fillers stand still before a service that is over
 	// its target is held to be so by its own load: twice the time that the
 	// worker's figures look back.
@@ -185,11 +185,7 @@
 func (p *Pacer) adjust(now time.Time, image string, guilty map[string]bool, services []Service, more float64) {
 	pace := p.Pace(image)
 	if guilty[image] {
-		pace /= 2
-		if pace < standstill {
-			pace = 0
-		}
-		p.pace[image] = pace
+		p.pace[image] = 0
 		return
 	}
 	if pace == Whole {
--- a/planner/place.go
+++ b/planner/place.go
@@ -143,7 +143,7 @@
 		if t.Failures > 0 && v.Life.Node == t.Life.Node && len(p.vms) > 1 {
 			continue
 		}
-		score := v.score(step) - harmWeight*v.harm(step, p.presses)
+		score := v.score(step)
 		if best == nil || score > bestScore || score == bestScore && v.Life.Node < best.Life.Node {
 			best, bestScore = v, score
 		}
@@ -151,10 +151,6 @@
 	return best
 }
 
-// harmWeight puts a VM whose services a filler would slow beyond their targets
-// behind any other.
-const harmWeight = 5
-
 // nearWeight puts a VM near the data before any that is only emptier.
 const nearWeight = 10
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/plantainrail/plantainrail"
-	"github.com/plantainrail/plantainrail/pacer"
 )
 
 // Times are the limits that the planner keeps.
@@ -58,12 +57,10 @@
 	Book       *Book
 	times      Times
 	settlement plantainrail.Settlement
-	// presses tells which images of fillers slow which images of services.
-	presses *pacer.Model
-	vms     map[plantainrail.Life]*vm
-	active  map[string]*Job
-	changed map[string]*Job
-	stops   []Stop
+	vms        map[plantainrail.Life]*vm
+	active     map[string]*Job
+	changed    map[string]*Job
+	stops      []Stop
 }
 
 // New returns a planner that takes over the jobs of a book at the instant.
@@ -72,7 +69,7 @@
 func New(book *Book, times Times, now time.Time) *Planner {
 	p := &Planner{
 		Book: book, times: times, vms: map[plantainrail.Life]*vm{},
-		active: map[string]*Job{}, changed: map[string]*Job{}, presses: pacer.NewModel(),
+		active: map[string]*Job{}, changed: map[string]*Job{},
 	}
 	for _, j := range book.jobs {
 		p.adopt(j, now)
@@ -167,12 +164,11 @@
 		if run == nil {
 			continue
 		}
-		run.percent, run.figure = status.Percent, status.Figure
+		run.percent = status.Percent
 		if status.Saved != "" {
 			run.task.Saved = status.Saved
 		}
 	}
-	v.learn(p.presses)
 }
 
 // Ended takes in ends that a worker lists. The caller may tell the worker that
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -20,12 +20,10 @@
 
 // placedRun is a run that was assigned to a VM and has not ended.
 type placedRun struct {
-	job     *Job
-	id      plantainrail.TaskID
-	task    *Task
-	percent int
-	// figure is the worker's newest one: a tail latency or processors in use.
-	figure    int
+	job       *Job
+	id        plantainrail.TaskID
+	task      *Task
+	percent   int
 	committed bool
 	stopping  bool
 }
