--- a/decider/session.go
+++ b/decider/session.go
@@ -96,11 +96,14 @@
 		o.poke()
 		return
 	}
-	if a.life != r.VM.Life {
+	if a.life != r.VM.Life || !o.planner.Knows(a.life) {
 		o.greet(a, r.VM)
 	}
 	renewed := r.Sequence > 0 && now.Sub(o.confirmed) < authority
 	o.planner.Report(r.VM, now)
+	if renewed {
+		o.planner.Renew(a.life, now)
+	}
 	o.planner.Status(a.life, r.Running)
 	o.planner.Ended(a.life, r.Ends, now)
 	for _, end := range r.Ends {
--- a/minder/hold.go
+++ b/minder/hold.go
@@ -115,7 +115,7 @@
 	if m.unreachable {
 		m.unreachable = false
 		m.Logger.Info("worker regained", zap.String("worker", life.ID))
-		m.tell(linker.WorkReport{})
+		m.renew()
 	}
 	m.clock = workerClock{reading: held.Clock, instant: m.Now()}
 	clear(m.running)
--- a/minder/session.go
+++ b/minder/session.go
@@ -188,7 +188,8 @@
 // renew asks for a renewal and tells what has changed in the runs. The caller
 // holds the lock.
 func (m *Minder) renew() {
-	if m.session == nil {
+	if m.session == nil || m.unreachable {
+		// The lease of a worker that does not answer must run out.
 		return
 	}
 	m.sequence++
@@ -267,6 +268,11 @@
 	for _, order := range orders {
 		m.want(order)
 	}
+	// The owner may have given the worker up and taken it anew.
+	if n := len(m.ends); n > 0 {
+		m.told = m.ends[n-1].Number
+		m.tell(linker.WorkReport{Ends: m.ends})
+	}
 	m.poke()
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -122,6 +122,16 @@
 	return nil
 }
 
+// Knows tells whether a worker's life is known and not given up.
+func (p *Planner) Knows(life plantainrail.Life) bool { return p.vms[life] != nil }
+
+// Renew notes that a worker's lease counts from the instant on.
+func (p *Planner) Renew(life plantainrail.Life, now time.Time) {
+	if v := p.vms[life]; v != nil {
+		v.renewed = now
+	}
+}
+
 // Report takes in what an agent tells of its worker. Earlier lives of the
 // agent's worker are over with all that ran in them.
 func (p *Planner) Report(told plantainrail.VM, now time.Time) {
@@ -135,7 +145,7 @@
 		v = newVM(told, now)
 		p.vms[told.Life] = v
 	}
-	v.VM, v.known, v.renewed = told, true, now
+	v.VM, v.known = told, true
 }
 
 // Disconnect tells that an agent's session has ended. Its worker gets nothing
@@ -355,10 +365,11 @@
 	return plan
 }
 
-// expire gives up the workers whose leases are over.
+// expire gives up the workers whose leases are over, also those whose agents
+// are connected and cannot reach them.
 func (p *Planner) expire(now time.Time) {
 	for _, v := range p.vms {
-		if !v.known && now.After(p.times.lapse(v.renewed)) {
+		if now.After(p.times.lapse(v.renewed)) {
 			p.drop(v, now)
 		}
 	}
@@ -368,9 +379,7 @@
 func (p *Planner) Next(now time.Time) time.Time {
 	next := now.Add(tickMost)
 	for _, v := range p.vms {
-		if !v.known {
-			next = earlier(next, p.times.lapse(v.renewed))
-		}
+		next = earlier(next, p.times.lapse(v.renewed))
 	}
 	return next
 }
