Count a cancelled job's room once and tell why a step waits

Cause: a cancel record took its job in anew, so its runs' room was counted twice and never given back; VMs filled up and lasting tasks waited though there was room (LOST).

--- a/decider/owner.go
+++ b/decider/owner.go
@@ -262,6 +262,10 @@
 		of(s.Life).Stops = append(of(s.Life).Stops, s.Ref)
 		o.d.Logger.Info("task stopped", zap.Stringer("task", s.Ref.Task), zap.Int64("run", s.Ref.Run), zap.String("node", s.Life.Node), zap.String("reason", s.Reason))
 	}
+	for _, w := range plan.Waits {
+		o.d.Logger.Info("step waits", zap.String("job", w.Job), zap.Int("occurrence", w.Occurrence), zap.Int("step", w.Step),
+			zap.Int("tasks", w.Tasks), zap.Any("obstacles", w.Obstacles))
+	}
 	for life, number := range seen {
 		if a := o.agents[life]; a != nil && number > a.noted {
 			a.noted = number
--- a/planner/job.go
+++ b/planner/job.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -61,6 +63,8 @@
 	occurrences map[int]occurrence
 	// order is the job's place among all that were accepted.
 	order int64
+	// notedAt is when the job was last told to wait.
+	notedAt time.Time
 }
 
 func newJob(w plantainrail.Workflow, order int64) *Job {
--- a/planner/place.go
+++ b/planner/place.go
@@ -27,6 +27,7 @@
 		for _, index := range c.tasks {
 			a, ok := p.placeTask(c, index, now)
 			if !ok {
+				p.wait(c, now)
 				break
 			}
 			out = append(out, a)
@@ -98,18 +99,21 @@
 			saved = t.Saved
 		}
 	}
+	started := c.job.Started
+	before := slices.Clone(tasks)
 	var out []Assignment
 	for _, index := range c.tasks {
 		id := plantainrail.TaskID{Job: c.job.ID, Occurrence: c.occurrence, Step: c.step, Index: index}
 		t := c.job.task(id)
 		v := p.choose(c, id, t, now)
 		if v == nil {
+			p.wait(c, now)
 			for _, a := range out {
 				placed := p.vms[a.Life]
-				run := placed.runs[a.Order.Ref]
-				placed.release(run)
-				run.task.Phase = Waiting
+				placed.release(placed.runs[a.Order.Ref])
 			}
+			copy(tasks, before)
+			c.job.Started = started
 			return nil
 		}
 		t.Saved = saved
@@ -134,13 +138,7 @@
 	var best *vm
 	var bestScore float64
 	for _, v := range p.vms {
-		if p.settlement.Out[v.Zone] || !v.takes(service, step, now) {
-			continue
-		}
-		if step.PerVM > 0 && v.ofStep(id) >= step.PerVM {
-			continue
-		}
-		if t.Failures > 0 && v.Life.Node == t.Life.Node && len(p.vms) > 1 {
+		if p.obstacle(v, service, step, id, t, now) != "" {
 			continue
 		}
 		score := v.score(step)
@@ -151,6 +149,50 @@
 	return best
 }
 
+// obstacle tells why a VM does not get a task.
+func (p *Planner) obstacle(v *vm, service string, step plantainrail.Step, id plantainrail.TaskID, t *Task, now time.Time) Obstacle {
+	switch o := v.obstacle(service, step, now); {
+	case o != "":
+		return o
+	case p.settlement.Out[v.Zone]:
+		return obstacleZone
+	case step.PerVM > 0 && v.ofStep(id) >= step.PerVM:
+		return obstacleSpread
+	case t.Failures > 0 && v.Life.Node == t.Life.Node && len(p.vms) > 1:
+		return obstacleFailed
+	}
+	return ""
+}
+
+// waitNoteEvery is how often a step that waits for room is told of.
+const waitNoteEvery = 2 * time.Second
+
+// Wait is a step whose next task finds no VM.
+type Wait struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Tasks      int
+	// Obstacles counts the VMs by why they do not get the task.
+	Obstacles map[Obstacle]int
+}
+
+// wait notes why the next task of a candidate finds no VM.
+func (p *Planner) wait(c candidate, now time.Time) {
+	if now.Sub(c.job.notedAt) < waitNoteEvery {
+		return
+	}
+	c.job.notedAt = now
+	id := plantainrail.TaskID{Job: c.job.ID, Occurrence: c.occurrence, Step: c.step, Index: c.tasks[0]}
+	w := Wait{Job: c.job.ID, Occurrence: c.occurrence, Step: c.step, Tasks: len(c.tasks), Obstacles: map[Obstacle]int{}}
+	for _, v := range p.vms {
+		if o := p.obstacle(v, p.service(c.job), c.job.Steps[c.step], id, c.job.task(id), now); o != "" {
+			w.Obstacles[o]++
+		}
+	}
+	p.waits = append(p.waits, w)
+}
+
 // nearWeight puts a VM near the data before any that is only emptier.
 const nearWeight = 10
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -50,6 +50,8 @@
 	Changed     []*Job
 	Assignments []Assignment
 	Stops       []Stop
+	// Waits lists steps that find no VM, each every few seconds.
+	Waits []Wait
 }
 
 // Planner holds the jobs, the VMs and what runs where.
@@ -61,6 +63,7 @@
 	active     map[string]*Job
 	changed    map[string]*Job
 	stops      []Stop
+	waits      []Wait
 }
 
 // New returns a planner that takes over the jobs of a book at the instant.
@@ -115,7 +118,7 @@
 // TakeJob takes in a record of the topic of jobs.
 func (p *Planner) TakeJob(r plantainrail.KeyedRecord, now time.Time) error {
 	j, err := p.Book.TakeJob(r)
-	if err != nil || j == nil {
+	if err != nil || j == nil || p.active[j.ID] == j {
 		return err
 	}
 	p.adopt(j, now)
@@ -356,11 +359,11 @@
 		}
 	}
 	assignments := p.place(now)
-	plan := Plan{Assignments: assignments, Stops: p.stops}
+	plan := Plan{Assignments: assignments, Stops: p.stops, Waits: p.waits}
 	for _, j := range p.changed {
 		plan.Changed = append(plan.Changed, j)
 	}
-	p.stops = nil
+	p.stops, p.waits = nil, nil
 	clear(p.changed)
 	return plan
 }
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -122,18 +122,42 @@
 	v.pauses = min(v.pauses+1, 5)
 }
 
-// takes tells whether the VM may get a task of the step at the instant.
-func (v *vm) takes(service string, step plantainrail.Step, now time.Time) bool {
-	if !v.known || v.Draining || v.Service != service || now.Before(v.pausedUntil) {
-		return false
-	}
-	if v.trial && len(v.runs) > 0 {
-		return false
-	}
-	if step.Label != "" && !slices.Contains(v.Labels, step.Label) {
-		return false
+// Obstacle is why a VM does not get a task.
+type Obstacle string
+
+// Obstacles; none is the empty one.
+const (
+	obstacleLost     Obstacle = "lost"
+	obstacleDraining Obstacle = "draining"
+	obstacleService  Obstacle = "service"
+	obstaclePaused   Obstacle = "paused"
+	obstacleTrial    Obstacle = "trial"
+	obstacleLabel    Obstacle = "label"
+	obstacleZone     Obstacle = "zone"
+	obstacleSpread   Obstacle = "spread"
+	obstacleFailed   Obstacle = "failed"
+	obstacleRoom     Obstacle = "room"
+)
+
+// obstacle tells why the VM may not get a task of the step at the instant.
+func (v *vm) obstacle(service string, step plantainrail.Step, now time.Time) Obstacle {
+	switch {
+	case !v.known:
+		return obstacleLost
+	case v.Draining:
+		return obstacleDraining
+	case v.Service != service:
+		return obstacleService
+	case now.Before(v.pausedUntil):
+		return obstaclePaused
+	case v.trial && len(v.runs) > 0:
+		return obstacleTrial
+	case step.Label != "" && !slices.Contains(v.Labels, step.Label):
+		return obstacleLabel
+	case !v.Room.Minus(v.used).Holds(step.Room()):
+		return obstacleRoom
 	}
-	return v.Room.Minus(v.used).Holds(step.Room())
+	return ""
 }
 
 // ofStep counts the runs of an occurrence's step.
