Reach the store through another entry while it turns this one away

Reads that fail go through another entry at once; a path without a queue is answered 404 only while the operators' records were read in the last four seconds.

--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/plantainrail/plantainrail/command/factory"
 	"github.com/plantainrail/plantainrail/decider"
 	"github.com/plantainrail/plantainrail/platform"
+	"github.com/plantainrail/plantainrail/relayer"
 )
 
 // drainLimit bounds a planned stop below the platform's six seconds.
@@ -62,8 +63,9 @@
 	logger, closeLog := o.Reporter()
 	defer closeLog()
 	operator := &platform.Operator{}
+	store := relayer.New(platform.NewStore(s.Store, platform.NewClient()), platform.NewClient(), logger)
 	return o.Serve(decider.New(decider.Options{
-		Name: s.Name, Address: peer, Store: platform.NewStore(s.Store, platform.NewClient()),
+		Name: s.Name, Address: peer, Store: store, Relay: store, SetPeers: store.SetPeers,
 		Settle: operator.Take, OperatorTopic: platform.OperatorTopic,
 		Peers: listeners[0], Clients: listeners[1], Health: listeners[2],
 		ClientHandler: func(f plantainrail.Front) http.Handler { return platform.Handler(f) },
--- a/decider/claim.go
+++ b/decider/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 	"strings"
 	"time"
 
@@ -93,6 +94,9 @@
 	defer d.mu.Unlock()
 	d.membersNext = b.Next
 	for _, r := range b.Records {
+		if name, ok := strings.CutPrefix(r.Key, entryPrefix); ok {
+			d.takeEntry(name, string(r.Value))
+		}
 		if r.Key != claimKey {
 			continue
 		}
@@ -118,6 +122,20 @@
 	d.wake()
 }
 
+// takeEntry takes in another entry's address. The caller holds the lock.
+func (d *Decider) takeEntry(name, address string) {
+	if name == d.Name || address == d.Address {
+		return
+	}
+	d.entries[name] = address
+	var peers []string
+	for _, known := range d.entries {
+		peers = append(peers, known)
+	}
+	slices.Sort(peers)
+	d.SetPeers(peers)
+}
+
 // campaignEvery is how often an entry looks whether the owner is silent.
 const campaignEvery = 100 * time.Millisecond
 
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -52,6 +52,9 @@
 	// freshLimit is the age of the newest read up to which a job that is not
 	// known does not exist.
 	freshLimit = 2500 * time.Millisecond
+	// rulesLimit is the age of the newest read of the operators' topic up to
+	// which a path without a queue is known to have none.
+	rulesLimit = 4 * time.Second
 	// farewell is how long a stopping entry goes on serving: the balancer takes
 	// two health checks, a second apart, to send new connections elsewhere.
 	farewell = 2500 * time.Millisecond
@@ -63,6 +66,9 @@
 	// Address is where agents reach the entry.
 	Address string
 	Store   plantainrail.Store
+	// Relay serves other entries' calls to the store; SetPeers tells it of them.
+	Relay    http.Handler
+	SetPeers func(addresses []string)
 	// Settle takes in a record of the operators' topic.
 	Settle func(r plantainrail.KeyedRecord) (plantainrail.Settlement, bool, error)
 	// OperatorTopic is the topic that Settle understands.
@@ -88,8 +94,11 @@
 	settled    bool
 	// jobsNext, runsNext and membersNext are the offsets to read from next.
 	jobsNext, runsNext, membersNext plantainrail.Offset
-	// freshAt is when the newest read of the jobs was answered.
-	freshAt time.Time
+	// freshAt is when the newest read of the jobs was answered, ruledAt that of
+	// the operators' topic.
+	freshAt, ruledAt time.Time
+	// entries holds the other entries' addresses by name.
+	entries map[string]string
 	// heardAt is when the owner was last seen to write, or when reading began
 	// to work again.
 	heardAt time.Time
@@ -106,7 +115,7 @@
 // New returns an entry.
 func New(o Options) *Decider {
 	d := &Decider{
-		Options: o, book: planner.NewBook(), moved: make(chan struct{}),
+		Options: o, book: planner.NewBook(), moved: make(chan struct{}), entries: map[string]string{},
 		jobsNext: unread, runsNext: unread, membersNext: unread, nonce: newNonce(),
 	}
 	d.writer = newWriter(o.Store, o.Logger)
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -10,11 +10,12 @@
 	"github.com/plantainrail/plantainrail"
 )
 
-// Waits of long-polled reads. Those of the jobs tell whether the store is in
-// reach, so they are short.
+// Waits of long-polled reads. They tell whether the store is in reach, so that
+// those are short whose age counts.
 const (
-	slowWait = 20 * time.Second
-	fastWait = time.Second
+	slowWait  = 20 * time.Second
+	rulesWait = 1500 * time.Millisecond
+	fastWait  = time.Second
 )
 
 // feed is one topic that an entry follows.
@@ -87,9 +88,12 @@
 func (d *Decider) followOperators(ctx context.Context) error {
 	next := unread
 	return d.follow(ctx, feed{
-		topic: d.OperatorTopic, wait: slowWait, next: func() plantainrail.Offset { return next },
+		topic: d.OperatorTopic, wait: rulesWait, next: func() plantainrail.Offset { return next },
 		take: func(b plantainrail.KeyedBatch) {
 			next = b.Next
+			d.mu.Lock()
+			d.ruledAt = d.Now()
+			d.mu.Unlock()
 			for _, r := range b.Records {
 				d.settle(r)
 			}
--- a/decider/front.go
+++ b/decider/front.go
@@ -28,10 +28,10 @@
 // Queue implements plantainrail.Front.
 func (d *Decider) Queue(host, path string) (rule plantainrail.QueueRule, found, known bool) {
 	d.mu.Lock()
-	s, settled := d.settlement, d.settled
+	s, settled, fresh := d.settlement, d.settled, d.Now().Sub(d.ruledAt) < rulesLimit
 	d.mu.Unlock()
 	rule, found = s.Match(host, path)
-	return rule, found, settled
+	return rule, found, settled && (found || fresh)
 }
 
 // Submit implements plantainrail.Front.
--- a/decider/session.go
+++ b/decider/session.go
@@ -9,6 +9,7 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/linker"
+	"github.com/plantainrail/plantainrail/relayer"
 )
 
 const (
@@ -31,6 +32,7 @@
 func (d *Decider) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+SessionPath, d.serveSession)
+	mux.Handle("POST "+relayer.Path, d.Relay)
 	return mux
 }
 
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -31,7 +31,7 @@
 	// patience is how long a service may be over its target before fillers are
 	// slowed down: most fillers end sooner than that. It is below half of the four
 	// seconds that fillers may do harm.
-	patience = 2750 * time.Millisecond
+	patience = 2250 * time.Millisecond
 	// futileAfter is how long fillers stand still before a service that is over
 	// its target is held to be so by its own load: twice the time that the
 	// worker's figures look back.
