Keep writing until the last request in flight has its answer

The servers now end first, and clients are told to close. Also: a service counts as below its target again only once it is calm, since the worker's figures are rough.

--- a/decider/decider.go
+++ b/decider/decider.go
@@ -110,6 +110,8 @@
 	stopping bool
 	// nonce tells this process's claims from an earlier one's.
 	nonce string
+	// servers are those of agents, clients and the balancer.
+	servers [3]http.Server
 }
 
 // New returns an entry.
@@ -125,27 +127,22 @@
 // unread marks a topic of which nothing was read yet.
 const unread plantainrail.Offset = -1
 
-// Run serves until the context ends.
+// Run serves until the context ends, and then until the requests in flight have
+// their answers.
 func (d *Decider) Run(ctx context.Context) error {
 	d.Logger.Info("entry started", zap.String("entry", d.Name), zap.String("address", d.Address))
-	group, ctx := errgroup.WithContext(ctx)
-	for _, s := range []struct {
-		listener net.Listener
-		handler  http.Handler
-	}{
-		{d.Peers, d.peerHandler()}, {d.Clients, d.ClientHandler(d)}, {d.Health, d.HealthHandler(d)},
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	for _, follow := range []func(context.Context) error{
+		d.writer.run, d.followOperators, d.followJobs, d.followRuns, d.followMembers, d.register, d.campaign,
 	} {
-		if s.listener != nil {
-			group.Go(func() error { return serve(ctx, s.listener, s.handler) })
-		}
+		group.Go(func() error { return follow(work) })
 	}
-	group.Go(func() error { return d.writer.run(ctx) })
-	group.Go(func() error { return d.followOperators(ctx) })
-	group.Go(func() error { return d.followJobs(ctx) })
-	group.Go(func() error { return d.followRuns(ctx) })
-	group.Go(func() error { return d.followMembers(ctx) })
-	group.Go(func() error { return d.register(ctx) })
-	group.Go(func() error { return d.campaign(ctx) })
+	group.Go(func() error {
+		defer stop()
+		return d.serveAll(ctx)
+	})
 	err := group.Wait()
 	d.Logger.Info("entry stopped", zap.String("entry", d.Name), zap.Error(err))
 	if errors.Is(err, context.Canceled) {
@@ -154,12 +151,26 @@
 	return err
 }
 
+// serveAll serves agents, clients and the balancer until the context ends.
+func (d *Decider) serveAll(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for i, s := range []struct {
+		listener net.Listener
+		handler  http.Handler
+	}{
+		{d.Peers, d.peerHandler()}, {d.Clients, d.ClientHandler(d)}, {d.Health, d.HealthHandler(d)},
+	} {
+		d.servers[i].Handler, d.servers[i].ReadHeaderTimeout = s.handler, headerLimit
+		group.Go(func() error { return serve(ctx, &d.servers[i], s.listener) })
+	}
+	return group.Wait()
+}
+
 // headerLimit bounds how long a client may take to send a request's head.
 const headerLimit = 10 * time.Second
 
 // serve serves until the context ends, then lets requests in flight finish.
-func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerLimit}
+func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
 	select {
@@ -175,8 +186,9 @@
 	return ctx.Err()
 }
 
-// shutdownLimit bounds how long requests in flight may take at the end.
-const shutdownLimit = 2500 * time.Millisecond
+// shutdownLimit bounds how long requests in flight may take at the end; with
+// the farewell it stays below the platform's six seconds.
+const shutdownLimit = 3 * time.Second
 
 // Drain gives the jobs to another entry and serves until the balancer sends
 // new connections elsewhere.
@@ -186,6 +198,8 @@
 	o := d.owner
 	d.mu.Unlock()
 	d.Logger.Info("entry stopping", zap.String("entry", d.Name), zap.Bool("owner", o != nil))
+	// Clients open their next connections elsewhere.
+	d.servers[1].SetKeepAlivesEnabled(false)
 	if o != nil {
 		o.resign()
 	}
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -27,11 +27,11 @@
 	// percent.
 	standstill = 20
 	// calmSlownessMost is the slowness below which a service is calm.
-	calmSlownessMost = 0.85
+	calmSlownessMost = 0.9
 	// patience is how long a service may be over its target before fillers are
 	// slowed down: most fillers end sooner than that. It is below half of the four
 	// seconds that fillers may do harm.
-	patience = 2250 * time.Millisecond
+	patience = 2500 * time.Millisecond
 	// futileAfter is how long fillers stand still before a service that is over
 	// its target is held to be so by its own load: twice the time that the
 	// worker's figures look back.
@@ -142,16 +142,17 @@
 	p.passed = kept
 }
 
-// watch notes since when services are over their targets.
+// watch notes since when services are over their targets. The figures are
+// rough, so only a calm service counts as below again.
 func (p *Pacer) watch(now time.Time, services []Service) {
 	kept := map[string]time.Time{}
 	for _, s := range services {
-		if s.Slowness() < 1 {
-			continue
-		}
-		kept[s.Name] = now
-		if since, over := p.overSince[s.Name]; over {
+		since, over := p.overSince[s.Name]
+		switch {
+		case over && s.Slowness() >= calmSlownessMost:
 			kept[s.Name] = since
+		case s.Slowness() >= 1:
+			kept[s.Name] = now
 		}
 	}
 	p.overSince = kept
