--- a/minder/hold.go
+++ b/minder/hold.go
@@ -87,7 +87,7 @@
 func (m *Minder) holdFailed(life plantainrail.Life, failures int, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.vm.Life != life || m.unreachable || failures < failuresMost {
+	if m.vm.Life != life || m.unreachable || m.departed || failures < failuresMost {
 		return
 	}
 	m.unreachable = true
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -47,8 +47,9 @@
 	// vm is the worker's newest life; announced is its newest heartbeat.
 	vm        plantainrail.VM
 	announced int64
-	// unreachable is set while the worker does not answer.
-	unreachable bool
+	// unreachable is set while the worker does not answer, departed once it has
+	// told that it ends.
+	unreachable, departed bool
 	// epoch is the highest of an owner that was heard of.
 	epoch int64
 	// whole is set once the owner has told all that the worker should hold.
@@ -168,6 +169,7 @@
 // begin forgets what belonged to the worker's earlier life.
 func (m *Minder) begin(life plantainrail.Life) {
 	m.vm.Life = life
+	m.departed = false
 	m.unreachable, m.whole, m.noted, m.told, m.announced = false, false, 0, 0, 0
 	m.ends, m.clock = nil, workerClock{}
 	m.grantedUntil = time.Time{}
@@ -186,8 +188,8 @@
 		return
 	}
 	m.Logger.Info("worker departed", zap.String("worker", id))
+	m.departed, m.vm.Draining = true, true
 	m.tell(linker.WorkReport{Gone: true})
-	m.vm.Draining = true
 }
 
 // tell sends a report to the owner. The caller holds the lock.
--- a/minder/session.go
+++ b/minder/session.go
@@ -158,6 +158,10 @@
 	m.shown = nil
 	clear(m.sentAt)
 	m.Logger.Info("session opened", zap.String("address", address))
+	if m.departed {
+		m.tell(linker.WorkReport{Gone: true})
+		return
+	}
 	m.tell(linker.WorkReport{Ends: m.ends})
 	if n := len(m.ends); n > 0 {
 		m.told = m.ends[n-1].Number
@@ -188,8 +192,8 @@
 // renew asks for a renewal and tells what has changed in the runs. The caller
 // holds the lock.
 func (m *Minder) renew() {
-	if m.session == nil || m.unreachable {
-		// The lease of a worker that does not answer must run out.
+	if m.session == nil || m.unreachable || m.departed {
+		// The lease of a worker that has ended or does not answer must run out.
 		return
 	}
 	m.sequence++
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -149,6 +149,8 @@
 		p.vms[told.Life] = v
 	}
 	v.VM, v.known = told, true
+	// A connected agent takes no more renewals from an earlier owner.
+	v.renewed = earlier(v.renewed, now)
 }
 
 // Disconnect tells that an agent's session has ended. Its worker gets nothing
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -189,6 +189,7 @@
 		{"session lost", false, false, lapse},
 		{"agent cannot reach its worker", false, true, lapse},
 		{"owner lost as well", true, false, lapse + times.Takeover},
+		{"owner lost, agent cannot reach its worker", true, true, lapse},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newRoom(t, newVM("a", 2000))
@@ -200,12 +201,14 @@
 			r.p.Disconnect(run.Life)
 			r.report(newVM("b", 2000))
 			from := r.now
-			r.now = from.Add(c.after)
-			r.report(newVM("b", 2000))
-			if c.connected {
-				lost := newVM("a", 2000)
-				lost.Draining = true
-				r.p.Report(lost, r.now)
+			for _, at := range []time.Time{from, from.Add(c.after)} {
+				r.now = at
+				r.report(newVM("b", 2000))
+				if c.connected {
+					lost := newVM("a", 2000)
+					lost.Draining = true
+					r.p.Report(lost, r.now)
+				}
 			}
 			assert.Equal(t, len(r.tick().Assignments), 0, "the lease is not over for sure")
 			r.now = from.Add(c.after + time.Second)
