Let all fillers of a VM stand still for as long as a service needs to recover

A falling tail shows that the fillers were its cause and that the service has recovered, long before the lagging figure does.

--- a/minder/pace.go
+++ b/minder/pace.go
@@ -37,19 +37,17 @@
 	return pacer.Whole
 }
 
-// measure lists the fillers, and the services with a target. The caller holds
-// the lock.
-func (m *Minder) measure() (fillers []pacer.Filler, services []pacer.Service) {
+// measure counts the fillers and lists the services with a target. The caller
+// holds the lock.
+func (m *Minder) measure() (fillers int, services []pacer.Service) {
 	for ref, status := range m.running {
 		r := m.wanted[ref]
 		switch {
 		case r == nil:
 		case r.order.Filler:
-			fillers = append(fillers, pacer.Filler{Image: r.order.Image, Used: status.Figure, Asked: r.order.CPU})
+			fillers++
 		case r.order.TailTarget > 0:
-			services = append(services, pacer.Service{
-				Name: ref.Task.String(), Image: r.order.Image, Tail: status.Figure, Target: r.order.TailTarget,
-			})
+			services = append(services, pacer.Service{Name: ref.Task.String(), Tail: status.Figure, Target: r.order.TailTarget})
 		}
 	}
 	return fillers, services
@@ -58,7 +56,7 @@
 // mixed tells whether fillers run beside services with a target.
 func (m *Minder) mixed() bool {
 	fillers, services := m.measure()
-	return len(fillers) > 0 && len(services) > 0
+	return fillers > 0 && len(services) > 0
 }
 
 // pace decides how fast the fillers may work and tells the worker. The caller
@@ -71,20 +69,21 @@
 	}
 	if now := m.Now(); now.Sub(m.pacing.decidedAt) >= paceEvery {
 		m.pacing.decidedAt = now
+		before := m.pacing.pacer.Pace()
 		fillers, services := m.measure()
-		m.pacing.pacer.Step(now, services, fillers)
+		m.pacing.pacer.Step(now, services)
+		if pace := m.pacing.pacer.Pace(); pace != before {
+			m.Logger.Info("fillers paced", zap.Int("percent", pace), zap.Int("fillers", fillers), zap.Any("services", services))
+		}
 	}
+	want := m.pacing.pacer.Pace()
 	for ref := range m.running {
 		r := m.wanted[ref]
-		if r == nil || !r.order.Filler || m.pacing.sending[ref] {
+		if r == nil || !r.order.Filler || m.pacing.sending[ref] || m.pacing.of(ref) == want {
 			continue
 		}
-		if want := m.pacing.pacer.Pace(r.order.Image); want != m.pacing.of(ref) {
-			m.pacing.sending[ref] = true
-			m.Logger.Info("run paced", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.String("image", r.order.Image),
-				zap.Int("percent", want), zap.Int("before", m.pacing.of(ref)))
-			go m.sendPace(m.vm.Life, ref, want)
-		}
+		m.pacing.sending[ref] = true
+		go m.sendPace(m.vm.Life, ref, want)
 	}
 }
 
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -1,210 +1,130 @@
-// Package pacer decides how fast the filler tasks on a VM may work beside
-// services with a target for their tail latency. It is pure: each step takes
+// Package pacer decides when the filler tasks on a VM stand still for the sake
+// of services with a target for their tail latency. It is pure: each step takes
 // what was measured since the step before.
 //
-// A service over its target halves the pace of the images that slow it most,
-// until it recovers or they stand still; the pace comes back by fixed amounts
-// (Chiu and Jain, "Analysis of the Increase and Decrease Algorithms for
-// Congestion Avoidance in Computer Networks", 1989). A service that stays over
-// its target while all fillers stand still suffers from its own load and is
-// passed over for a while.
+// Fillers are short, so most excesses end by themselves; slowing fillers down
+// for each of them makes them pile up on the VMs where they do harm. Therefore
+// fillers stand still only once a service has stayed over its target, all of
+// them, and only until it has recovered. A service that stays over its target
+// while all fillers stand still suffers from its own load and is passed over for
+// a while.
 package pacer
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
+// Paces of fillers, in percent.
 const (
-	// Whole is the pace of a task that is not slowed down, in percent.
 	Whole = 100
-	// restore is what a calm step gives back, in percent; probe is what it gives
-	// back against the model's advice.
-	restore = 100
-	probe   = 25
-	// standstill is the pace below which fillers are stopped altogether, in
-	// percent.
-	standstill = 20
-	// calmSlownessMost is the slowness below which a service is calm.
-	calmSlownessMost = 0.9
-	// patience is how long a service may be over its target before fillers are
-	// slowed down: most fillers end sooner than that. It is below half of the four
-	// seconds that fillers may do harm.
-	patience = 2500 * time.Millisecond
-	// futileAfter is how long fillers stand still before a service that is over
-	// its target is held to be so by its own load: twice the time that the
-	// worker's figures look back.
+	Still = 0
+)
+
+const (
+	// patience is how long a service may be over its target before fillers stand
+	// still. With the lag of the worker's figures, up to 700 ms, and of a change
+	// of pace, 100 ms, it stays below the four seconds that fillers may do harm.
+	patience = 2300 * time.Millisecond
+	// overShare and calmShare are the shares of its target from which on a
+	// service counts as over it, and below which it has recovered. They lie below
+	// one since the figures are rough.
+	overShare = 0.95
+	calmShare = 0.9
+	// settled is how long fillers stand still before the worker's figures, which
+	// look back half a second, show what that has brought.
+	settled = 450 * time.Millisecond
+	// fallingShare is the part of the tail of the step before below which a tail
+	// falls. A tail that falls while fillers stand still has been theirs: the
+	// service has recovered and the figure lags.
+	fallingShare = 0.9
+	// futileAfter is how long fillers stand still before a service whose tail
+	// does not fall is held to be over its target by its own load.
 	futileAfter = time.Second
-	// passOver is how long such a service is passed over; with the time to look
-	// again it stays below the four seconds that fillers may do harm.
-	passOver = 2 * time.Second
+	// passOver is how long a service is passed over that suffers from its own
+	// load; with the patience after it, it stays below the four seconds as well.
+	passOver = 1250 * time.Millisecond
 )
 
-// Service is a serving task and its tail latency, both in milliseconds.
+// Service is a serving task, its tail latency and its target in milliseconds.
 type Service struct {
-	Name, Image  string
+	Name         string
 	Tail, Target int
 }
 
-// Slowness returns the tail latency as a share of the target.
-func (s Service) Slowness() float64 { return float64(s.Tail) / float64(max(s.Target, 1)) }
+func (s Service) over() bool { return float64(s.Tail) >= overShare*float64(s.Target) }
 
-// Filler is a filler task; Used and Asked are in thousandths of a core.
-type Filler struct {
-	Image       string
-	Used, Asked int
-}
+func (s Service) calm() bool { return float64(s.Tail) < calmShare*float64(s.Target) }
 
-// Pacer keeps the pace of one VM's fillers by image.
+// Pacer keeps the pace of one VM's fillers.
 type Pacer struct {
-	model *Model
-	pace  map[string]int
-	// stillSince is when all fillers had come to stand still; zero while some
-	// work.
+	// stillSince is when fillers came to stand still; zero while they work.
 	stillSince time.Time
-	// passed holds until when services are passed over.
-	passed map[string]time.Time
 	// overSince holds since when services are over their targets.
 	overSince map[string]time.Time
+	// passed holds until when services are passed over.
+	passed map[string]time.Time
+	// tails holds the tails of the step before.
+	tails map[string]int
 }
 
 // New returns a Pacer that has seen nothing.
 func New() *Pacer {
-	return &Pacer{model: NewModel(), pace: map[string]int{}, passed: map[string]time.Time{}, overSince: map[string]time.Time{}}
+	return &Pacer{overSince: map[string]time.Time{}, passed: map[string]time.Time{}}
 }
 
-// Pace returns the pace of an image's fillers, in percent.
-func (p *Pacer) Pace(image string) int {
-	if pace, ok := p.pace[image]; ok {
-		return pace
+// Pace returns the pace of the fillers, in percent.
+func (p *Pacer) Pace() int {
+	if p.stillSince.IsZero() {
+		return Whole
 	}
-	return Whole
+	return Still
 }
 
-// Step takes what runs at the instant and sets the paces anew.
-func (p *Pacer) Step(now time.Time, services []Service, fillers []Filler) {
-	used, asked := cores(fillers)
-	for _, s := range services {
-		if s.Tail > 0 {
-			p.model.Learn(s.Image, s.Slowness(), used)
-		}
-	}
-	still := true
-	for image := range asked {
-		still = still && p.Pace(image) == 0
-	}
-	if !still {
-		p.stillSince = time.Time{}
-	} else if p.stillSince.IsZero() {
-		p.stillSince = now
-	}
-	p.pass(now, services)
+// Step takes the services at the instant and decides anew.
+func (p *Pacer) Step(now time.Time, services []Service) {
+	before := p.tails
 	p.watch(now, services)
-	guilty := map[string]bool{}
-	for _, s := range services {
-		since, over := p.overSince[s.Name]
-		if over && now.Sub(since) >= patience && now.After(p.passed[s.Name]) {
-			p.blame(s, used, guilty)
+	if p.stillSince.IsZero() {
+		for _, since := range p.overSince {
+			if now.Sub(since) >= patience {
+				p.stillSince = now
+			}
 		}
+		return
 	}
-	for image := range asked {
-		p.adjust(now, image, guilty, services, asked[image]-used[image])
+	still := now.Sub(p.stillSince)
+	if still < settled {
+		return
 	}
-	for image, pace := range p.pace {
-		if _, here := asked[image]; !here && pace == Whole {
-			delete(p.pace, image)
+	for name := range p.overSince {
+		switch falling := float64(p.tails[name]) < fallingShare*float64(before[name]); {
+		case falling:
+			p.overSince[name] = now
+		case still >= futileAfter:
+			p.passed[name] = now.Add(passOver)
+			delete(p.overSince, name)
+		default:
+			return
 		}
 	}
+	p.stillSince = time.Time{}
 }
 
-// cores sums the fillers by image, in cores.
-func cores(fillers []Filler) (used, asked map[string]float64) {
-	used, asked = map[string]float64{}, map[string]float64{}
-	for _, f := range fillers {
-		used[f.Image] += float64(f.Used) / 1000
-		asked[f.Image] += float64(f.Asked) / 1000
-	}
-	return used, asked
-}
-
-// pass notes the services that are over their target by their own load.
-func (p *Pacer) pass(now time.Time, services []Service) {
-	futile := !p.stillSince.IsZero() && now.Sub(p.stillSince) >= futileAfter
-	kept := map[string]time.Time{}
+// watch notes since when services are over their targets.
+func (p *Pacer) watch(now time.Time, services []Service) {
+	over, passed := map[string]time.Time{}, map[string]time.Time{}
+	p.tails = map[string]int{}
 	for _, s := range services {
+		p.tails[s.Name] = s.Tail
 		if until := p.passed[s.Name]; now.Before(until) {
-			kept[s.Name] = until
-		} else if futile && s.Slowness() >= 1 {
-			kept[s.Name] = now.Add(passOver)
+			passed[s.Name] = until
+			continue
 		}
-	}
-	p.passed = kept
-}
-
-// watch notes since when services are over their targets. The figures are
-// rough, so only a calm service counts as below again.
-func (p *Pacer) watch(now time.Time, services []Service) {
-	kept := map[string]time.Time{}
-	for _, s := range services {
-		since, over := p.overSince[s.Name]
+		since, known := p.overSince[s.Name]
 		switch {
-		case over && s.Slowness() >= calmSlownessMost:
-			kept[s.Name] = since
-		case s.Slowness() >= 1:
-			kept[s.Name] = now
-		}
-	}
-	p.overSince = kept
-}
-
-// blame adds the images that slow a service most, until they explain what is
-// too much; while the model explains less, all that work are guilty.
-func (p *Pacer) blame(s Service, used map[string]float64, guilty map[string]bool) {
-	var images []string
-	for image := range used {
-		if p.Pace(image) > 0 {
-			images = append(images, image)
-		}
-	}
-	part := func(image string) float64 { return p.model.Press(s.Image, image) * used[image] }
-	slices.SortFunc(images, func(a, b string) int {
-		return cmp.Or(cmp.Compare(part(b), part(a)), cmp.Compare(a, b))
-	})
-	excess := min(s.Slowness(), slownessMost) - calmSlownessMost
-	for _, image := range images {
-		if excess <= 0 {
-			return
+		case known && !s.calm():
+			over[s.Name] = since
+		case s.over():
+			over[s.Name] = now
 		}
-		guilty[image] = true
-		excess -= part(image)
-	}
-}
-
-// adjust sets the pace of an image whose fillers would use more cores at their
-// whole pace.
-func (p *Pacer) adjust(now time.Time, image string, guilty map[string]bool, services []Service, more float64) {
-	pace := p.Pace(image)
-	if guilty[image] {
-		p.pace[image] = 0
-		return
-	}
-	if pace == Whole {
-		return
-	}
-	calm, safe := true, true
-	for _, s := range services {
-		since, over := p.overSince[s.Name]
-		if now.Before(p.passed[s.Name]) || over && now.Sub(since) < patience {
-			continue
-		}
-		calm = calm && s.Slowness() < 1
-		safe = safe && s.Slowness()+p.model.Press(s.Image, image)*max(more, 0) < 1
-	}
-	switch {
-	case calm && safe:
-		p.pace[image] = min(Whole, pace+restore)
-	case calm:
-		p.pace[image] = min(Whole, pace+probe)
 	}
+	p.overSince, p.passed = over, passed
 }
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -36,13 +36,9 @@
 
 func (r *placedRun) order() plantainrail.RunOrder {
 	step := r.step()
-	order := plantainrail.RunOrder{
-		Ref: r.ref(), Spec: r.job.Spec, Saved: r.task.Saved, Filler: step.Filler, TailTarget: step.TailTarget, Image: step.Image,
+	return plantainrail.RunOrder{
+		Ref: r.ref(), Spec: r.job.Spec, Saved: r.task.Saved, Filler: step.Filler, TailTarget: step.TailTarget,
 	}
-	if step.Filler {
-		order.CPU = step.CPU
-	}
-	return order
 }
 
 // vm is one life of a VM's worker.
--- a/work.go
+++ b/work.go
@@ -227,12 +227,9 @@
 	Spec string `cbor:"1,keyasint,omitempty"`
 	// Saved is the checkpoint to resume from; empty means from the start.
 	Saved string `cbor:"2,keyasint,omitempty"`
-	// Filler, TailTarget and Image repeat the step's, for pacing beside services.
-	Filler     bool   `cbor:"3,keyasint,omitempty"`
-	TailTarget int    `cbor:"4,keyasint,omitempty"`
-	Image      string `cbor:"5,keyasint,omitempty"`
-	// CPU is what a filler would use, in thousandths of a core.
-	CPU int `cbor:"6,keyasint,omitempty"`
+	// Filler and TailTarget repeat the step's, for pacing beside services.
+	Filler     bool `cbor:"3,keyasint,omitempty"`
+	TailTarget int  `cbor:"4,keyasint,omitempty"`
 }
 
 // Worker runs tasks on one VM. Each call names the life that it is meant for
