Pace new fillers at once and tell the owner of a departed worker before ending

The owner's authority without a confirmed write is now three seconds, since a new owner waits that long for VMs that were lost with the earlier one.

--- a/command/node/agent/agent.go
+++ b/command/node/agent/agent.go
@@ -19,7 +19,7 @@
 )
 
 // drainLimit bounds a planned stop below the platform's six seconds.
-const drainLimit = time.Second
+const drainLimit = 5 * time.Second
 
 // Options are what the command needs to run.
 type Options struct {
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -37,8 +37,10 @@
 	// below the most that workers allow, six seconds.
 	Lease = 5500 * time.Millisecond
 	// authority is how long an owner renews leases after its last confirmed
-	// write; it outlasts the store's usual outages, about five seconds.
-	authority = 6 * time.Second
+	// write. With the lease it outlasts outages of the store of eight seconds; a
+	// longer one would keep a new owner waiting for VMs that were lost with the
+	// earlier one.
+	authority = 3 * time.Second
 	// silenceLimit is how long the owner may write nothing before another entry
 	// claims its place: four of its heartbeats.
 	silenceLimit = 1200 * time.Millisecond
--- a/linker/work.go
+++ b/linker/work.go
@@ -34,4 +34,6 @@
 	Noted int64 `cbor:"5,keyasint,omitempty"`
 	// Renewed repeats the sequence of a report whose renewal is granted.
 	Renewed uint64 `cbor:"6,keyasint,omitempty"`
+	// Departed answers a report that the worker has left for good.
+	Departed bool `cbor:"7,keyasint,omitempty"`
 }
--- a/minder/hold.go
+++ b/minder/hold.go
@@ -205,6 +205,7 @@
 		case err == nil:
 			m.mu.Lock()
 			r.started = true
+			m.paceRun(r)
 			m.mu.Unlock()
 			return
 		case errors.As(err, &refused) && refused.Reason == plantainrail.RefusedEpoch:
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -16,6 +16,7 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/linker"
+	"github.com/plantainrail/plantainrail/pacer"
 )
 
 // Options are what an agent depends on.
@@ -48,8 +49,8 @@
 	vm        plantainrail.VM
 	announced int64
 	// unreachable is set while the worker does not answer, departed once it has
-	// told that it ends.
-	unreachable, departed bool
+	// told that it ends, and farewell once the owner knows that.
+	unreachable, departed, farewell bool
 	// epoch is the highest of an owner that was heard of.
 	epoch int64
 	// whole is set once the owner has told all that the worker should hold.
@@ -137,11 +138,23 @@
 // headerLimit bounds how long the worker may take to send a heartbeat's head.
 const headerLimit = 10 * time.Second
 
-// Drain waits until the platform's own end: the worker's runs go on, and the
-// next process of the agent takes them over.
-func (m *Minder) Drain(context.Context) error {
+// drainLook is how often a stopping agent looks whether it may end.
+const drainLook = 50 * time.Millisecond
+
+// Drain waits until the owner knows of a worker that has ended. The runs of one
+// that goes on are taken over by the next process of the agent.
+func (m *Minder) Drain(ctx context.Context) error {
 	m.Logger.Info("agent stopping", zap.String("node", m.Node))
-	return nil
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		waits := m.departed && !m.farewell
+		m.mu.Unlock()
+		if !waits {
+			return nil
+		}
+		_ = sleep(ctx, drainLook)
+	}
+	return errors.New("no owner knows yet that the worker has ended")
 }
 
 // Announced implements plantainrail.Registry.
@@ -169,7 +182,7 @@
 // begin forgets what belonged to the worker's earlier life.
 func (m *Minder) begin(life plantainrail.Life) {
 	m.vm.Life = life
-	m.departed = false
+	m.departed, m.farewell = false, false
 	m.unreachable, m.whole, m.noted, m.told, m.announced = false, false, 0, 0, 0
 	m.ends, m.clock = nil, workerClock{}
 	m.grantedUntil = time.Time{}
@@ -199,6 +212,7 @@
 	}
 	r.VM = m.vm
 	r.VM.Draining = r.VM.Draining || m.unreachable
+	r.VM.Strained = m.pacing.pacer.Pace() != pacer.Whole
 	_ = m.session.Send(linker.Frame{Work: &r})
 }
 
--- a/minder/pace.go
+++ b/minder/pace.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/pacer"
 )
 
@@ -63,7 +64,7 @@
 // holds the lock.
 func (m *Minder) pace() {
 	for ref := range m.pacing.confirmed {
-		if _, runs := m.running[ref]; !runs {
+		if m.wanted[ref] == nil {
 			delete(m.pacing.confirmed, ref)
 		}
 	}
@@ -74,19 +75,27 @@
 		m.pacing.pacer.Step(now, services)
 		if pace := m.pacing.pacer.Pace(); pace != before {
 			m.Logger.Info("fillers paced", zap.Int("percent", pace), zap.Int("fillers", fillers), zap.Any("services", services))
+			m.tell(linker.WorkReport{})
 		}
 	}
-	want := m.pacing.pacer.Pace()
 	for ref := range m.running {
-		r := m.wanted[ref]
-		if r == nil || !r.order.Filler || m.pacing.sending[ref] || m.pacing.of(ref) == want {
-			continue
+		if r := m.wanted[ref]; r != nil {
+			m.paceRun(r)
 		}
-		m.pacing.sending[ref] = true
-		go m.sendPace(m.vm.Life, ref, want)
 	}
 }
 
+// paceRun tells the worker a run's pace unless it has taken it. The caller
+// holds the lock.
+func (m *Minder) paceRun(r *run) {
+	ref, want := r.order.Ref, m.pacing.pacer.Pace()
+	if !r.order.Filler || m.pacing.sending[ref] || m.pacing.of(ref) == want {
+		return
+	}
+	m.pacing.sending[ref] = true
+	go m.sendPace(m.vm.Life, ref, want)
+}
+
 // sendPace tells the worker a run's pace once; a pace that it has not taken is
 // sent again with the next look.
 func (m *Minder) sendPace(life plantainrail.Life, ref plantainrail.RunRef, percent int) {
--- a/minder/session.go
+++ b/minder/session.go
@@ -236,6 +236,7 @@
 		return
 	}
 	m.epoch = o.Epoch
+	m.farewell = m.farewell || o.Departed
 	if o.Renewed > 0 {
 		if at, ok := m.sentAt[o.Renewed]; ok {
 			delete(m.sentAt, o.Renewed)
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -22,7 +22,7 @@
 	// patience is how long a service may be over its target before fillers stand
 	// still. With the lag of the worker's figures, up to 700 ms, and of a change
 	// of pace, 100 ms, it stays below the four seconds that fillers may do harm.
-	patience = 2300 * time.Millisecond
+	patience = 1900 * time.Millisecond
 	// overShare and calmShare are the shares of its target from which on a
 	// service counts as over it, and below which it has recovered. They lie below
 	// one since the figures are rough.
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -132,6 +132,7 @@
 	obstacleZone     Obstacle = "zone"
 	obstacleSpread   Obstacle = "spread"
 	obstacleFailed   Obstacle = "failed"
+	obstacleStrained Obstacle = "strained"
 	obstacleRoom     Obstacle = "room"
 )
 
@@ -150,6 +151,8 @@
 		return obstacleTrial
 	case step.Label != "" && !slices.Contains(v.Labels, step.Label):
 		return obstacleLabel
+	case step.Filler && v.Strained:
+		return obstacleStrained
 	case !v.Room.Minus(v.used).Holds(step.Room()):
 		return obstacleRoom
 	}
--- a/work.go
+++ b/work.go
@@ -182,6 +182,8 @@
 	Labels   []string `cbor:"3,keyasint,omitempty"`
 	Room     Room     `cbor:"4,keyasint"`
 	Draining bool     `cbor:"5,keyasint,omitempty"`
+	// Strained means that fillers stand still there for the sake of services.
+	Strained bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Outcome of a run, as the worker tells it.
