--- a/command/node/agent/agent.go
+++ b/command/node/agent/agent.go
@@ -79,8 +79,18 @@
 		},
 		Lease: decider.Lease, Heartbeats: heartbeats,
 		HeartbeatHandler: func(r plantainrail.Registry) http.Handler {
-			return platform.RegistryHandler(s.Name, r, logger)
+			return platform.RegistryHandler(s.Name, o.service, r, logger)
 		},
 		Now: now, Logger: logger,
 	}), drainLimit, logger)
 }
+
+// service returns the pool that the platform counts the VM's worker to now; the
+// settings file may change without a signal.
+func (o *Options) service() string {
+	fresh, err := platform.Load()
+	if err != nil {
+		return o.Settings.Service
+	}
+	return fresh.Service
+}
--- a/minder/hold.go
+++ b/minder/hold.go
@@ -87,7 +87,16 @@
 func (m *Minder) holdFailed(life plantainrail.Life, failures int, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.vm.Life != life || m.unreachable || m.departed || failures < failuresMost {
+	if m.vm.Life != life {
+		return
+	}
+	if m.leaving && !m.departed && !errors.Is(err, context.DeadlineExceeded) {
+		// A worker that has said farewell runs on until its port is closed.
+		m.departed = true
+		m.Logger.Info("worker departed", zap.String("worker", life.ID))
+		m.tell(linker.WorkReport{Gone: true})
+	}
+	if m.unreachable || m.departed || failures < failuresMost {
 		return
 	}
 	m.unreachable = true
@@ -188,10 +197,10 @@
 		m.mu.Unlock()
 		switch {
 		case draining:
-			m.refuse(life, r, plantainrail.RefusedDraining)
+			m.withdraw(life, r, plantainrail.RefusedDraining)
 			return
 		case m.Now().After(until):
-			m.withdraw(life, r)
+			m.withdraw(life, r, plantainrail.RefusedSilent)
 			return
 		case deadline == 0:
 			_ = sleep(context.Background(), holdPause/3)
@@ -208,14 +217,8 @@
 			m.paceRun(r)
 			m.mu.Unlock()
 			return
-		case errors.As(err, &refused) && refused.Reason == plantainrail.RefusedEpoch:
-			m.withdraw(life, r)
-			return
-		case errors.As(err, &refused) && refused.Reason == plantainrail.RefusedOld:
-			m.settle(life, r, refused.Reason)
-			return
 		case errors.As(err, &refused):
-			m.refuse(life, r, refused.Reason)
+			m.withdraw(life, r, refused.Reason)
 			return
 		}
 		m.Logger.Warn("start not answered", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Error(err))
@@ -223,9 +226,10 @@
 	}
 }
 
-// withdraw keeps a run from starting that the worker has not answered for, and
-// tells the owner.
-func (m *Minder) withdraw(life plantainrail.Life, r *run) {
+// withdraw keeps a run from starting and tells the owner. The stop is owed even
+// after a refusal: an earlier try, also one of this agent's process before, may
+// be carried out seconds later.
+func (m *Minder) withdraw(life plantainrail.Life, r *run, reason plantainrail.RefusalReason) {
 	ref := r.order.Ref
 	m.mu.Lock()
 	if m.vm.Life != life || m.wanted[ref] != r {
@@ -235,7 +239,7 @@
 	m.stopping[ref] = true
 	m.mu.Unlock()
 	if m.stopRun(life, ref) {
-		m.settle(life, r, plantainrail.RefusedSilent)
+		m.settle(life, r, reason)
 	}
 }
 
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -48,9 +48,11 @@
 	// vm is the worker's newest life; announced is its newest heartbeat.
 	vm        plantainrail.VM
 	announced int64
-	// unreachable is set while the worker does not answer, departed once it has
-	// told that it ends, and farewell once the owner knows that.
-	unreachable, departed, farewell bool
+	// unreachable is set while the worker does not answer.
+	unreachable bool
+	// leaving is set once the worker has told that it ends, departed once it has
+	// ended, and farewell once the owner knows that.
+	leaving, departed, farewell bool
 	// epoch is the highest of an owner that was heard of.
 	epoch int64
 	// whole is set once the owner has told all that the worker should hold.
@@ -147,7 +149,7 @@
 	m.Logger.Info("agent stopping", zap.String("node", m.Node))
 	for ctx.Err() == nil {
 		m.mu.Lock()
-		waits := m.departed && !m.farewell
+		waits := m.leaving && !m.farewell
 		m.mu.Unlock()
 		if !waits {
 			return nil
@@ -182,7 +184,7 @@
 // begin forgets what belonged to the worker's earlier life.
 func (m *Minder) begin(life plantainrail.Life) {
 	m.vm.Life = life
-	m.departed, m.farewell = false, false
+	m.leaving, m.departed, m.farewell = false, false, false
 	m.unreachable, m.whole, m.noted, m.told, m.announced = false, false, 0, 0, 0
 	m.ends, m.clock = nil, workerClock{}
 	m.grantedUntil = time.Time{}
@@ -200,9 +202,9 @@
 	if id != m.vm.Life.ID {
 		return
 	}
-	m.Logger.Info("worker departed", zap.String("worker", id))
-	m.departed, m.vm.Draining = true, true
-	m.tell(linker.WorkReport{Gone: true})
+	m.Logger.Info("worker leaves", zap.String("worker", id))
+	m.leaving, m.vm.Draining = true, true
+	m.tell(linker.WorkReport{})
 }
 
 // tell sends a report to the owner. The caller holds the lock.
