--- a/assembler/network_test.go
+++ b/assembler/network_test.go
@@ -66,6 +66,11 @@
 	return nil
 }
 
+// reopen lets the next process of a part listen at the same address.
+func (l *listener) reopen() {
+	l.once, l.closed = sync.Once{}, make(chan struct{})
+}
+
 func (l *listener) Addr() net.Addr { return l.address }
 
 // Listen implements assembler.Network.
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -76,7 +76,7 @@
 	// OperatorTopic is the topic that Settle understands.
 	OperatorTopic string
 	// Peers, Clients and Health take connections from agents, clients and the
-	// balancer.
+	// balancer; one that is nil is not served.
 	Peers, Clients, Health net.Listener
 	// ClientHandler and HealthHandler serve the front in the platform's words.
 	ClientHandler, HealthHandler func(plantainrail.Front) http.Handler
@@ -162,6 +162,9 @@
 	}{
 		{d.Peers, d.peerHandler()}, {d.Clients, d.ClientHandler(d)}, {d.Health, d.HealthHandler(d)},
 	} {
+		if s.listener == nil {
+			continue
+		}
 		d.servers[i].Handler, d.servers[i].ReadHeaderTimeout = s.handler, headerLimit
 		group.Go(func() error { return serve(ctx, &d.servers[i], s.listener) })
 	}
--- a/decider/session.go
+++ b/decider/session.go
@@ -40,7 +40,7 @@
 	d.mu.Lock()
 	o, address := d.owner, d.claim.Address
 	d.mu.Unlock()
-	if o == nil || !o.deciding() {
+	if !d.Owns() {
 		w.Header().Set(OwnerHeader, address)
 		http.Error(w, "this entry does not own the jobs", http.StatusMisdirectedRequest)
 		return
@@ -56,6 +56,14 @@
 	o.leave(a, err)
 }
 
+// Owns tells whether the entry owns the jobs and decides.
+func (d *Decider) Owns() bool {
+	d.mu.Lock()
+	o := d.owner
+	d.mu.Unlock()
+	return o != nil && o.deciding()
+}
+
 func (o *owner) deciding() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/minder/hold.go
+++ b/minder/hold.go
@@ -36,9 +36,9 @@
 		epoch := m.epoch
 		hold := plantainrail.Hold{Seen: m.noted, Deadline: m.deadline(), Wait: holdWait}
 		switch {
-		case len(m.ends) > 0 || !m.whole:
+		case len(m.ends) > 0:
 			hold.Wait = 0
-		case m.mixed():
+		case m.mixed() || !m.whole:
 			hold.Wait = paceEvery
 		}
 		m.mu.Unlock()
@@ -189,7 +189,7 @@
 	ref := r.order.Ref
 	for {
 		m.mu.Lock()
-		if m.vm.Life != life || m.wanted[ref] != r {
+		if m.over(life) || m.wanted[ref] != r {
 			m.mu.Unlock()
 			return
 		}
@@ -249,7 +249,7 @@
 	since := m.Now()
 	for {
 		m.mu.Lock()
-		over := m.vm.Life != life || m.wanted[r.order.Ref] != r
+		over := m.over(life) || m.wanted[r.order.Ref] != r
 		looked := m.heldAt.After(since)
 		m.mu.Unlock()
 		switch {
@@ -300,7 +300,7 @@
 func (m *Minder) stopRun(life plantainrail.Life, ref plantainrail.RunRef) bool {
 	for {
 		m.mu.Lock()
-		gone, epoch := m.vm.Life != life || !m.stopping[ref], m.epoch
+		gone, epoch := m.over(life) || !m.stopping[ref], m.epoch
 		m.mu.Unlock()
 		if gone {
 			return false
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -83,6 +83,8 @@
 	// change; the hold loop waits for it.
 	changed chan struct{}
 	owners  owners
+	// stopped is closed when the agent stops.
+	stopped chan struct{}
 }
 
 // run is a run that the owner wants on the worker.
@@ -111,13 +113,14 @@
 	return &Minder{
 		Options: o, wanted: map[plantainrail.RunRef]*run{}, stopping: map[plantainrail.RunRef]bool{},
 		running: map[plantainrail.RunRef]plantainrail.RunStatus{}, sentAt: map[uint64]time.Time{},
-		changed: make(chan struct{}, 1), owners: newOwners(), pacing: newPacing(),
+		changed: make(chan struct{}, 1), stopped: make(chan struct{}), owners: newOwners(), pacing: newPacing(),
 	}
 }
 
 // Run serves until the context ends.
 func (m *Minder) Run(ctx context.Context) error {
 	m.Logger.Info("agent started", zap.String("node", m.Node))
+	defer close(m.stopped)
 	group, ctx := errgroup.WithContext(ctx)
 	server := &http.Server{Handler: m.HeartbeatHandler(m), ReadHeaderTimeout: headerLimit}
 	group.Go(func() error { return errors.Wrap(server.Serve(m.Heartbeats), "serve heartbeats") })
@@ -207,6 +210,17 @@
 	m.tell(linker.WorkReport{})
 }
 
+// over tells whether the agent has stopped or the worker's life has ended. The
+// caller holds the lock.
+func (m *Minder) over(life plantainrail.Life) bool {
+	select {
+	case <-m.stopped:
+		return true
+	default:
+		return m.vm.Life != life
+	}
+}
+
 // tell sends a report to the owner. The caller holds the lock.
 func (m *Minder) tell(r linker.WorkReport) {
 	if m.session == nil || m.vm.Life.IsZero() {
