--- a/minder/hold.go
+++ b/minder/hold.go
@@ -184,12 +184,14 @@
 	go m.startRun(m.vm.Life, r, m.Now().Add(orderLimit))
 }
 
-// startRun tries until the worker has answered, or the time is over.
+// startRun tries until the worker has answered, the time is over, or the run is
+// to be ended: an order that waited for a renewal must not outlive the owner's
+// giving the worker up.
 func (m *Minder) startRun(life plantainrail.Life, r *run, until time.Time) {
 	ref := r.order.Ref
 	for {
 		m.mu.Lock()
-		if m.over(life) || m.wanted[ref] != r {
+		if m.over(life) || m.wanted[ref] != r || m.stopping[ref] {
 			m.mu.Unlock()
 			return
 		}
