Settle starts that reach a worker's new life under the same ID

The agent now stops such runs in the new life, and reports it with their ends, before the owner hears of it.

--- a/decider/session.go
+++ b/decider/session.go
@@ -108,6 +108,7 @@
 		return
 	}
 	if a.life != r.VM.Life || !o.planner.Knows(a.life) {
+		o.planner.Succeed(r.VM.Life, r.Ends, now)
 		o.greet(a, r.VM)
 	}
 	renewed := r.Sequence > 0 && now.Sub(o.confirmed) < authority
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,6 +52,9 @@
 	announced int64
 	// unreachable is set while the worker does not answer.
 	unreachable bool
+	// settling is set while a new life may still get starts that were meant for
+	// the one before.
+	settling bool
 	// leaving is set once the worker has told that it ends, departed once it has
 	// ended, and farewell once the owner knows that.
 	leaving, departed, farewell bool
@@ -184,8 +189,14 @@
 	}
 }
 
-// begin forgets what belonged to the worker's earlier life.
+// begin forgets what belonged to the worker's earlier life. Starts that were
+// meant for it may still reach a new life under the same ID; they are settled
+// before the owner hears of that life.
 func (m *Minder) begin(life plantainrail.Life) {
+	var left []plantainrail.RunRef
+	if life.ID == m.vm.Life.ID {
+		left = slices.Collect(maps.Keys(m.wanted))
+	}
 	m.vm.Life = life
 	m.leaving, m.departed, m.farewell = false, false, false
 	m.unreachable, m.whole, m.noted, m.told, m.announced = false, false, 0, 0, 0
@@ -196,6 +207,43 @@
 	clear(m.stopping)
 	clear(m.running)
 	clear(m.sentAt)
+	m.settling = len(left) > 0
+	if m.settling {
+		go m.settleRebirth(life, left)
+	}
+}
+
+// settleRebirth keeps the runs of the earlier life from starting in a new one,
+// ends those that have, and then tells the owner of the new life.
+func (m *Minder) settleRebirth(life plantainrail.Life, left []plantainrail.RunRef) {
+	for _, ref := range left {
+		m.mu.Lock()
+		if m.over(life) {
+			m.mu.Unlock()
+			return
+		}
+		m.stopping[ref] = true
+		m.mu.Unlock()
+		m.stopRun(life, ref)
+	}
+	since := m.Now()
+	for {
+		m.mu.Lock()
+		if m.over(life) || m.heldAt.After(since) && len(m.running) == 0 {
+			break
+		}
+		m.mu.Unlock()
+		_ = sleep(context.Background(), holdPause/3)
+	}
+	defer m.mu.Unlock()
+	if m.over(life) {
+		return
+	}
+	clear(m.stopping)
+	m.settling = false
+	m.Logger.Info("rebirth settled", zap.String("worker", life.ID), zap.Int("runs", len(left)), zap.Int("ends", len(m.ends)))
+	m.tellEnds()
+	m.renew()
 }
 
 // Departed implements plantainrail.Registry.
@@ -210,6 +258,15 @@
 	m.tell(linker.WorkReport{})
 }
 
+// tellEnds reports the worker with all ends that are not noted. The caller
+// holds the lock.
+func (m *Minder) tellEnds() {
+	m.tell(linker.WorkReport{Ends: m.ends})
+	if n := len(m.ends); n > 0 {
+		m.told = m.ends[n-1].Number
+	}
+}
+
 // over tells whether the agent has stopped or the worker's life has ended. The
 // caller holds the lock.
 func (m *Minder) over(life plantainrail.Life) bool {
@@ -223,7 +280,7 @@
 
 // tell sends a report to the owner. The caller holds the lock.
 func (m *Minder) tell(r linker.WorkReport) {
-	if m.session == nil || m.vm.Life.IsZero() {
+	if m.session == nil || m.vm.Life.IsZero() || m.settling {
 		return
 	}
 	r.VM = m.vm
--- a/minder/session.go
+++ b/minder/session.go
@@ -162,10 +162,7 @@
 		m.tell(linker.WorkReport{Gone: true})
 		return
 	}
-	m.tell(linker.WorkReport{Ends: m.ends})
-	if n := len(m.ends); n > 0 {
-		m.told = m.ends[n-1].Number
-	}
+	m.tellEnds()
 	m.renew()
 	m.poke()
 }
@@ -274,9 +271,8 @@
 		m.want(order)
 	}
 	// The owner may have given the worker up and taken it anew.
-	if n := len(m.ends); n > 0 {
-		m.told = m.ends[n-1].Number
-		m.tell(linker.WorkReport{Ends: m.ends})
+	if len(m.ends) > 0 {
+		m.tellEnds()
 	}
 	m.poke()
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -135,6 +135,22 @@
 	}
 }
 
+// Succeed takes in ends of runs that were meant for an earlier life of a worker
+// and came to a new one under the same ID. It comes before the first Report of
+// the new life, which gives all else up that the earlier one held.
+func (p *Planner) Succeed(life plantainrail.Life, ends []plantainrail.RunEnd, now time.Time) {
+	for _, v := range p.vms {
+		if v.Life.Node != life.Node || v.Life.ID != life.ID || v.Life == life {
+			continue
+		}
+		for _, end := range ends {
+			if run := v.runs[end.Ref]; run != nil {
+				p.end(v, run, end, now)
+			}
+		}
+	}
+}
+
 // Report takes in what an agent tells of its worker. Earlier lives of the
 // agent's worker are over with all that ran in them.
 func (p *Planner) Report(told plantainrail.VM, now time.Time) {
