--- a/command/factory/factory.go
+++ b/command/factory/factory.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -116,11 +118,34 @@
 // logCloseLimit bounds the writing of the last log lines.
 const logCloseLimit = 200 * time.Millisecond
 
-// Reporter returns a structured logger on standard output that never blocks,
-// and a function that writes what waits.
-func (f *Factory) Reporter() (*zap.Logger, func()) {
+// Reporter returns a structured logger on standard output that never blocks, a
+// handler of its counters, and a function that writes what waits.
+func (f *Factory) Reporter() (*zap.Logger, http.Handler, func()) {
 	logger, r := reporter.New(f.Out, zapcore.InfoLevel)
-	return logger, func() { r.Close(logCloseLimit) }
+	return logger, r, func() { r.Close(logCloseLimit) }
+}
+
+// metricsPort is where a process on the platform serves its counters; the deploy
+// file names it too.
+const metricsPort = "9464"
+
+// ServeMetrics serves a process's counters until the process ends. A process
+// that cannot listen goes on without them.
+func (f *Factory) ServeMetrics(ip string, h http.Handler, logger *zap.Logger) {
+	address := net.JoinHostPort(ip, metricsPort)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		logger.Warn("metrics not served", zap.String("address", address), zap.Error(err))
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", h)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerLimit}
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			logger.Warn("metrics not served any more", zap.Error(err))
+		}
+	}()
 }
 
 // inputLimit bounds a file that a command reads, in bytes.
--- a/command/node/agent/agent.go
+++ b/command/node/agent/agent.go
@@ -63,8 +63,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	logger, closeLog := o.Reporter()
+	logger, counters, closeLog := o.Reporter()
 	defer closeLog()
+	o.ServeMetrics(s.IP, counters, logger)
 	peers := platform.NewClient()
 	return o.Serve(minder.New(minder.Options{
 		Node: s.Name, Worker: platform.NewWorker(s.Worker, platform.NewClient()),
--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -60,8 +60,9 @@
 	if err != nil {
 		return err
 	}
-	logger, closeLog := o.Reporter()
+	logger, counters, closeLog := o.Reporter()
 	defer closeLog()
+	o.ServeMetrics(s.IP, counters, logger)
 	operator := &platform.Operator{}
 	store := relayer.New(platform.NewStore(s.Store, platform.NewClient()), platform.NewClient(), logger)
 	return o.Serve(decider.New(decider.Options{
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -5,6 +5,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,20 +31,24 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	sampled atomic.Int64
+	// counts holds how often each event was logged or left out, by its name.
+	mu     sync.Mutex
+	counts map[string]int64
 	// stop ends the writing; done is closed after the last line.
 	stop, done chan struct{}
 }
 
 // New returns a logger that writes JSON lines to w, and the queue behind it.
 func New(w io.Writer, level zapcore.Level) (*zap.Logger, *Reporter) {
-	r := &Reporter{lines: make(chan []byte, queueLimit), stop: make(chan struct{}), done: make(chan struct{})}
+	r := &Reporter{counts: map[string]int64{}, lines: make(chan []byte, queueLimit), stop: make(chan struct{}), done: make(chan struct{})}
 	go r.write(w)
 	config := zap.NewProductionEncoderConfig()
 	config.TimeKey, config.MessageKey = "at", "event"
 	config.EncodeTime = zapcore.ISO8601TimeEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), r, level)
 	core = zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThereafter,
-		zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+		zapcore.SamplerHook(func(e zapcore.Entry, d zapcore.SamplingDecision) {
+			r.count(e.Message)
 			if d&zapcore.LogDropped != 0 {
 				r.sampled.Add(1)
 			}
@@ -48,6 +56,27 @@
 	return zap.New(core), r
 }
 
+// count counts an event. The names are constants of the code, so they are few.
+func (r *Reporter) count(event string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[event]++
+}
+
+// ServeHTTP writes the counters as text, one a line, in the form that scrapers
+// of metrics read.
+func (r *Reporter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	counts := maps.Clone(r.counts)
+	r.mu.Unlock()
+	for _, event := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(w, "plantainrail_events_total{event=%q} %d\n", event, counts[event])
+	}
+	full, sampled := r.Dropped()
+	fmt.Fprintf(w, "plantainrail_lines_dropped_total{reason=\"full\"} %d\n", full)
+	fmt.Fprintf(w, "plantainrail_lines_dropped_total{reason=\"sampled\"} %d\n", sampled)
+}
+
 // Write implements zapcore.WriteSyncer. It never blocks.
 func (r *Reporter) Write(line []byte) (int, error) {
 	select {
--- /dev/null
+++ b/reporter/reporter_test.go
@@ -0,0 +1,71 @@
+package reporter_test
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail/reporter"
+)
+
+// stalled is a reader of lines that takes nothing until it is released.
+type stalled struct {
+	release chan struct{}
+	mu      sync.Mutex
+	out     bytes.Buffer
+}
+
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out.Write(p)
+}
+
+func TestStalledReaderBlocksNothingAndLosesCountedLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lines = 10_000
+		s := &stalled{release: make(chan struct{})}
+		logger, r := reporter.New(s, zapcore.InfoLevel)
+		for i := range lines {
+			// Each event is another one, so that none is left out by sampling.
+			logger.Info("event " + strings.Repeat("x", i%7) + time.Duration(i).String())
+		}
+		full, sampled := r.Dropped()
+		assert.Assert(t, full > 0)
+		close(s.release)
+		synctest.Wait()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		written := int64(strings.Count(s.out.String(), `"event":"event `))
+		assert.Equal(t, written+full+sampled, int64(lines))
+		assert.Assert(t, strings.Contains(s.out.String(), "lines dropped"))
+		r.Close(time.Second)
+	})
+}
+
+func TestStormOfOneEventIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		logger, r := reporter.New(&out, zapcore.InfoLevel)
+		for range 100_000 {
+			logger.Info("storm", zap.Int("n", 1))
+		}
+		_, sampled := r.Dropped()
+		r.Close(time.Second)
+		assert.Assert(t, strings.Count(out.String(), "storm") < 2000)
+		assert.Assert(t, sampled > 90_000)
+
+		answer := httptest.NewRecorder()
+		r.ServeHTTP(answer, nil)
+		assert.Assert(t, strings.Contains(answer.Body.String(), `plantainrail_events_total{event="storm"} 100000`))
+	})
+}
