Give up writes sooner and turn jobs away at once while the store is out of reach

A write that may have been done is now given up after 1.2 s (504), and while no read was answered for 2.5 s a job is turned away with 503 and a time to come back.

--- a/decider/front.go
+++ b/decider/front.go
@@ -37,10 +37,15 @@
 // Submit implements plantainrail.Front.
 func (d *Decider) Submit(ctx context.Context, w plantainrail.Workflow) plantainrail.Reply {
 	d.mu.Lock()
-	known := d.book.Job(w.ID) != nil
+	known, fresh := d.book.Job(w.ID) != nil, d.Now().Sub(d.freshAt) < freshLimit
 	d.mu.Unlock()
-	if known {
+	switch {
+	case known:
 		return plantainrail.Reply{Answer: plantainrail.AnswerOK}
+	case !fresh:
+		// The store was out of reach lately; there is no use in waiting for it.
+		d.Logger.Info("job turned away", zap.String("job", w.ID), zap.String("queue", w.Queue.Name))
+		return plantainrail.Reply{Answer: plantainrail.AnswerUnavailable, RetryAfter: storeRetry}
 	}
 	record, err := planner.Offer(w)
 	if err != nil {
--- a/decider/writer.go
+++ b/decider/writer.go
@@ -16,14 +16,21 @@
 	writeMost = 128
 	// refusedLimit is how long a write is tried that the store refuses.
 	refusedLimit = 600 * time.Millisecond
+	// unsureLimit is how long a write is tried that may have been done; the
+	// client may ask another entry after it.
+	unsureLimit = 1200 * time.Millisecond
+	// tryLimit bounds one try; a store that is slow by a factor of sixty answers
+	// in a third of it.
+	tryLimit = time.Second
 )
 
 // write is a record on its way to the store.
 type write struct {
 	ctx    context.Context
 	record plantainrail.KeyedRecord
-	// refuseBy is when the write is given up if the store has refused each try.
-	refuseBy time.Time
+	// refuseBy is when the write is given up if the store has refused each try,
+	// unsureBy when it is given up although a try may have been done.
+	refuseBy, unsureBy time.Time
 	// unsure is set once a try may have been done.
 	unsure bool
 	result chan error
@@ -43,7 +50,10 @@
 // append adds a record and returns nil once it is stored. ErrNotDone means that
 // it never will be.
 func (w *writer) append(ctx context.Context, record plantainrail.KeyedRecord) error {
-	job := &write{ctx: ctx, record: record, refuseBy: time.Now().Add(refusedLimit), result: make(chan error, 1)}
+	now := time.Now()
+	job := &write{
+		ctx: ctx, record: record, refuseBy: now.Add(refusedLimit), unsureBy: now.Add(unsureLimit), result: make(chan error, 1),
+	}
 	select {
 	case w.queue <- job:
 	default:
@@ -84,7 +94,9 @@
 		for i, job := range batch {
 			records[i] = job.record
 		}
-		_, err := w.store.Append(ctx, plantainrail.AppendCall{Topic: jobsTopic, Records: records})
+		try, cancel := context.WithTimeout(ctx, tryLimit)
+		_, err := w.store.Append(try, plantainrail.AppendCall{Topic: jobsTopic, Records: records})
+		cancel()
 		if err == nil {
 			for _, job := range batch {
 				job.result <- nil
@@ -107,7 +119,7 @@
 	for _, job := range batch {
 		job.unsure = job.unsure || !sure
 		switch {
-		case job.unsure && job.ctx.Err() != nil:
+		case job.unsure && (job.ctx.Err() != nil || time.Now().After(job.unsureBy)):
 			job.result <- err
 		case !job.unsure && (job.ctx.Err() != nil || time.Now().After(job.refuseBy)):
 			job.result <- errors.Wrap(plantainrail.ErrNotDone, "given up")
