--- a/decider/owner.go
+++ b/decider/owner.go
@@ -160,9 +160,8 @@
 		if d.runsNext >= end {
 			break
 		}
-		moved := d.moved
 		d.mu.Unlock()
-		if err := d.catchUp(ctx, end, moved); err != nil {
+		if err := d.catchUp(ctx, end); err != nil {
 			return err
 		}
 	}
@@ -180,7 +179,7 @@
 }
 
 // catchUp reads progress up to the end.
-func (d *Decider) catchUp(ctx context.Context, end plantainrail.Offset, moved <-chan struct{}) error {
+func (d *Decider) catchUp(ctx context.Context, end plantainrail.Offset) error {
 	d.mu.Lock()
 	from := d.runsNext
 	d.mu.Unlock()
--- a/decider/session.go
+++ b/decider/session.go
@@ -101,7 +101,7 @@
 	}
 	now := o.d.Now()
 	if r.Gone {
-		o.planner.Gone(r.VM.Life, now)
+		o.planner.Gone(r.VM.Life)
 		o.d.Logger.Info("VM gone", zap.String("node", r.VM.Life.Node), zap.String("worker", r.VM.Life.ID))
 		_ = a.session.Send(linker.Frame{Orders: &linker.WorkOrders{Epoch: o.epoch, Life: r.VM.Life, Departed: true}})
 		o.poke()
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -156,7 +156,7 @@
 func (p *Planner) Report(told plantainrail.VM, now time.Time) {
 	for life, v := range p.vms {
 		if life.Node == told.Life.Node && life != told.Life {
-			p.drop(v, now)
+			p.drop(v)
 		}
 	}
 	v := p.vms[told.Life]
@@ -178,9 +178,9 @@
 }
 
 // Gone tells that a worker has ended for good.
-func (p *Planner) Gone(life plantainrail.Life, now time.Time) {
+func (p *Planner) Gone(life plantainrail.Life) {
 	if v := p.vms[life]; v != nil {
-		p.drop(v, now)
+		p.drop(v)
 	}
 }
 
@@ -346,7 +346,7 @@
 }
 
 // drop gives up all that a worker held.
-func (p *Planner) drop(v *vm, now time.Time) {
+func (p *Planner) drop(v *vm) {
 	for _, run := range v.runs {
 		p.release(v, run)
 	}
@@ -391,7 +391,7 @@
 func (p *Planner) expire(now time.Time) {
 	for _, v := range p.vms {
 		if now.After(p.times.lapse(v.renewed)) {
-			p.drop(v, now)
+			p.drop(v)
 		}
 	}
 }
--- a/work.go
+++ b/work.go
@@ -186,7 +186,7 @@
 	Strained bool `cbor:"6,keyasint,omitempty"`
 }
 
-// Outcome of a run, as the worker tells it.
+// EndKind is the outcome of a run, as the worker tells it.
 type EndKind string
 
 // Ends of runs.
