--- a/planner/vm.go
+++ b/planner/vm.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/plantainrail/plantainrail"
@@ -170,15 +169,5 @@
 	return n
 }
 
-// rack returns the label that names the VM's rack.
+// inRack tells whether the VM stands in a rack; racks are labels.
 func (v *vm) inRack(rack string) bool { return slices.Contains(v.Labels, rack) }
-
-// rackOf returns the rack among a VM's labels: the one of the form rA-B.
-func (v *vm) rackOf() string {
-	for _, label := range v.Labels {
-		if strings.HasPrefix(label, "r") && strings.Contains(label, "-") {
-			return label
-		}
-	}
-	return ""
-}
