Look for room once for each shape of task in a tick

Cause: with the pool full, each of 200 waiting jobs looked at each of 660 VMs. A shape that found no room is not looked for again within the tick, in which room only shrinks.

--- /dev/null
+++ b/planner/bench_test.go
@@ -0,0 +1,39 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/planner"
+)
+
+// BenchmarkTick measures one decision at the two-year size: 660 VMs, 12,000
+// running tasks, and 2,000 that find no room.
+func BenchmarkTick(b *testing.B) {
+	const vms, running, waiting, width = 660, 12_000, 2_000, 10
+	now := start
+	p := planner.New(planner.NewBook(), times, now)
+	for i := range vms {
+		vm := newVM(fmt.Sprint("vm-", i), 20_000)
+		vm.Room.Memory = 1 << 20
+		p.Report(vm, now)
+	}
+	for i := range (running + waiting) / width {
+		record, err := planner.Offer(plantainrail.Workflow{
+			ID: fmt.Sprint("job-", i), Queue: queue, Steps: []plantainrail.Step{{Count: width, CPU: vms * 20_000 / running}},
+		})
+		assert.NilError(b, err)
+		assert.NilError(b, p.TakeJob(record, now))
+	}
+	placed := len(p.Tick(now).Assignments)
+	assert.Assert(b, placed >= running*9/10, "placed %d", placed)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		p.Tick(now)
+	}
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -16,9 +16,19 @@
 	tasks      []int
 }
 
-// place assigns tasks whose turn has come to VMs with room.
+// shape is what decides whether a VM takes a task that has neither failed nor a
+// bound for each VM.
+type shape struct {
+	service, label string
+	room           plantainrail.Room
+	filler         bool
+}
+
+// place assigns tasks whose turn has come to VMs with room. Room only shrinks
+// meanwhile, so a shape that found none is not looked for again.
 func (p *Planner) place(now time.Time) []Assignment {
 	var out []Assignment
+	clear(p.full)
 	for _, c := range p.candidates(now) {
 		if c.job.Steps[c.step].Gang {
 			out = append(out, p.placeGang(c, now)...)
@@ -79,8 +89,16 @@
 func (p *Planner) placeTask(c candidate, index int, now time.Time) (Assignment, bool) {
 	id := plantainrail.TaskID{Job: c.job.ID, Occurrence: c.occurrence, Step: c.step, Index: index}
 	t := c.job.task(id)
+	step := c.job.Steps[c.step]
+	want := shape{service: p.service(c.job), label: step.Label, room: step.Room(), filler: step.Filler}
+	if p.full[want] {
+		return Assignment{}, false
+	}
 	v := p.choose(c, id, t, now)
 	if v == nil {
+		if step.PerVM == 0 && t.Failures == 0 {
+			p.full[want] = true
+		}
 		return Assignment{}, false
 	}
 	return p.assign(v, c.job, id, t, t.Run+1), true
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -64,6 +64,8 @@
 	changed    map[string]*Job
 	stops      []Stop
 	waits      []Wait
+	// full holds the shapes that found no room in the tick.
+	full map[shape]bool
 }
 
 // New returns a planner that takes over the jobs of a book at the instant.
@@ -72,7 +74,7 @@
 func New(book *Book, times Times, now time.Time) *Planner {
 	p := &Planner{
 		Book: book, times: times, vms: map[plantainrail.Life]*vm{},
-		active: map[string]*Job{}, changed: map[string]*Job{},
+		active: map[string]*Job{}, changed: map[string]*Job{}, full: map[shape]bool{},
 	}
 	for _, j := range book.jobs {
 		p.adopt(j, now)
