Answer 404 only while the configuration is surely the newest

Ruled out: a late answer of the store. A view is fresh for 1.9 s now, and relayed reads wait half a second at most.

--- a/decider/decider.go
+++ b/decider/decider.go
@@ -55,8 +55,9 @@
 	// known does not exist.
 	freshLimit = 2500 * time.Millisecond
 	// rulesLimit is the age of the newest read of the operators' topic up to
-	// which a path without a queue is known to have none.
-	rulesLimit = 4 * time.Second
+	// which a path without a queue is known to have none. It lies below the two
+	// seconds in which a configuration has to be in force.
+	rulesLimit = 1900 * time.Millisecond
 	// farewell is how long a stopping entry goes on serving: the balancer takes
 	// two health checks, a second apart, to send new connections elsewhere.
 	farewell = 2500 * time.Millisecond
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -14,7 +14,7 @@
 // those are short whose age counts.
 const (
 	slowWait  = 20 * time.Second
-	rulesWait = 1500 * time.Millisecond
+	rulesWait = 1200 * time.Millisecond
 	fastWait  = time.Second
 )
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -23,8 +23,13 @@
 	// directAgain is how long calls go through another entry before the store is
 	// tried directly again.
 	directAgain = 2 * time.Second
-	// peerSlack is what another entry's answer may take beyond the wait.
+	// peerSlack is what another entry's answer to a write may take; readSlack is
+	// what one to a read may take beyond the wait.
 	peerSlack = 1500 * time.Millisecond
+	readSlack = 600 * time.Millisecond
+	// readWait bounds the wait of a read, so that another entry that has just
+	// lost its power does not hold a reader for long.
+	readWait = 500 * time.Millisecond
 	// bodyLimit bounds a relayed call and its answer in bytes; the store's own
 	// calls are smaller.
 	bodyLimit = 8 << 20
@@ -203,11 +208,16 @@
 
 // ask makes a call through one entry.
 func (r *Relayer) ask(ctx context.Context, address string, c call) (outcome, error) {
+	limit := peerSlack
+	if c.Append == nil {
+		c.Wait = min(c.Wait, readWait)
+		limit = c.Wait + readSlack
+	}
 	raw, err := cbor.Marshal(c)
 	if err != nil {
 		return outcome{}, errors.Wrap(err, "encode a call")
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.Wait+peerSlack)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(raw))
 	if err != nil {
