--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -46,7 +46,7 @@
 type fleetVM struct {
 	name, workerAt string
 	worker         *runner.Runner
-	// registryAt is the agent's address for heartbeats, which stays.
+	// registry takes the worker's heartbeats at an address that stays.
 	registry *listener
 	stop     context.CancelFunc
 }
@@ -175,7 +175,7 @@
 	v.stop()
 	time.Sleep(time.Second)
 	f.net.set(v.name, healthy)
-	v.registry.reopen()
+	v.registry = f.net.reopen(v.registry)
 	f.startAgent(v)
 }
 
--- a/assembler/network_test.go
+++ b/assembler/network_test.go
@@ -67,8 +67,12 @@
 }
 
 // reopen lets the next process of a part listen at the same address.
-func (l *listener) reopen() {
-	l.once, l.closed = sync.Once{}, make(chan struct{})
+func (n *network) reopen(old *listener) *listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{network: n, name: old.name, address: old.address, accept: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[string(l.address)] = l
+	return l
 }
 
 func (l *listener) Addr() net.Addr { return l.address }
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -261,7 +261,8 @@
 // tellEnds reports the worker with all ends that are not noted. The caller
 // holds the lock.
 func (m *Minder) tellEnds() {
-	m.tell(linker.WorkReport{Ends: m.ends})
+	// The session encodes a report later, when the list may have changed.
+	m.tell(linker.WorkReport{Ends: slices.Clone(m.ends)})
 	if n := len(m.ends); n > 0 {
 		m.told = m.ends[n-1].Number
 	}
