Use one type for amounts of a VM; drop fields that nothing reads

Room stood beside Resources with the same methods; whether a run had started, how far it is and the store stand-in's count of calls were kept and not read. Behaviour stays as it was.

--- a/minder/hold.go
+++ b/minder/hold.go
@@ -215,7 +215,6 @@
 		switch {
 		case err == nil:
 			m.mu.Lock()
-			r.started = true
 			m.paceRun(r)
 			m.mu.Unlock()
 			return
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -95,8 +95,6 @@
 // run is a run that the owner wants on the worker.
 type run struct {
 	order plantainrail.RunOrder
-	// started is set once the worker has taken the run.
-	started bool
 }
 
 // workerClock relates the worker's clock to ours.
--- a/minder/session.go
+++ b/minder/session.go
@@ -286,7 +286,6 @@
 	r := &run{order: order}
 	m.wanted[order.Ref] = r
 	if _, runs := m.running[order.Ref]; runs {
-		r.started = true
 		return
 	}
 	m.start(r)
--- a/planner/place.go
+++ b/planner/place.go
@@ -20,7 +20,7 @@
 // bound for each VM.
 type shape struct {
 	service, label string
-	room           plantainrail.Room
+	room           plantainrail.Resources
 	filler         bool
 }
 
@@ -216,7 +216,7 @@
 
 // score rates a VM for a task of a step: higher is better.
 func (v *vm) score(step plantainrail.Step) float64 {
-	free := float64(v.Room.CPU-v.used.CPU-v.fillers) / float64(max(v.Room.CPU, 1))
+	free := float64(v.Room.Processors-v.used.Processors-v.fillers) / float64(max(v.Room.Processors, 1))
 	if step.Rack != "" && v.inRack(step.Rack) {
 		free += nearWeight
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -197,7 +197,6 @@
 		if run == nil {
 			continue
 		}
-		run.percent = status.Percent
 		if status.Saved != "" {
 			run.task.Saved = status.Saved
 		}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -43,7 +43,7 @@
 func newVM(node string, cpu int) plantainrail.VM {
 	return plantainrail.VM{
 		Life: plantainrail.Life{Node: node, ID: "w-" + node, Born: 1}, Service: "desk", Zone: "z1",
-		Labels: []string{"a", "r1-1"}, Room: plantainrail.Room{CPU: cpu, Memory: 10_000},
+		Labels: []string{"a", "r1-1"}, Room: plantainrail.Resources{Processors: cpu, Memory: 10_000},
 	}
 }
 
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -22,7 +22,6 @@
 	job       *Job
 	id        plantainrail.TaskID
 	task      *Task
-	percent   int
 	committed bool
 	stopping  bool
 }
@@ -47,7 +46,7 @@
 	known   bool
 	renewed time.Time
 	runs    map[plantainrail.RunRef]*placedRun
-	used    plantainrail.Room
+	used    plantainrail.Resources
 	// fillers is what the filler tasks would use, in thousandths of a core.
 	fillers int
 	// seen is the number of the newest end that was taken in.
@@ -152,7 +151,7 @@
 		return obstacleLabel
 	case step.Filler && v.Strained:
 		return obstacleStrained
-	case !v.Room.Minus(v.used).Holds(step.Room()):
+	case !step.Room().Fits(v.Room.Minus(v.used)):
 		return obstacleRoom
 	}
 	return ""
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -35,7 +35,6 @@
 	topics map[string]*topic
 	fault  Fault
 	writes int
-	calls  int
 }
 
 type topic struct {
@@ -74,13 +73,6 @@
 	}
 }
 
-// Calls returns the number of calls so far.
-func (k *Keeper) Calls() int {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.calls
-}
-
 // Put writes a record as an operator does; without a value it drops the key.
 func (k *Keeper) Put(name, key string, value []byte) {
 	k.mu.Lock()
@@ -111,7 +103,6 @@
 // ServeHTTP implements http.Handler.
 func (k *Keeper) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	k.mu.Lock()
-	k.calls++
 	fault := k.fault
 	if fault == Lossy && q.URL.Path == "/log-append" {
 		if k.writes++; k.writes%2 == 0 {
--- a/work.go
+++ b/work.go
@@ -90,11 +90,11 @@
 }
 
 // Room returns what one task of the step takes of its VM.
-func (s Step) Room() Room {
+func (s Step) Room() Resources {
 	if s.Filler {
-		return Room{Memory: s.Memory, Accelerators: s.Accelerators}
+		return Resources{Memory: s.Memory, Accelerators: s.Accelerators}
 	}
-	return Room{CPU: s.CPU, Memory: s.Memory, Accelerators: s.Accelerators}
+	return Resources{Processors: s.CPU, Memory: s.Memory, Accelerators: s.Accelerators}
 }
 
 // Queue is a kind of job: where its tasks run and what it aims at.
@@ -139,28 +139,6 @@
 	return time.UnixMilli(w.First + int64(occurrence)*w.Every)
 }
 
-// Room is an amount of a VM's resources.
-type Room struct {
-	_ struct{} `cbor:",toarray"`
-	// CPU is in thousandths of a core, Memory in MB.
-	CPU, Memory, Accelerators int
-}
-
-// Plus returns the sum of two amounts.
-func (r Room) Plus(o Room) Room {
-	return Room{CPU: r.CPU + o.CPU, Memory: r.Memory + o.Memory, Accelerators: r.Accelerators + o.Accelerators}
-}
-
-// Minus returns the difference of two amounts.
-func (r Room) Minus(o Room) Room {
-	return Room{CPU: r.CPU - o.CPU, Memory: r.Memory - o.Memory, Accelerators: r.Accelerators - o.Accelerators}
-}
-
-// Holds tells whether an amount fits into this one.
-func (r Room) Holds(o Room) bool {
-	return o.CPU <= r.CPU && o.Memory <= r.Memory && o.Accelerators <= r.Accelerators
-}
-
 // Life names one life of a VM's worker: what ran in an earlier life is gone.
 type Life struct {
 	_ struct{} `cbor:",toarray"`
@@ -176,12 +154,12 @@
 
 // VM is what a worker tells of itself.
 type VM struct {
-	Life     Life     `cbor:"0,keyasint"`
-	Service  string   `cbor:"1,keyasint"`
-	Zone     string   `cbor:"2,keyasint"`
-	Labels   []string `cbor:"3,keyasint,omitempty"`
-	Room     Room     `cbor:"4,keyasint"`
-	Draining bool     `cbor:"5,keyasint,omitempty"`
+	Life     Life      `cbor:"0,keyasint"`
+	Service  string    `cbor:"1,keyasint"`
+	Zone     string    `cbor:"2,keyasint"`
+	Labels   []string  `cbor:"3,keyasint,omitempty"`
+	Room     Resources `cbor:"4,keyasint"`
+	Draining bool      `cbor:"5,keyasint,omitempty"`
 	// Strained means that fillers stand still there for the sake of services.
 	Strained bool `cbor:"6,keyasint,omitempty"`
 }
