--- a/command/factory/factory.go
+++ b/command/factory/factory.go
@@ -10,12 +10,14 @@
 	"os"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/plantainrail/plantainrail/caller"
+	"github.com/plantainrail/plantainrail/reporter"
 )
 
 // Exit codes of the program.
@@ -111,6 +113,16 @@
 	return zap.New(core)
 }
 
+// logCloseLimit bounds the writing of the last log lines.
+const logCloseLimit = 200 * time.Millisecond
+
+// Reporter returns a structured logger on standard output that never blocks,
+// and a function that writes what waits.
+func (f *Factory) Reporter() (*zap.Logger, func()) {
+	logger, r := reporter.New(f.Out, zapcore.InfoLevel)
+	return logger, func() { r.Close(logCloseLimit) }
+}
+
 // inputLimit bounds a file that a command reads, in bytes.
 const inputLimit = 16 << 20
 
--- a/command/factory/serve.go
+++ b/command/factory/serve.go
@@ -27,6 +27,15 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	// Settings hold for the life of a process; a reload only leaves a line.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	go func() {
+		for range reloads {
+			logger.Info("reload asked for; settings are read at the start of a process")
+		}
+	}()
 	ended := make(chan error, 1)
 	go func() { ended <- p.Run(ctx) }()
 	select {
--- /dev/null
+++ b/command/node/agent/agent.go
@@ -0,0 +1,86 @@
+// Package agent is the command "node agent".
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
+	"github.com/plantainrail/plantainrail/command/factory"
+	"github.com/plantainrail/plantainrail/decider"
+	"github.com/plantainrail/plantainrail/linker"
+	"github.com/plantainrail/plantainrail/minder"
+	"github.com/plantainrail/plantainrail/platform"
+)
+
+// drainLimit bounds a planned stop below the platform's six seconds.
+const drainLimit = time.Second
+
+// Options are what the command needs to run.
+type Options struct {
+	*factory.Factory
+	Settings platform.Settings
+}
+
+// Command holds the flags.
+type Command struct {
+	run func(*Options) error
+}
+
+// New returns the command. A run function replaces what it does.
+func New(run func(*Options) error) Command {
+	if run == nil {
+		run = Run
+	}
+	return Command{run: run}
+}
+
+// Run checks the settings and runs the command.
+func (c *Command) Run(f *factory.Factory) error {
+	settings, err := platform.Load()
+	if err != nil {
+		return err
+	}
+	if settings.Worker == "" || settings.Registry == "" {
+		return factory.Usagef("the platform's settings name no worker on this VM; an agent runs beside one")
+	}
+	return c.run(&Options{Factory: f, Settings: settings})
+}
+
+// Run serves as the agent beside a VM's worker on the platform.
+func Run(o *Options) error {
+	s := o.Settings
+	now, err := clocker.Boot()
+	if err != nil {
+		return errors.Wrap(err, "read the clock")
+	}
+	heartbeats, err := net.Listen("tcp", s.Registry)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	logger, closeLog := o.Reporter()
+	defer closeLog()
+	peers := platform.NewClient()
+	return o.Serve(minder.New(minder.Options{
+		Node: s.Name, Worker: platform.NewWorker(s.Worker, platform.NewClient()),
+		Store:        platform.NewStore(s.Store, platform.NewClient()),
+		MembersTopic: decider.MembersTopic,
+		ParseMember: func(r plantainrail.KeyedRecord) (address string, owner bool, epoch int64, err error) {
+			member, err := decider.ParseMember(r)
+			return member.Address, member.Owner, member.Epoch, err
+		},
+		Dial: func(ctx context.Context, address string) (*linker.Session, string, error) {
+			return decider.Dial(ctx, peers, address)
+		},
+		Lease: decider.Lease, Heartbeats: heartbeats,
+		HeartbeatHandler: func(r plantainrail.Registry) http.Handler {
+			return platform.RegistryHandler(s.Name, r, logger)
+		},
+		Now: now, Logger: logger,
+	}), drainLimit, logger)
+}
--- /dev/null
+++ b/command/node/entry/entry.go
@@ -0,0 +1,85 @@
+// Package entry is the command "node entry".
+package entry
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
+	"github.com/plantainrail/plantainrail/command/factory"
+	"github.com/plantainrail/plantainrail/decider"
+	"github.com/plantainrail/plantainrail/platform"
+)
+
+// drainLimit bounds a planned stop below the platform's six seconds.
+const drainLimit = 4 * time.Second
+
+// Options are what the command needs to run.
+type Options struct {
+	*factory.Factory
+	Settings platform.Settings
+}
+
+// Command holds the flags.
+type Command struct {
+	run func(*Options) error
+}
+
+// New returns the command. A run function replaces what it does.
+func New(run func(*Options) error) Command {
+	if run == nil {
+		run = Run
+	}
+	return Command{run: run}
+}
+
+// Run checks the settings and runs the command.
+func (c *Command) Run(f *factory.Factory) error {
+	settings, err := platform.Load()
+	if err != nil {
+		return err
+	}
+	return c.run(&Options{Factory: f, Settings: settings})
+}
+
+// Run serves as an entry on the platform.
+func Run(o *Options) error {
+	s := o.Settings
+	now, err := clocker.Boot()
+	if err != nil {
+		return errors.Wrap(err, "read the clock")
+	}
+	peer := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
+	listeners, err := listen(peer, s.Frontend, s.Ready)
+	if err != nil {
+		return err
+	}
+	logger, closeLog := o.Reporter()
+	defer closeLog()
+	operator := &platform.Operator{}
+	return o.Serve(decider.New(decider.Options{
+		Name: s.Name, Address: peer, Store: platform.NewStore(s.Store, platform.NewClient()),
+		Settle: operator.Take, OperatorTopic: platform.OperatorTopic,
+		Peers: listeners[0], Clients: listeners[1], Health: listeners[2],
+		ClientHandler: func(f plantainrail.Front) http.Handler { return platform.Handler(f) },
+		HealthHandler: func(f plantainrail.Front) http.Handler { return platform.ReadyHandler(f) },
+		Now:           now, Logger: logger,
+	}), drainLimit, logger)
+}
+
+func listen(addresses ...string) ([]net.Listener, error) {
+	var out []net.Listener
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		out = append(out, listener)
+	}
+	return out, nil
+}
--- a/command/root/root.go
+++ b/command/root/root.go
@@ -25,6 +25,8 @@
 	jobshow "github.com/plantainrail/plantainrail/command/job/show"
 	"github.com/plantainrail/plantainrail/command/job/submit"
 	"github.com/plantainrail/plantainrail/command/job/wait"
+	nodeagent "github.com/plantainrail/plantainrail/command/node/agent"
+	nodeentry "github.com/plantainrail/plantainrail/command/node/entry"
 	"github.com/plantainrail/plantainrail/command/report/burn"
 	"github.com/plantainrail/plantainrail/command/request/explain"
 	settingscheck "github.com/plantainrail/plantainrail/command/settings/check"
@@ -54,7 +56,11 @@
 		Serve serve.Command `cmd:"" default:"withargs" help:"Serve as an entry."`
 		List  list.Command  `cmd:"" help:"List the registered entries."`
 	} `cmd:"" name:"entry" help:"Entries: take callers' requests, serve operators, place tasks."`
-	Agent   agent.Command `cmd:"" help:"Serve as the agent beside a VM's targets and tasks."`
+	Agent agent.Command `cmd:"" help:"Serve as the agent beside a VM's targets and tasks."`
+	Node  struct {
+		Entry nodeentry.Command `cmd:"" help:"Serve as an entry."`
+		Agent nodeagent.Command `cmd:"" help:"Serve as the agent beside a worker."`
+	} `cmd:"" help:"Processes on the users' platform; they read the settings file that it names."`
 	Standin struct {
 		Log    recorder.Command  `cmd:"" help:"Serve a log in memory."`
 		Target responder.Command `cmd:"" help:"Serve a target that announces itself."`
@@ -106,6 +112,7 @@
 	l := &Line{
 		Agent: agent.New(nil), Dev: dev.New(nil), Bench: bench.New(nil), Codes: codes.New(nil), Chart: chart.New(nil),
 	}
+	l.Node.Entry, l.Node.Agent = nodeentry.New(nil), nodeagent.New(nil)
 	l.EntryNoun.Serve, l.EntryNoun.List = serve.New(nil), list.New(nil)
 	l.Standin.Log, l.Standin.Target, l.Standin.Worker = recorder.New(nil), responder.New(nil), worker.New(nil)
 	l.Table.Get, l.Table.Check, l.Table.Diff = get.New(nil), tablecheck.New(nil), diff.New(nil)
--- /dev/null
+++ b/decider/writer.go
@@ -0,0 +1,119 @@
+package decider
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+const (
+	// writeMost bounds the records of one append; with the largest jobs they
+	// stay below the store's two megabytes a call.
+	writeMost = 128
+	// refusedLimit is how long a write is tried that the store refuses.
+	refusedLimit = 600 * time.Millisecond
+)
+
+// write is a record on its way to the store.
+type write struct {
+	ctx    context.Context
+	record plantainrail.KeyedRecord
+	// refuseBy is when the write is given up if the store has refused each try.
+	refuseBy time.Time
+	// unsure is set once a try may have been done.
+	unsure bool
+	result chan error
+}
+
+// writer appends records of many requests in one call at a time.
+type writer struct {
+	store  plantainrail.Store
+	logger *zap.Logger
+	queue  chan *write
+}
+
+func newWriter(store plantainrail.Store, logger *zap.Logger) *writer {
+	return &writer{store, logger, make(chan *write, 1024)}
+}
+
+// append adds a record and returns nil once it is stored. ErrNotDone means that
+// it never will be.
+func (w *writer) append(ctx context.Context, record plantainrail.KeyedRecord) error {
+	job := &write{ctx: ctx, record: record, refuseBy: time.Now().Add(refusedLimit), result: make(chan error, 1)}
+	select {
+	case w.queue <- job:
+	default:
+		return errors.Wrap(plantainrail.ErrNotDone, "too many writes wait")
+	}
+	return <-job.result
+}
+
+// run writes until the context ends, and what has come before it.
+func (w *writer) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case first := <-w.queue:
+			w.settle(ctx, w.gather([]*write{first}))
+		}
+	}
+}
+
+// gather adds what waits to a batch.
+func (w *writer) gather(batch []*write) []*write {
+	for len(batch) < writeMost {
+		select {
+		case next := <-w.queue:
+			batch = append(batch, next)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// settle tries a batch until each write of it has an answer.
+func (w *writer) settle(ctx context.Context, batch []*write) {
+	for len(batch) > 0 {
+		records := make([]plantainrail.KeyedRecord, len(batch))
+		for i, job := range batch {
+			records[i] = job.record
+		}
+		_, err := w.store.Append(ctx, plantainrail.AppendCall{Topic: jobsTopic, Records: records})
+		if err == nil {
+			for _, job := range batch {
+				job.result <- nil
+			}
+			return
+		}
+		w.logger.Warn("jobs not stored", zap.Int("records", len(batch)), zap.Error(err))
+		sure := errors.Is(err, plantainrail.ErrNotDone)
+		batch = w.sift(batch, err, sure)
+		if len(batch) > 0 {
+			_ = sleep(ctx, retryPause)
+			batch = w.gather(batch)
+		}
+	}
+}
+
+// sift answers the writes whose time is over and returns the others.
+func (w *writer) sift(batch []*write, err error, sure bool) []*write {
+	var rest []*write
+	for _, job := range batch {
+		job.unsure = job.unsure || !sure
+		switch {
+		case job.unsure && job.ctx.Err() != nil:
+			job.result <- err
+		case !job.unsure && (job.ctx.Err() != nil || time.Now().After(job.refuseBy)):
+			job.result <- errors.Wrap(plantainrail.ErrNotDone, "given up")
+		default:
+			rest = append(rest, job)
+		}
+	}
+	return rest
+}
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -47,6 +47,9 @@
 	Abort     *Abort   `cbor:"25,keyasint,omitempty"`
 	Credit    int      `cbor:"26,keyasint,omitempty"`
 	Close     bool     `cbor:"27,keyasint,omitempty"`
+
+	Work   *WorkReport `cbor:"30,keyasint,omitempty"`
+	Orders *WorkOrders `cbor:"31,keyasint,omitempty"`
 }
 
 // AttemptRef names one attempt of a task.
--- /dev/null
+++ b/minder/minder.go
@@ -0,0 +1,219 @@
+// Package minder is an agent's part in jobs of steps: it stands beside one
+// worker, keeps the worker's runs as the owner of the jobs wants them, renews
+// their leases while it is in touch with the owner, and tells of their ends.
+package minder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/linker"
+)
+
+// Options are what an agent depends on.
+type Options struct {
+	Node   string
+	Worker plantainrail.Worker
+	Store  plantainrail.Store
+	// MembersTopic and ParseMember tell who owns the jobs.
+	MembersTopic string
+	ParseMember  func(plantainrail.KeyedRecord) (address string, owner bool, epoch int64, err error)
+	// Dial opens a session with the entry at an address. An entry that does not
+	// own the jobs names the owner's address.
+	Dial func(ctx context.Context, address string) (session *linker.Session, owner string, err error)
+	// Lease is how long the worker goes on after the owner's last renewal.
+	Lease time.Duration
+	// Heartbeats takes the worker's announcements.
+	Heartbeats       net.Listener
+	HeartbeatHandler func(plantainrail.Registry) http.Handler
+	// Now tells the instant on a clock that goes on while the VM is suspended.
+	Now    func() time.Time
+	Logger *zap.Logger
+}
+
+// Minder is one agent.
+type Minder struct {
+	Options
+
+	mu sync.Mutex
+	// vm is the worker's newest life; announced is its newest heartbeat.
+	vm        plantainrail.VM
+	announced int64
+	// unreachable is set while the worker does not answer.
+	unreachable bool
+	// epoch is the highest of an owner that was heard of.
+	epoch int64
+	// whole is set once the owner has told all that the worker should hold.
+	whole  bool
+	wanted map[plantainrail.RunRef]*run
+	// stopping are runs that are being ended.
+	stopping map[plantainrail.RunRef]bool
+	running  map[plantainrail.RunRef]plantainrail.RunStatus
+	// ends are those that the worker lists and that are not noted.
+	ends  []plantainrail.RunEnd
+	noted int64
+	// told is the number of the newest end that the session was told.
+	told int64
+	// grantedUntil is when the owner's last renewal is over.
+	grantedUntil time.Time
+	// heldAt is when the newest call was sent that the worker has answered with
+	// its runs and ends.
+	heldAt   time.Time
+	clock    workerClock
+	session  *linker.Session
+	sequence uint64
+	sentAt   map[uint64]time.Time
+	// shown is what the session was told of the runs.
+	shown map[plantainrail.RunRef]plantainrail.RunStatus
+
+	// changed is poked when the worker's life, the owner or the noted ends
+	// change; the hold loop waits for it.
+	changed chan struct{}
+	owners  owners
+}
+
+// run is a run that the owner wants on the worker.
+type run struct {
+	order plantainrail.RunOrder
+	// started is set once the worker has taken the run.
+	started bool
+}
+
+// workerClock relates the worker's clock to ours.
+type workerClock struct {
+	// reading is the worker's clock in milliseconds at the instant.
+	reading int64
+	instant time.Time
+}
+
+// at returns what the worker's clock shows at an instant, or less: a worker's
+// clock that is slow only makes a lease longer by the drift that the owner
+// counts with.
+func (c workerClock) at(instant time.Time) int64 {
+	return c.reading + instant.Sub(c.instant).Milliseconds()
+}
+
+// New returns an agent.
+func New(o Options) *Minder {
+	return &Minder{
+		Options: o, wanted: map[plantainrail.RunRef]*run{}, stopping: map[plantainrail.RunRef]bool{},
+		running: map[plantainrail.RunRef]plantainrail.RunStatus{}, sentAt: map[uint64]time.Time{},
+		changed: make(chan struct{}, 1), owners: newOwners(),
+	}
+}
+
+// Run serves until the context ends.
+func (m *Minder) Run(ctx context.Context) error {
+	m.Logger.Info("agent started", zap.String("node", m.Node))
+	group, ctx := errgroup.WithContext(ctx)
+	server := &http.Server{Handler: m.HeartbeatHandler(m), ReadHeaderTimeout: headerLimit}
+	group.Go(func() error { return errors.Wrap(server.Serve(m.Heartbeats), "serve heartbeats") })
+	group.Go(func() error {
+		<-ctx.Done()
+		return errors.Wrap(server.Close(), "close")
+	})
+	group.Go(func() error { return m.holdAll(ctx) })
+	group.Go(func() error { return m.followMembers(ctx) })
+	group.Go(func() error { return m.keepSession(ctx) })
+	group.Go(func() error { return m.beat(ctx) })
+	err := group.Wait()
+	m.Logger.Info("agent stopped", zap.String("node", m.Node), zap.Error(err))
+	if ctx.Err() != nil && (errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed)) {
+		return nil
+	}
+	return err
+}
+
+// headerLimit bounds how long the worker may take to send a heartbeat's head.
+const headerLimit = 10 * time.Second
+
+// Drain waits until the platform's own end: the worker's runs go on, and the
+// next process of the agent takes them over.
+func (m *Minder) Drain(context.Context) error {
+	m.Logger.Info("agent stopping", zap.String("node", m.Node))
+	return nil
+}
+
+// Announced implements plantainrail.Registry.
+func (m *Minder) Announced(a plantainrail.Announcement) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	life, now := a.VM.Life, m.vm.Life
+	if life.Born < now.Born || life == now && a.Sequence <= m.announced {
+		m.Logger.Info("heartbeat of the past passed over", zap.String("worker", life.ID), zap.Int64("born", life.Born), zap.Int64("sequence", a.Sequence))
+		return
+	}
+	m.announced = a.Sequence
+	if life != now {
+		m.begin(life)
+	}
+	draining := a.VM.Draining != m.vm.Draining
+	m.vm = a.VM
+	if life != now || draining {
+		m.Logger.Info("worker seen", zap.String("worker", life.ID), zap.Int64("born", life.Born), zap.Bool("draining", a.VM.Draining))
+		m.tell(linker.WorkReport{})
+		m.poke()
+	}
+}
+
+// begin forgets what belonged to the worker's earlier life.
+func (m *Minder) begin(life plantainrail.Life) {
+	m.vm.Life = life
+	m.unreachable, m.whole, m.noted, m.told, m.announced = false, false, 0, 0, 0
+	m.ends, m.clock = nil, workerClock{}
+	m.grantedUntil = time.Time{}
+	m.shown = nil
+	clear(m.wanted)
+	clear(m.stopping)
+	clear(m.running)
+	clear(m.sentAt)
+}
+
+// Departed implements plantainrail.Registry.
+func (m *Minder) Departed(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if id != m.vm.Life.ID {
+		return
+	}
+	m.Logger.Info("worker departed", zap.String("worker", id))
+	m.tell(linker.WorkReport{Gone: true})
+	m.vm.Draining = true
+}
+
+// tell sends a report to the owner. The caller holds the lock.
+func (m *Minder) tell(r linker.WorkReport) {
+	if m.session == nil || m.vm.Life.IsZero() {
+		return
+	}
+	r.VM = m.vm
+	r.VM.Draining = r.VM.Draining || m.unreachable
+	_ = m.session.Send(linker.Frame{Work: &r})
+}
+
+func (m *Minder) poke() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// sleep waits for a while, or until the context ends.
+func sleep(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/planner/place.go
@@ -0,0 +1,175 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+// candidate is a step of a job with tasks whose turn has come.
+type candidate struct {
+	job        *Job
+	occurrence int
+	step       int
+	tasks      []int
+}
+
+// place assigns tasks whose turn has come to VMs with room.
+func (p *Planner) place(now time.Time) []Assignment {
+	var out []Assignment
+	for _, c := range p.candidates(now) {
+		if c.job.Steps[c.step].Gang {
+			out = append(out, p.placeGang(c, now)...)
+			continue
+		}
+		for _, index := range c.tasks {
+			a, ok := p.placeTask(c, index, now)
+			if !ok {
+				break
+			}
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// candidates lists the steps with waiting tasks in the order in which they are
+// served: by priority, then by arrival.
+func (p *Planner) candidates(now time.Time) []candidate {
+	var out []candidate
+	for _, j := range p.active {
+		if j.State.Final() || j.CancelAsked {
+			continue
+		}
+		for k := range j.Occurrences() {
+			if due := j.Due(k); due.After(now) {
+				break
+			}
+			o := j.begin(k)
+			for s := range o {
+				c := candidate{job: j, occurrence: k, step: s, tasks: waiting(o[s])}
+				if len(c.tasks) > 0 && j.ready(o, s) {
+					out = append(out, c)
+				}
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), cmp.Compare(a.job.order, b.job.order),
+			cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step),
+		)
+	})
+	return out
+}
+
+func waiting(tasks []Task) []int {
+	var out []int
+	for i := range tasks {
+		if tasks[i].Phase == Waiting {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (p *Planner) placeTask(c candidate, index int, now time.Time) (Assignment, bool) {
+	id := plantainrail.TaskID{Job: c.job.ID, Occurrence: c.occurrence, Step: c.step, Index: index}
+	t := c.job.task(id)
+	v := p.choose(c, id, t, now)
+	if v == nil {
+		return Assignment{}, false
+	}
+	return p.assign(v, c.job, id, t, t.Run+1), true
+}
+
+// placeGang assigns all members of a gang, or none.
+func (p *Planner) placeGang(c candidate, now time.Time) []Assignment {
+	tasks := c.job.occurrences[c.occurrence][c.step]
+	if len(c.tasks) < len(tasks) {
+		return nil
+	}
+	run, saved := int64(0), ""
+	for _, t := range tasks {
+		run = max(run, t.Run)
+		if t.Saved != "" {
+			saved = t.Saved
+		}
+	}
+	var out []Assignment
+	for _, index := range c.tasks {
+		id := plantainrail.TaskID{Job: c.job.ID, Occurrence: c.occurrence, Step: c.step, Index: index}
+		t := c.job.task(id)
+		v := p.choose(c, id, t, now)
+		if v == nil {
+			for _, a := range out {
+				placed := p.vms[a.Life]
+				run := placed.runs[a.Order.Ref]
+				placed.release(run)
+				run.task.Phase = Waiting
+			}
+			return nil
+		}
+		t.Saved = saved
+		out = append(out, p.assign(v, c.job, id, t, run+1))
+	}
+	return out
+}
+
+func (p *Planner) assign(v *vm, j *Job, id plantainrail.TaskID, t *Task, run int64) Assignment {
+	t.Phase, t.Run, t.Life = Placed, run, v.Life
+	j.Started = true
+	p.touch(j)
+	v.hold(j, id, t, false)
+	return Assignment{Life: v.Life, Order: v.runs[plantainrail.RunRef{Task: id, Run: run}].order()}
+}
+
+// choose returns the VM for a task, or nil while there is none: among those
+// with room, the one near the data, then the emptiest.
+func (p *Planner) choose(c candidate, id plantainrail.TaskID, t *Task, now time.Time) *vm {
+	step := c.job.Steps[c.step]
+	service := p.service(c.job)
+	var best *vm
+	var bestScore float64
+	for _, v := range p.vms {
+		if p.settlement.Out[v.Zone] || !v.takes(service, step, now) {
+			continue
+		}
+		if step.PerVM > 0 && v.ofStep(id) >= step.PerVM {
+			continue
+		}
+		if t.Failures > 0 && v.Life.Node == t.Life.Node && len(p.vms) > 1 {
+			continue
+		}
+		score := v.score(step)
+		if best == nil || score > bestScore || score == bestScore && v.Life.Node < best.Life.Node {
+			best, bestScore = v, score
+		}
+	}
+	return best
+}
+
+// nearWeight puts a VM near the data before any that is only emptier.
+const nearWeight = 10
+
+// score rates a VM for a task of a step: higher is better.
+func (v *vm) score(step plantainrail.Step) float64 {
+	free := float64(v.Room.CPU-v.used.CPU-v.fillers) / float64(max(v.Room.CPU, 1))
+	if step.Rack != "" && v.inRack(step.Rack) {
+		free += nearWeight
+	}
+	return free
+}
+
+// service returns the pool of VMs that runs a job now: the one of its queue in
+// force, or the one that it was accepted with.
+func (p *Planner) service(j *Job) string {
+	for _, q := range p.settlement.Queues {
+		if q.Name == j.Queue.Name {
+			return q.Service
+		}
+	}
+	return j.Queue.Service
+}
--- /dev/null
+++ b/planner/vm.go
@@ -0,0 +1,157 @@
+package planner
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+const (
+	// pauseFirst is the first pause of a VM whose worker refuses or fails what
+	// it gets; it doubles with each further one up to pauseMost.
+	pauseFirst = 500 * time.Millisecond
+	pauseMost  = 8 * time.Second
+	// suspectJobs is the number of different jobs that have to fail on a VM in
+	// a row before it is paused: one alone may be the job's own fault.
+	suspectJobs = 2
+)
+
+// placedRun is a run that was assigned to a VM and has not ended.
+type placedRun struct {
+	job       *Job
+	id        plantainrail.TaskID
+	task      *Task
+	percent   int
+	committed bool
+	stopping  bool
+}
+
+func (r *placedRun) step() plantainrail.Step { return r.job.Steps[r.id.Step] }
+
+func (r *placedRun) ref() plantainrail.RunRef {
+	return plantainrail.RunRef{Task: r.id, Run: r.task.Run}
+}
+
+func (r *placedRun) order() plantainrail.RunOrder {
+	step := r.step()
+	return plantainrail.RunOrder{
+		Ref: r.ref(), Spec: r.job.Spec, Saved: r.task.Saved, Filler: step.Filler, TailTarget: step.TailTarget,
+	}
+}
+
+// vm is one life of a VM's worker.
+type vm struct {
+	plantainrail.VM
+	// known is set while the worker's agent is connected.
+	known   bool
+	renewed time.Time
+	runs    map[plantainrail.RunRef]*placedRun
+	used    plantainrail.Room
+	// fillers is what the filler tasks would use, in thousandths of a core.
+	fillers int
+	// seen is the number of the newest end that was taken in.
+	seen int64
+	// suspects are the jobs that failed here since the last good end.
+	suspects map[string]bool
+	// pausedUntil keeps new tasks away; trial lets one at a time in after it.
+	pausedUntil time.Time
+	pauses      int
+	trial       bool
+}
+
+func newVM(told plantainrail.VM, renewed time.Time) *vm {
+	return &vm{VM: told, renewed: renewed, runs: map[plantainrail.RunRef]*placedRun{}, suspects: map[string]bool{}}
+}
+
+func (v *vm) hold(j *Job, id plantainrail.TaskID, t *Task, committed bool) {
+	run := &placedRun{job: j, id: id, task: t, committed: committed}
+	step := run.step()
+	v.runs[run.ref()] = run
+	v.used = v.used.Plus(step.Room())
+	if step.Filler {
+		v.fillers += step.CPU
+	}
+}
+
+func (v *vm) release(run *placedRun) {
+	if run == nil || v.runs[run.ref()] != run {
+		return
+	}
+	step := run.step()
+	delete(v.runs, run.ref())
+	v.used = v.used.Minus(step.Room())
+	if step.Filler {
+		v.fillers -= step.CPU
+	}
+}
+
+// judge learns from the end of a run whether the VM fails what it gets.
+func (v *vm) judge(job string, how plantainrail.EndKind, now time.Time) {
+	switch how {
+	case plantainrail.EndDone:
+		clear(v.suspects)
+		v.pauses, v.trial = 0, false
+	case plantainrail.EndFailed:
+		v.suspects[job] = true
+		if len(v.suspects) >= suspectJobs || v.trial {
+			v.trial = true
+			v.rest(now)
+		}
+	}
+}
+
+// pause keeps new tasks away for a while after a refusal.
+func (v *vm) pause(reason plantainrail.RefusalReason, now time.Time) {
+	switch reason {
+	case plantainrail.RefusedUnhealthy, plantainrail.RefusedSilent, plantainrail.RefusedRoom:
+		v.rest(now)
+	}
+}
+
+func (v *vm) rest(now time.Time) {
+	if now.Before(v.pausedUntil) {
+		return
+	}
+	v.pausedUntil = now.Add(min(pauseFirst<<v.pauses, pauseMost))
+	v.pauses = min(v.pauses+1, 5)
+}
+
+// takes tells whether the VM may get a task of the step at the instant.
+func (v *vm) takes(service string, step plantainrail.Step, now time.Time) bool {
+	if !v.known || v.Draining || v.Service != service || now.Before(v.pausedUntil) {
+		return false
+	}
+	if v.trial && len(v.runs) > 0 {
+		return false
+	}
+	if step.Label != "" && !slices.Contains(v.Labels, step.Label) {
+		return false
+	}
+	return v.Room.Minus(v.used).Holds(step.Room())
+}
+
+// ofStep counts the runs of an occurrence's step.
+func (v *vm) ofStep(id plantainrail.TaskID) int {
+	n := 0
+	for ref := range v.runs {
+		if ref.Task.Job == id.Job && ref.Task.Occurrence == id.Occurrence && ref.Task.Step == id.Step {
+			n++
+		}
+	}
+	return n
+}
+
+// rack returns the label that names the VM's rack.
+func (v *vm) inRack(rack string) bool { return slices.Contains(v.Labels, rack) }
+
+// rackOf returns the rack among a VM's labels: the one of the form rA-B.
+func (v *vm) rackOf() string {
+	for _, label := range v.Labels {
+		if strings.HasPrefix(label, "r") && strings.Contains(label, "-") {
+			return label
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/reporter/reporter.go
@@ -0,0 +1,98 @@
+// Package reporter writes structured logs that never hold a decision up: lines
+// wait in a bounded queue, and what does not fit is dropped and counted.
+package reporter
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// queueLimit bounds the lines that wait; at 300 bytes a line they take a
+	// little over a megabyte.
+	queueLimit = 4096
+	// sampleFirst lines of one message are written each second, and then one in
+	// sampleThereafter.
+	sampleFirst      = 400
+	sampleThereafter = 100
+)
+
+// Reporter is the bounded queue in front of a writer.
+type Reporter struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	sampled atomic.Int64
+	// stop ends the writing; done is closed after the last line.
+	stop, done chan struct{}
+}
+
+// New returns a logger that writes JSON lines to w, and the queue behind it.
+func New(w io.Writer, level zapcore.Level) (*zap.Logger, *Reporter) {
+	r := &Reporter{lines: make(chan []byte, queueLimit), stop: make(chan struct{}), done: make(chan struct{})}
+	go r.write(w)
+	config := zap.NewProductionEncoderConfig()
+	config.TimeKey, config.MessageKey = "at", "event"
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), r, level)
+	core = zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThereafter,
+		zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+			if d&zapcore.LogDropped != 0 {
+				r.sampled.Add(1)
+			}
+		}))
+	return zap.New(core), r
+}
+
+// Write implements zapcore.WriteSyncer. It never blocks.
+func (r *Reporter) Write(line []byte) (int, error) {
+	select {
+	case r.lines <- append([]byte(nil), line...):
+	default:
+		r.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer; lines are written in the background.
+func (r *Reporter) Sync() error { return nil }
+
+// Dropped returns the number of lines that did not fit into the queue, and of
+// those that were left out under load.
+func (r *Reporter) Dropped() (full, sampled int64) { return r.dropped.Load(), r.sampled.Load() }
+
+// Close writes what waits, at most for the given time.
+func (r *Reporter) Close(most time.Duration) {
+	close(r.stop)
+	select {
+	case <-r.done:
+	case <-time.After(most):
+	}
+}
+
+func (r *Reporter) write(w io.Writer) {
+	defer close(r.done)
+	told := int64(0)
+	for {
+		select {
+		case line := <-r.lines:
+			_, _ = w.Write(line)
+			continue
+		default:
+		}
+		if dropped := r.dropped.Load(); dropped > told {
+			fmt.Fprintf(w, `{"level":"warn","event":"lines dropped","count":%d}`+"\n", dropped-told)
+			told = dropped
+		}
+		select {
+		case line := <-r.lines:
+			_, _ = w.Write(line)
+		case <-r.stop:
+			return
+		}
+	}
+}
