Sleep until an ownership is put down

Cause: an entry whose ownership had ended went on to be its own owner until its last write was given up. The reader of progress waited for the end of the ownership, which had come, and so looked again without a pause. Ruled out: the owner's own loop, which pauses for a millisecond at least. Change: the reader waits until the entry has put the ownership down.

--- a/decider/follow.go
+++ b/decider/follow.go
@@ -158,14 +158,7 @@
 			defer d.mu.Unlock()
 			return d.runsNext
 		},
-		hold: func() <-chan struct{} {
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			if d.owner == nil {
-				return nil
-			}
-			return d.owner.done
-		},
+		hold: d.ownTime,
 		take: d.takeRuns,
 		failed: func() {
 			d.mu.Lock()
@@ -175,6 +168,17 @@
 	})
 }
 
+// ownTime returns a channel that is closed at the end of the entry's time as the
+// owner, which has no use for reading what it writes; nil while it is not.
+func (d *Decider) ownTime() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.owner == nil {
+		return nil
+	}
+	return d.owner.over
+}
+
 // takeRuns takes in progress. Records below the offset that is known already
 // are older than what the book holds.
 func (d *Decider) takeRuns(b plantainrail.KeyedBatch) {
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -25,8 +25,10 @@
 type owner struct {
 	d     *Decider
 	epoch int64
-	done  chan struct{}
-	wake  chan struct{}
+	// done is closed when the ownership ends, over once the entry has put it
+	// down as well.
+	done, over chan struct{}
+	wake       chan struct{}
 
 	mu      sync.Mutex
 	ended   bool
@@ -39,7 +41,7 @@
 
 func newOwner(d *Decider, epoch int64) *owner {
 	return &owner{
-		d: d, epoch: epoch, done: make(chan struct{}), wake: make(chan struct{}, 1),
+		d: d, epoch: epoch, done: make(chan struct{}), over: make(chan struct{}), wake: make(chan struct{}, 1),
 		agents: map[plantainrail.Life]*agentSession{},
 	}
 }
@@ -89,14 +91,7 @@
 
 // run takes the jobs over and decides until the ownership ends.
 func (o *owner) run(ctx context.Context) {
-	defer func() {
-		o.stop("run ended")
-		o.d.mu.Lock()
-		if o.d.owner == o {
-			o.d.owner, o.d.heardAt = nil, o.d.Now()
-		}
-		o.d.mu.Unlock()
-	}()
+	defer o.putDown()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -123,6 +118,17 @@
 	}
 }
 
+// putDown ends the ownership on the entry's side as well.
+func (o *owner) putDown() {
+	o.stop("run ended")
+	o.d.mu.Lock()
+	defer o.d.mu.Unlock()
+	if o.d.owner == o {
+		o.d.owner, o.d.heardAt = nil, o.d.Now()
+	}
+	close(o.over)
+}
+
 // append writes to the topic of progress until the store has taken the records
 // or a higher epoch has written. Without records it fences lower epochs and
 // returns the topic's end.
