Learn what fillers do to services and place by it

A trace of the workers' figures shows why. With a tail taken as the pressure 1 - floor/tail, what presses adds up: a load of the job's own that swings within 20 s, and for each filler the cores that it uses times a figure of the pair of images, of which about half are near zero. Services of all images stood mixed on each VM, so hardly a filler had a VM that bears it. Ruled out: a lack of room (fillers had 20 to 50 of 64 cores), harm by the services' own load. Change: services of one job, then of one image, share VMs; the owner learns the pairs from figures that agents send twice a second; a filler goes where it does least, and fillers ask for no more than 0.8 of a VM's processors, which keeps memory for other tasks.

--- a/decider/session.go
+++ b/decider/session.go
@@ -117,6 +117,14 @@
 		o.planner.Renew(a.life, now)
 	}
 	o.planner.Status(a.life, r.Running)
+	if r.Figures != nil {
+		tails := make(map[plantainrail.RunRef]int, len(r.Figures.Tails))
+		for _, t := range r.Figures.Tails {
+			tails[t.Ref] = t.Tail
+		}
+		o.planner.Measured(a.life, tails, r.Figures.Used, now)
+		return
+	}
 	o.planner.Ended(a.life, r.Ends, now)
 	for _, end := range r.Ends {
 		o.d.Logger.Info("run ended", zap.Stringer("task", end.Ref.Task), zap.Int64("run", end.Ref.Run),
--- a/linker/work.go
+++ b/linker/work.go
@@ -13,6 +13,26 @@
 	Refused []RunRefusal             `cbor:"4,keyasint,omitempty"`
 	// Gone means that the worker has left for good.
 	Gone bool `cbor:"5,keyasint,omitempty"`
+	// Figures tells what was measured beside services; nil when nothing was.
+	Figures *WorkFigures `cbor:"6,keyasint,omitempty"`
+}
+
+// WorkFigures is what a worker measured of services with a target and of the
+// fillers beside them.
+type WorkFigures struct {
+	_ struct{} `cbor:",toarray"`
+	// Tails are the services' tail latencies.
+	Tails []RunTail
+	// Used is what fillers used, by image, in thousandths of a core. It follows
+	// what they use now as slowly as the tails do.
+	Used map[string]int
+}
+
+// RunTail is the tail latency of a service in milliseconds.
+type RunTail struct {
+	_    struct{} `cbor:",toarray"`
+	Ref  plantainrail.RunRef
+	Tail int
 }
 
 // RunRefusal tells that a run was not started and never will be.
--- a/planner/place.go
+++ b/planner/place.go
@@ -22,6 +22,8 @@
 	service, label string
 	room           plantainrail.Resources
 	filler         bool
+	// image counts for fillers, which press on services by their image.
+	image string
 }
 
 // place assigns tasks whose turn has come to VMs with room. Room only shrinks
@@ -29,6 +31,7 @@
 func (p *Planner) place(now time.Time) []Assignment {
 	var out []Assignment
 	clear(p.full)
+	p.strain = p.strained(now)
 	for _, c := range p.candidates(now) {
 		if c.job.Steps[c.step].Gang {
 			out = append(out, p.placeGang(c, now)...)
@@ -91,6 +94,9 @@
 	t := c.job.task(id)
 	step := c.job.Steps[c.step]
 	want := shape{service: p.service(c.job), label: step.Label, room: step.Room(), filler: step.Filler}
+	if step.Filler {
+		want.image = step.Image
+	}
 	if p.full[want] {
 		return Assignment{}, false
 	}
@@ -159,7 +165,10 @@
 		if p.obstacle(v, service, step, id, t, now) != "" {
 			continue
 		}
-		score := v.score(step)
+		score := v.score(c.job, step)
+		if step.Filler {
+			score -= harmWeight * p.harm(v, step)
+		}
 		if best == nil || score > bestScore || score == bestScore && v.Life.Node < best.Life.Node {
 			best, bestScore = v, score
 		}
@@ -215,8 +224,11 @@
 const nearWeight = 10
 
 // score rates a VM for a task of a step: higher is better.
-func (v *vm) score(step plantainrail.Step) float64 {
+func (v *vm) score(j *Job, step plantainrail.Step) float64 {
 	free := float64(v.Room.Processors-v.used.Processors-v.fillers) / float64(max(v.Room.Processors, 1))
+	if step.Lasting && step.TailTarget > 0 {
+		free += v.kinship(j, step)
+	}
 	if step.Rack != "" && v.inRack(step.Rack) {
 		free += nearWeight
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/estimator"
 )
 
 // Times are the limits that the planner keeps.
@@ -66,6 +67,12 @@
 	waits      []Wait
 	// full holds the shapes that found no room in the tick.
 	full map[shape]bool
+	// strain is the share of each job's services that are over their targets or
+	// lately were, as of strainedAt.
+	strain     map[*Job]float64
+	strainedAt time.Time
+	// estimator learns what fillers do to services.
+	estimator *estimator.Estimator
 }
 
 // New returns a planner that takes over the jobs of a book at the instant.
@@ -75,6 +82,7 @@
 	p := &Planner{
 		Book: book, times: times, vms: map[plantainrail.Life]*vm{},
 		active: map[string]*Job{}, changed: map[string]*Job{}, full: map[shape]bool{},
+		estimator: estimator.New(),
 	}
 	for _, j := range book.jobs {
 		p.adopt(j, now)
--- /dev/null
+++ b/planner/press.go
@@ -0,0 +1,168 @@
+package planner
+
+import (
+	"math"
+	"time"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/estimator"
+)
+
+const (
+	// harmWeight puts a VM whose services bear a filler before any that is only
+	// emptier.
+	harmWeight = 0.1
+	// harmMargin is the pressure below the bound of a service from which on more
+	// of it counts as harm: own load swings by about that much while a filler
+	// runs.
+	harmMargin = 0.1
+	// strainFade is the time in which the strain of a job fades to a third, and
+	// strainLeast the share below which it is forgotten.
+	strainFade  = 6 * time.Second
+	strainLeast = 0.01
+	// harmLasts is the part of the harm by the fillers that run which goes on
+	// without one more.
+	harmLasts = 0.5
+	// kinWeight puts a VM whose services are like a new one before any that is
+	// only emptier; imageKin rates one of the same image beside one of the same
+	// job, emptyKin a VM without any.
+	kinWeight = 5
+	imageKin  = 0.6
+	emptyKin  = 0.5
+	// milliCores are the thousandths in a core.
+	milliCores = 1000
+)
+
+// Measured takes in the tails of a worker's services and what the fillers beside
+// them used, in thousandths of a core by image.
+func (p *Planner) Measured(life plantainrail.Life, tails map[plantainrail.RunRef]int, used map[string]int, now time.Time) {
+	v := p.vms[life]
+	if v == nil {
+		return
+	}
+	cores := make(map[string]float64, len(used))
+	for image, thousandths := range used {
+		cores[image] = float64(thousandths) / milliCores
+	}
+	var services []estimator.Service
+	for ref, tail := range tails {
+		if run := v.runs[ref]; run != nil && run.serves() {
+			run.tail = tail
+			services = append(services, run.service())
+		}
+	}
+	p.estimator.Observe(now, services, cores)
+	for _, v := range p.vms {
+		v.pressed = nil
+	}
+}
+
+// serves tells whether the run is a service with a target.
+func (r *placedRun) serves() bool {
+	step := r.step()
+	return step.Lasting && step.TailTarget > 0
+}
+
+// service is a run that serves, as it was measured last. The users of a job are
+// spread over its services, so that these share a load.
+func (r *placedRun) service() estimator.Service {
+	step := r.step()
+	return estimator.Service{Group: r.id.Job, Image: step.Image, Tail: r.tail, Target: step.TailTarget}
+}
+
+// pressed is a service on a VM and what presses on it.
+type pressed struct {
+	run *placedRun
+	// room is the pressure that is left below the bound of the service.
+	room float64
+}
+
+// services returns the VM's services with what presses on them. The result is
+// kept until the runs of the VM or what is known of them change.
+func (p *Planner) services(v *vm) []pressed {
+	if v.pressed != nil {
+		return v.pressed
+	}
+	fillers := map[string]float64{}
+	for _, run := range v.runs {
+		if s := run.step(); s.Filler {
+			fillers[s.Image] += float64(s.CPU) / milliCores
+		}
+	}
+	v.pressed = []pressed{}
+	for _, run := range v.runs {
+		if run.serves() {
+			service := run.service()
+			own := p.estimator.Own(service.Group)
+			v.pressed = append(v.pressed, pressed{
+				run: run, room: p.estimator.Bound(service) - own - p.estimator.Pressed(service.Image, fillers),
+			})
+		}
+	}
+	return v.pressed
+}
+
+// strained returns the share of each job's services that are over their targets
+// or lately were: a job that is spoiled already is harmed before another.
+func (p *Planner) strained(now time.Time) map[*Job]float64 {
+	out := map[*Job]float64{}
+	fade := math.Exp(-now.Sub(p.strainedAt).Seconds() / strainFade.Seconds())
+	p.strainedAt = now
+	for j, share := range p.strain {
+		if share *= fade; share > strainLeast && p.active[j.ID] == j {
+			out[j] = share
+		}
+	}
+	fresh := map[*Job]float64{}
+	for _, v := range p.vms {
+		for _, s := range p.services(v) {
+			fresh[s.run.job] += over(s.room) / float64(s.run.step().Count)
+		}
+	}
+	for j, share := range fresh {
+		out[j] = max(out[j], share)
+	}
+	return out
+}
+
+// harm rates what one more filler of a step does together with those on the VM to
+// its services: the processors of those that are over their targets by it.
+func (p *Planner) harm(v *vm, step plantainrail.Step) float64 {
+	cores := float64(step.CPU) / milliCores
+	sum := 0.0
+	for _, s := range p.services(v) {
+		served := s.run.step()
+		press := p.estimator.Press(served.Image, step.Image)
+		sum += (over(s.room-cores*press) - harmLasts*over(s.room)) * float64(served.CPU) / milliCores
+	}
+	return sum
+}
+
+// over returns how far the room below a bound is used up, at most 1.
+func over(room float64) float64 {
+	return math.Min(math.Max((harmMargin-room)/harmMargin, 0), 1)
+}
+
+// kinship rates how well a service goes with those on the VM. Services of one job
+// have their load peaks at the same time, and those of one image bear the same
+// fillers, so that keeping them together leaves more VMs for each filler.
+func (v *vm) kinship(j *Job, step plantainrail.Step) float64 {
+	kin, all := 0.0, 0.0
+	for _, run := range v.runs {
+		s := run.step()
+		if !s.Lasting || s.TailTarget == 0 {
+			continue
+		}
+		all++
+		switch {
+		case run.job == j:
+			kin++
+		case s.Image == step.Image:
+			kin += imageKin
+		}
+	}
+	if all == 0 {
+		return kinWeight * emptyKin
+	}
+	return kinWeight * kin / all
+}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -12,6 +12,8 @@
 	// it gets; it doubles with each further one up to pauseMost.
 	pauseFirst = 500 * time.Millisecond
 	pauseMost  = 8 * time.Second
+	// fillMost is the share of a VM's processors that fillers may ask for in all.
+	fillMost = 0.8
 	// suspectJobs is the number of different jobs that have to fail on a VM in
 	// a row before it is paused: one alone may be the job's own fault.
 	suspectJobs = 2
@@ -24,6 +26,8 @@
 	task      *Task
 	committed bool
 	stopping  bool
+	// tail is the newest tail latency of a service, in milliseconds.
+	tail int
 }
 
 func (r *placedRun) step() plantainrail.Step { return r.job.Steps[r.id.Step] }
@@ -34,9 +38,13 @@
 
 func (r *placedRun) order() plantainrail.RunOrder {
 	step := r.step()
-	return plantainrail.RunOrder{
+	order := plantainrail.RunOrder{
 		Ref: r.ref(), Spec: r.job.Spec, Saved: r.task.Saved, Filler: step.Filler, TailTarget: step.TailTarget,
 	}
+	if step.Filler {
+		order.Image = step.Image
+	}
+	return order
 }
 
 // vm is one life of a VM's worker.
@@ -57,6 +65,9 @@
 	pausedUntil time.Time
 	pauses      int
 	trial       bool
+	// pressed are the services here and what presses on them; nil when that has
+	// to be found out anew.
+	pressed []pressed
 }
 
 func newVM(told plantainrail.VM, renewed time.Time) *vm {
@@ -65,6 +76,7 @@
 
 func (v *vm) hold(j *Job, id plantainrail.TaskID, t *Task, committed bool) {
 	run := &placedRun{job: j, id: id, task: t, committed: committed}
+	v.pressed = nil
 	step := run.step()
 	v.runs[run.ref()] = run
 	v.used = v.used.Plus(step.Room())
@@ -79,6 +91,7 @@
 	}
 	step := run.step()
 	delete(v.runs, run.ref())
+	v.pressed = nil
 	v.used = v.used.Minus(step.Room())
 	if step.Filler {
 		v.fillers -= step.CPU
@@ -132,6 +145,7 @@
 	obstacleFailed   Obstacle = "failed"
 	obstacleStrained Obstacle = "strained"
 	obstacleRoom     Obstacle = "room"
+	obstacleFilled   Obstacle = "filled"
 )
 
 // obstacle tells why the VM may not get a task of the step at the instant.
@@ -153,6 +167,8 @@
 		return obstacleStrained
 	case !step.Room().Fits(v.Room.Minus(v.used)):
 		return obstacleRoom
+	case step.Filler && v.fillers > 0 && v.fillers+step.CPU > int(float64(v.Room.Processors)*fillMost):
+		return obstacleFilled
 	}
 	return ""
 }
--- a/work.go
+++ b/work.go
@@ -210,6 +210,8 @@
 	// Filler and TailTarget repeat the step's, for pacing beside services.
 	Filler     bool `cbor:"3,keyasint,omitempty"`
 	TailTarget int  `cbor:"4,keyasint,omitempty"`
+	// Image repeats a filler's.
+	Image string `cbor:"5,keyasint,omitempty"`
 }
 
 // Worker runs tasks on one VM. Each call names the life that it is meant for
