Let fillers wait a little for a VM whose services bear them

Cause: a filler took the VM where it did least harm at that instant, also where another VM would have borne it two seconds later; jobs of fillers have as much spare time as work. Change: a filler waits for up to 0.4 of its job's spare time, at most 2.5 s in all, for a VM where it harms nobody.

--- a/planner/job.go
+++ b/planner/job.go
@@ -65,6 +65,10 @@
 	order int64
 	// notedAt is when the job was last told to wait.
 	notedAt time.Time
+	// held is how long fillers of the job have waited for a VM whose services
+	// bear them, heldSince since when they do now.
+	held      time.Duration
+	heldSince time.Time
 }
 
 func newJob(w plantainrail.Workflow, order int64) *Job {
--- a/planner/place.go
+++ b/planner/place.go
@@ -24,6 +24,8 @@
 	filler         bool
 	// image counts for fillers, which press on services by their image.
 	image string
+	// waits is set while a filler waits for a VM whose services bear it.
+	waits bool
 }
 
 // place assigns tasks whose turn has come to VMs with room. Room only shrinks
@@ -95,18 +97,22 @@
 	step := c.job.Steps[c.step]
 	want := shape{service: p.service(c.job), label: step.Label, room: step.Room(), filler: step.Filler}
 	if step.Filler {
-		want.image = step.Image
+		want.image, want.waits = step.Image, c.job.mayWait(now)
 	}
 	if p.full[want] {
 		return Assignment{}, false
 	}
 	v := p.choose(c, id, t, now)
 	if v == nil {
+		if step.Filler {
+			c.job.hold(now)
+		}
 		if step.PerVM == 0 && t.Failures == 0 {
 			p.full[want] = true
 		}
 		return Assignment{}, false
 	}
+	c.job.resume(now)
 	return p.assign(v, c.job, id, t, t.Run+1), true
 }
 
@@ -161,13 +167,18 @@
 	service := p.service(c.job)
 	var best *vm
 	var bestScore float64
+	waits := step.Filler && c.job.mayWait(now)
 	for _, v := range p.vms {
 		if p.obstacle(v, service, step, id, t, now) != "" {
 			continue
 		}
 		score := v.score(c.job, step)
 		if step.Filler {
-			score -= harmWeight * p.harm(v, step)
+			harm := p.harm(v, step)
+			if harm > harmBorne && waits {
+				continue
+			}
+			score -= harmWeight * harm
 		}
 		if best == nil || score > bestScore || score == bestScore && v.Life.Node < best.Life.Node {
 			best, bestScore = v, score
--- a/planner/press.go
+++ b/planner/press.go
@@ -23,6 +23,14 @@
 	// harmLasts is the part of the harm by the fillers that run which goes on
 	// without one more.
 	harmLasts = 0.5
+	// harmBorne is the harm from which on a filler waits for another VM.
+	harmBorne = 6
+	// patienceShare is the part of a job's spare time in which its fillers wait
+	// for a VM that bears them; estimates are off by a factor of two.
+	patienceShare = 0.4
+	// patienceMost bounds that wait: a job that has nothing running for three
+	// seconds counts as forgotten.
+	patienceMost = 2500 * time.Millisecond
 	// kinWeight puts a VM whose services are like a new one before any that is
 	// only emptier; imageKin rates one of the same image beside one of the same
 	// job, emptyKin a VM without any.
@@ -138,6 +146,41 @@
 	return sum
 }
 
+// patience returns how long a job's fillers may wait in all for a VM whose
+// services bear them: a part of what the job's objective leaves beside its work.
+func patience(j *Job) time.Duration {
+	chain := 0
+	for _, step := range j.Steps {
+		chain += step.Estimate
+	}
+	spare := (j.Queue.Stretch-1)*float64(chain) + float64(j.Queue.Slack)
+	return min(time.Duration(max(spare, 0)*patienceShare)*time.Millisecond, patienceMost)
+}
+
+// mayWait tells whether fillers of a job wait for a VM that bears them.
+func (j *Job) mayWait(now time.Time) bool {
+	held := j.held
+	if !j.heldSince.IsZero() {
+		held += now.Sub(j.heldSince)
+	}
+	return held < patience(j)
+}
+
+// hold notes since when fillers of a job wait for a VM that bears them, and
+// resume that they no longer do.
+func (j *Job) hold(now time.Time) {
+	if j.heldSince.IsZero() {
+		j.heldSince = now
+	}
+}
+
+func (j *Job) resume(now time.Time) {
+	if !j.heldSince.IsZero() {
+		j.held += now.Sub(j.heldSince)
+		j.heldSince = time.Time{}
+	}
+}
+
 // over returns how far the room below a bound is used up, at most 1.
 func over(room float64) float64 {
 	return math.Min(math.Max((harmMargin-room)/harmMargin, 0), 1)
