Prove learned presses in a model; let gangs of fillers wait as others do

Cause: the wait of fillers was counted where single tasks are placed, so that a gang of fillers would have waited for ever for VMs that bear it. It is counted where the VM is chosen now; a test has a gang wait its three seconds. What presses on a VM's services is kept for 250 ms instead of being found out anew after each report of any VM.

--- a/planner/place.go
+++ b/planner/place.go
@@ -33,7 +33,6 @@
 func (p *Planner) place(now time.Time) []Assignment {
 	var out []Assignment
 	clear(p.full)
-	p.strain = p.strained(now)
 	for _, c := range p.candidates(now) {
 		if c.job.Steps[c.step].Gang {
 			out = append(out, p.placeGang(c, now)...)
@@ -104,15 +103,11 @@
 	}
 	v := p.choose(c, id, t, now)
 	if v == nil {
-		if step.Filler {
-			c.job.hold(now)
-		}
 		if step.PerVM == 0 && t.Failures == 0 {
 			p.full[want] = true
 		}
 		return Assignment{}, false
 	}
-	c.job.resume(now)
 	return p.assign(v, c.job, id, t, t.Run+1), true
 }
 
@@ -161,20 +156,21 @@
 }
 
 // choose returns the VM for a task, or nil while there is none: among those
-// with room, the one near the data, then the emptiest.
+// with room, the one near the data or with services alike, then the emptiest. A
+// filler goes where it harms services least.
 func (p *Planner) choose(c candidate, id plantainrail.TaskID, t *Task, now time.Time) *vm {
 	step := c.job.Steps[c.step]
 	service := p.service(c.job)
+	waits := step.Filler && c.job.mayWait(now)
 	var best *vm
 	var bestScore float64
-	waits := step.Filler && c.job.mayWait(now)
 	for _, v := range p.vms {
 		if p.obstacle(v, service, step, id, t, now) != "" {
 			continue
 		}
 		score := v.score(c.job, step)
 		if step.Filler {
-			harm := p.harm(v, step)
+			harm := p.harm(v, step, now)
 			if harm > harmBorne && waits {
 				continue
 			}
@@ -184,6 +180,9 @@
 			best, bestScore = v, score
 		}
 	}
+	if waits {
+		c.job.hold(best == nil, now)
+	}
 	return best
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -67,10 +67,6 @@
 	waits      []Wait
 	// full holds the shapes that found no room in the tick.
 	full map[shape]bool
-	// strain is the share of each job's services that are over their targets or
-	// lately were, as of strainedAt.
-	strain     map[*Job]float64
-	strainedAt time.Time
 	// estimator learns what fillers do to services.
 	estimator *estimator.Estimator
 }
--- a/planner/press.go
+++ b/planner/press.go
@@ -16,10 +16,6 @@
 	// of it counts as harm: own load swings by about that much while a filler
 	// runs.
 	harmMargin = 0.1
-	// strainFade is the time in which the strain of a job fades to a third, and
-	// strainLeast the share below which it is forgotten.
-	strainFade  = 6 * time.Second
-	strainLeast = 0.01
 	// harmLasts is the part of the harm by the fillers that run which goes on
 	// without one more.
 	harmLasts = 0.5
@@ -37,6 +33,9 @@
 	kinWeight = 5
 	imageKin  = 0.6
 	emptyKin  = 0.5
+	// pressedFor is how long what presses on services is kept: half of the time
+	// between two reports of figures.
+	pressedFor = 250 * time.Millisecond
 	// milliCores are the thousandths in a core.
 	milliCores = 1000
 )
@@ -60,9 +59,6 @@
 		}
 	}
 	p.estimator.Observe(now, services, cores)
-	for _, v := range p.vms {
-		v.pressed = nil
-	}
 }
 
 // serves tells whether the run is a service with a target.
@@ -86,11 +82,12 @@
 }
 
 // services returns the VM's services with what presses on them. The result is
-// kept until the runs of the VM or what is known of them change.
-func (p *Planner) services(v *vm) []pressed {
-	if v.pressed != nil {
+// kept until the runs of the VM change, and no longer than loads take to swing.
+func (p *Planner) services(v *vm, now time.Time) []pressed {
+	if v.pressed != nil && now.Sub(v.pressedAt) < pressedFor {
 		return v.pressed
 	}
+	v.pressedAt = now
 	fillers := map[string]float64{}
 	for _, run := range v.runs {
 		if s := run.step(); s.Filler {
@@ -110,35 +107,12 @@
 	return v.pressed
 }
 
-// strained returns the share of each job's services that are over their targets
-// or lately were: a job that is spoiled already is harmed before another.
-func (p *Planner) strained(now time.Time) map[*Job]float64 {
-	out := map[*Job]float64{}
-	fade := math.Exp(-now.Sub(p.strainedAt).Seconds() / strainFade.Seconds())
-	p.strainedAt = now
-	for j, share := range p.strain {
-		if share *= fade; share > strainLeast && p.active[j.ID] == j {
-			out[j] = share
-		}
-	}
-	fresh := map[*Job]float64{}
-	for _, v := range p.vms {
-		for _, s := range p.services(v) {
-			fresh[s.run.job] += over(s.room) / float64(s.run.step().Count)
-		}
-	}
-	for j, share := range fresh {
-		out[j] = max(out[j], share)
-	}
-	return out
-}
-
 // harm rates what one more filler of a step does together with those on the VM to
 // its services: the processors of those that are over their targets by it.
-func (p *Planner) harm(v *vm, step plantainrail.Step) float64 {
+func (p *Planner) harm(v *vm, step plantainrail.Step, now time.Time) float64 {
 	cores := float64(step.CPU) / milliCores
 	sum := 0.0
-	for _, s := range p.services(v) {
+	for _, s := range p.services(v, now) {
 		served := s.run.step()
 		press := p.estimator.Press(served.Image, step.Image)
 		sum += (over(s.room-cores*press) - harmLasts*over(s.room)) * float64(served.CPU) / milliCores
@@ -166,16 +140,12 @@
 	return held < patience(j)
 }
 
-// hold notes since when fillers of a job wait for a VM that bears them, and
-// resume that they no longer do.
-func (j *Job) hold(now time.Time) {
-	if j.heldSince.IsZero() {
+// hold notes that fillers of a job wait for a VM that bears them, or no longer do.
+func (j *Job) hold(waits bool, now time.Time) {
+	switch {
+	case waits && j.heldSince.IsZero():
 		j.heldSince = now
-	}
-}
-
-func (j *Job) resume(now time.Time) {
-	if !j.heldSince.IsZero() {
+	case !waits && !j.heldSince.IsZero():
 		j.held += now.Sub(j.heldSince)
 		j.heldSince = time.Time{}
 	}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -65,9 +65,10 @@
 	pausedUntil time.Time
 	pauses      int
 	trial       bool
-	// pressed are the services here and what presses on them; nil when that has
-	// to be found out anew.
-	pressed []pressed
+	// pressed are the services here and what pressed on them at pressedAt; nil
+	// when that has to be found out anew.
+	pressed   []pressed
+	pressedAt time.Time
 }
 
 func newVM(told plantainrail.VM, renewed time.Time) *vm {
