Send a write again after half a second without an answer

Cause: after a store that had answered nothing was back, the owner's write that had been sent just before waited for its two seconds, and all jobs with it; the same holds for a connection that has gone silent. Ruled out: a shorter limit for each try, which a slow store (90 times) would not meet. Change: hedger sends a write that has no answer after 500 ms again, beside the first; the first answer that decides counts. Writes are idempotent by the writer's sequence or the job's ID; one that depends on the topic's end is tried once. A refusal is told only when no try may have been done.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/decider"
+	"github.com/plantainrail/plantainrail/hedger"
 	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/minder"
 	"github.com/plantainrail/plantainrail/platform"
@@ -113,7 +114,7 @@
 	assert.NilError(f.t, err)
 	store := relayer.New(platform.NewStore(f.storeAt, f.client(name)), f.client(name), logger())
 	d := decider.New(decider.Options{
-		Name: name, Address: peers.Addr().String(), Store: store, Relay: store, SetPeers: store.SetPeers,
+		Name: name, Address: peers.Addr().String(), Store: hedger.New(store), Relay: store, SetPeers: store.SetPeers,
 		Settle: (&platform.Operator{}).Take, OperatorTopic: platform.OperatorTopic, Peers: peers, Clients: clients,
 		ClientHandler: platform.Handler, HealthHandler: platform.ReadyHandler, Now: time.Now, Logger: logger().Named(name),
 	})
--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/command/factory"
 	"github.com/plantainrail/plantainrail/decider"
+	"github.com/plantainrail/plantainrail/hedger"
 	"github.com/plantainrail/plantainrail/platform"
 	"github.com/plantainrail/plantainrail/relayer"
 )
@@ -66,7 +67,7 @@
 	operator := &platform.Operator{}
 	store := relayer.New(platform.NewStore(s.Store, platform.NewClient()), platform.NewClient(), logger)
 	return o.Serve(decider.New(decider.Options{
-		Name: s.Name, Address: peer, Store: store, Relay: store, SetPeers: store.SetPeers,
+		Name: s.Name, Address: peer, Store: hedger.New(store), Relay: store, SetPeers: store.SetPeers,
 		Settle: operator.Take, OperatorTopic: platform.OperatorTopic,
 		Peers: listeners[0], Clients: listeners[1], Health: listeners[2],
 		ClientHandler: func(f plantainrail.Front) http.Handler { return platform.Handler(f) },
