Make reads again that have no answer; read jobs in shorter waits

Cause: a read whose connection had gone silent, or that an outage had swallowed, held up what the owner knows of new jobs for its wait and a second more. Change: hedger makes reads again 500 ms after their wait; jobs and progress are read in waits of half a second, so that a swallowed read costs one second in place of two. The store charges some six reads a second more.

--- a/decider/follow.go
+++ b/decider/follow.go
@@ -15,7 +15,7 @@
 const (
 	slowWait  = 20 * time.Second
 	rulesWait = 1200 * time.Millisecond
-	fastWait  = time.Second
+	fastWait  = 500 * time.Millisecond
 )
 
 // feed is one topic that an entry follows.
--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -1,6 +1,6 @@
-// Package hedger sends a write to the store again while it owes the answer to an
+// Package hedger makes a call to the store again while it owes the answer to an
 // earlier try, so that a connection that has gone silent, or an outage that has
-// just ended, does not hold a writer up for the whole time limit of one try
+// just ended, does not hold its caller up for the whole time limit of one try
 // (hedged requests: Dean and Barroso, The Tail at Scale, 2013).
 package hedger
 
@@ -14,10 +14,10 @@
 )
 
 const (
-	// againEvery is the time without an answer after which a write is sent again.
+	// againEvery is the time without an answer after which a call is made again.
 	// A store that is slow by a factor of ninety still answers within it.
 	againEvery = 500 * time.Millisecond
-	// triesMost bounds the tries of one write that wait for an answer: one more
+	// triesMost bounds the tries of one call that wait for an answer: one more
 	// than begin within the two seconds that a try takes at most.
 	triesMost = 5
 )
@@ -30,32 +30,47 @@
 // New returns a Hedger in front of a store.
 func New(store plantainrail.Store) *Hedger { return &Hedger{Store: store} }
 
-// outcome is the answer to one try.
-type outcome struct {
-	offset plantainrail.Offset
-	err    error
-}
-
 // Append implements plantainrail.Store. A write that depends on the topic's end
 // is tried once: a second try would fail for the success of the first.
 func (h *Hedger) Append(ctx context.Context, call plantainrail.AppendCall) (plantainrail.Offset, error) {
 	if call.At != nil {
 		return h.Store.Append(ctx, call)
 	}
+	return hedge(ctx, againEvery, func(ctx context.Context) (plantainrail.Offset, error) { return h.Store.Append(ctx, call) })
+}
+
+// Read implements plantainrail.Store. The store may keep a read as long as it was
+// asked to wait.
+func (h *Hedger) Read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
+	return hedge(ctx, wait+againEvery, func(ctx context.Context) (plantainrail.KeyedBatch, error) {
+		return h.Store.Read(ctx, topic, from, wait)
+	})
+}
+
+// outcome is the answer to one try.
+type outcome[T any] struct {
+	value T
+	err   error
+}
+
+// hedge tries a call, and again each time that it has had no answer for a while,
+// until one of the answers decides or none is owed any more.
+func hedge[T any](ctx context.Context, every time.Duration, call func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	outcomes := make(chan outcome, triesMost)
+	outcomes := make(chan outcome[T], triesMost)
 	pending := 0
 	try := func() {
 		pending++
 		go func() {
-			offset, err := h.Store.Append(ctx, call)
-			outcomes <- outcome{offset, err}
+			value, err := call(ctx)
+			outcomes <- outcome[T]{value, err}
 		}()
 	}
 	try()
-	again := time.NewTicker(againEvery)
+	again := time.NewTicker(every)
 	defer again.Stop()
+	var none T
 	// unsure is the error of a try that may have been done.
 	var unsure error
 	for {
@@ -63,7 +78,7 @@
 		case o := <-outcomes:
 			pending--
 			if decided(o.err) {
-				return o.offset, o.err
+				return o.value, o.err
 			}
 			if !errors.Is(o.err, plantainrail.ErrNotDone) {
 				unsure = o.err
@@ -72,9 +87,9 @@
 				continue
 			}
 			if unsure != nil {
-				return 0, unsure
+				return none, unsure
 			}
-			return 0, o.err
+			return none, o.err
 		case <-again.C:
 			if pending < triesMost {
 				try()
@@ -83,9 +98,9 @@
 	}
 }
 
-// decided tells whether an error says for sure what became of a write, and of
-// all other tries of it.
+// decided tells whether an error says for sure what became of a call, and of all
+// other tries of it.
 func decided(err error) bool {
 	var sequence *plantainrail.SequenceError
-	return err == nil || errors.Is(err, plantainrail.ErrFenced) || errors.As(err, &sequence)
+	return err == nil || errors.Is(err, plantainrail.ErrFenced) || errors.Is(err, plantainrail.ErrExpired) || errors.As(err, &sequence)
 }
--- a/hedger/hedger_test.go
+++ b/hedger/hedger_test.go
@@ -149,3 +149,40 @@
 	<-ctx.Done()
 	return 0, ctx.Err()
 }
+
+// Read waits as long as it was asked to.
+func (s *store) Read(ctx context.Context, _ string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
+	_, err := s.Append(ctx, plantainrail.AppendCall{})
+	return plantainrail.KeyedBatch{Next: from + 1}, err
+}
+
+func TestRead(t *testing.T) {
+	const wait = time.Second
+	for _, c := range []struct {
+		name    string
+		answers []answer
+		within  time.Duration
+		tries   int
+	}{
+		{"nothing new", []answer{{after: wait}}, wait, 1},
+		{"silent connection", []answer{{silent: true}, {after: time.Millisecond}}, wait + 510*time.Millisecond, 2},
+		{"expired", []answer{{err: plantainrail.ErrExpired}}, 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{answers: c.answers}
+				begin := time.Now()
+				_, err := hedger.New(s).Read(t.Context(), "jobs", 4, wait)
+				took := time.Since(begin)
+				if c.answers[0].err != nil {
+					assert.ErrorIs(t, err, c.answers[0].err)
+				} else {
+					assert.NilError(t, err)
+				}
+				assert.Assert(t, took <= c.within, "it took %s", took)
+				synctest.Wait()
+				assert.Equal(t, s.tries, c.tries)
+			})
+		})
+	}
+}
