Refuse unsent what comes while earlier writes are in doubt; settle those

Ruled out: holding new jobs until the store is back, which helps nobody in an outage of unknown length. Change: a batch in doubt is tried alone, until the client's deadline, since its jobs may be there; jobs that come meanwhile are never sent and get their true 503 within 600 ms. A job that is read from the store is accepted although the answer to its write is not there.

--- a/decider/front.go
+++ b/decider/front.go
@@ -52,11 +52,31 @@
 		d.Logger.Error("job not encoded", zap.String("job", w.ID), zap.Error(err))
 		return plantainrail.Reply{Answer: plantainrail.AnswerUnavailable}
 	}
-	reply := answer(d.writer.append(ctx, record))
+	reply := d.store(ctx, w.ID, record)
 	d.Logger.Info("job offered", zap.String("job", w.ID), zap.String("queue", w.Queue.Name), zap.Int("answer", int(reply.Answer)))
 	return reply
 }
 
+// store writes the record of a job. A job that is read from the store meanwhile is
+// accepted, also when the answer to its write was lost.
+func (d *Decider) store(ctx context.Context, id string, record plantainrail.KeyedRecord) plantainrail.Reply {
+	written := make(chan error, 1)
+	go func() { written <- d.writer.append(ctx, record) }()
+	for {
+		d.mu.Lock()
+		known, moved := d.book.Job(id) != nil, d.moved
+		d.mu.Unlock()
+		if known {
+			return plantainrail.Reply{Answer: plantainrail.AnswerOK}
+		}
+		select {
+		case err := <-written:
+			return answer(err)
+		case <-moved:
+		}
+	}
+}
+
 // answer returns the reply to a call whose record was written with the result.
 func answer(err error) plantainrail.Reply {
 	switch {
--- a/decider/writer.go
+++ b/decider/writer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,11 +17,9 @@
 	// writeMost bounds the records of one append; with the largest jobs they
 	// stay below the store's two megabytes a call.
 	writeMost = 128
-	// refusedLimit is how long a write is tried that the store refuses.
+	// refusedLimit is how long a write is tried that the store refuses, or waits
+	// for the store to answer earlier ones.
 	refusedLimit = 600 * time.Millisecond
-	// unsureLimit is how long a write is tried that may have been done; the
-	// client may ask another entry after it.
-	unsureLimit = 1200 * time.Millisecond
 	// tryLimit bounds one try; a store that is slow by a factor of sixty answers
 	// in a third of it.
 	tryLimit = time.Second
@@ -29,14 +29,19 @@
 type write struct {
 	ctx    context.Context
 	record plantainrail.KeyedRecord
-	// refuseBy is when the write is given up if the store has refused each try,
-	// unsureBy when it is given up although a try may have been done.
-	refuseBy, unsureBy time.Time
+	// refuseBy is when the write is given up if the store has refused each try.
+	refuseBy time.Time
 	// unsure is set once a try may have been done.
 	unsure bool
-	result chan error
+	// settled is set by whoever settles what becomes of a write that waits: the
+	// writer takes it, or its caller withdraws it.
+	settled atomic.Bool
+	result  chan error
 }
 
+// take takes a write off the queue unless its caller has withdrawn it.
+func (w *write) take() bool { return w.settled.CompareAndSwap(false, true) }
+
 // writer appends records of many requests in one call at a time.
 type writer struct {
 	store  plantainrail.Store
@@ -49,17 +54,26 @@
 }
 
 // append adds a record and returns nil once it is stored. ErrNotDone means that
-// it never will be.
+// it never will be. A write that may have been done is tried until the context
+// ends; those that come meanwhile are not sent, so that they can be refused.
 func (w *writer) append(ctx context.Context, record plantainrail.KeyedRecord) error {
-	now := time.Now()
-	job := &write{
-		ctx: ctx, record: record, refuseBy: now.Add(refusedLimit), unsureBy: now.Add(unsureLimit), result: make(chan error, 1),
-	}
+	job := &write{ctx: ctx, record: record, refuseBy: time.Now().Add(refusedLimit), result: make(chan error, 1)}
 	select {
 	case w.queue <- job:
 	default:
 		return errors.Wrap(plantainrail.ErrNotDone, "too many writes wait")
 	}
+	timer := time.NewTimer(refusedLimit)
+	defer timer.Stop()
+	select {
+	case err := <-job.result:
+		return err
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if job.take() {
+		return errors.Wrap(plantainrail.ErrNotDone, "earlier writes have no answer")
+	}
 	return <-job.result
 }
 
@@ -70,7 +84,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case first := <-w.queue:
-			w.settle(ctx, w.gather([]*write{first}))
+			if first.take() {
+				w.settle(ctx, w.gather([]*write{first}))
+			}
 		}
 	}
 }
@@ -80,7 +96,9 @@
 	for len(batch) < writeMost {
 		select {
 		case next := <-w.queue:
-			batch = append(batch, next)
+			if next.take() {
+				batch = append(batch, next)
+			}
 		default:
 			return batch
 		}
@@ -109,7 +127,9 @@
 		batch = w.sift(batch, err, sure)
 		if len(batch) > 0 {
 			_ = sleep(ctx, retryPause)
-			batch = w.gather(batch)
+			if !slices.ContainsFunc(batch, func(job *write) bool { return job.unsure }) {
+				batch = w.gather(batch)
+			}
 		}
 	}
 }
@@ -129,7 +149,7 @@
 	for _, job := range batch {
 		job.unsure = job.unsure || !sure
 		switch {
-		case job.unsure && (job.ctx.Err() != nil || time.Now().After(job.unsureBy)):
+		case job.unsure && job.ctx.Err() != nil:
 			job.result <- err
 		case !job.unsure && (job.ctx.Err() != nil || time.Now().After(job.refuseBy)):
 			job.result <- errors.Wrap(plantainrail.ErrNotDone, "given up")
