Rate harm as a share of the VM, so that VMs of any size are judged alike

The harm from which on a filler waits was in cores, so that services of 6 cores on VMs of 32 (first site) counted half of those of 13 on VMs of 64.

--- a/planner/press.go
+++ b/planner/press.go
@@ -11,7 +11,7 @@
 const (
 	// harmWeight puts a VM whose services bear a filler before any that is only
 	// emptier.
-	harmWeight = 0.1
+	harmWeight = 6
 	// harmMargin is the pressure below the bound of a service from which on more
 	// of it counts as harm: own load swings by about that much while a filler
 	// runs.
@@ -20,7 +20,7 @@
 	// without one more.
 	harmLasts = 0.5
 	// harmBorne is the harm from which on a filler waits for another VM.
-	harmBorne = 6
+	harmBorne = 0.1
 	// patienceShare is the part of a job's spare time in which its fillers wait
 	// for a VM that bears them; estimates are off by a factor of two.
 	patienceShare = 0.4
@@ -108,16 +108,17 @@
 }
 
 // harm rates what one more filler of a step does together with those on the VM to
-// its services: the processors of those that are over their targets by it.
+// its services: the share of the VM's processors that belongs to those which are
+// over their targets by it.
 func (p *Planner) harm(v *vm, step plantainrail.Step, now time.Time) float64 {
 	cores := float64(step.CPU) / milliCores
 	sum := 0.0
 	for _, s := range p.services(v, now) {
 		served := s.run.step()
 		press := p.estimator.Press(served.Image, step.Image)
-		sum += (over(s.room-cores*press) - harmLasts*over(s.room)) * float64(served.CPU) / milliCores
+		sum += (over(s.room-cores*press) - harmLasts*over(s.room)) * float64(served.CPU)
 	}
-	return sum
+	return sum / float64(max(v.Room.Processors, 1))
 }
 
 // patience returns how long a job's fillers may wait in all for a VM whose
