--- /dev/null
+++ b/clocker/sleep_test.go
@@ -0,0 +1,33 @@
+package clocker_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail/clocker"
+)
+
+func TestSleep(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		pause, deadline time.Duration
+		want            error
+	}{
+		{"to the end", time.Second, time.Minute, nil},
+		{"cut short", time.Minute, time.Second, context.DeadlineExceeded},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), c.deadline)
+				defer cancel()
+				begin := time.Now()
+				assert.Equal(t, clocker.Sleep(ctx, c.pause), c.want)
+				assert.Equal(t, time.Since(begin), time.Second)
+			})
+		})
+	}
+}
--- a/command/dev/scene.go
+++ b/command/dev/scene.go
@@ -16,6 +16,7 @@
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/assembler"
 	"github.com/plantainrail/plantainrail/caller"
+	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/receiver"
 )
 
@@ -164,20 +165,13 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 var requestPaths = []string{"/match", "/status", "/plaque"}
 
 func (s *scene) callAll(ctx context.Context, random *rand.Rand) {
 	for n := 0; ctx.Err() == nil; n++ {
 		path := requestPaths[random.IntN(len(requestPaths))]
 		s.callOnce(path, fmt.Sprintf("%d-%d", random.Uint64(), n))
-		sleep(ctx, time.Duration(random.Int64N(int64(pauseMax))))
+		_ = clocker.Sleep(ctx, time.Duration(random.Int64N(int64(pauseMax))))
 	}
 }
 
@@ -230,14 +224,14 @@
 			s.jobs = append(s.jobs, job.ID)
 			s.mu.Unlock()
 		}
-		sleep(ctx, jobEvery)
+		_ = clocker.Sleep(ctx, jobEvery)
 	}
 }
 
 // cycleZone takes a zone out and brings it back, again and again.
 func (s *scene) cycleZone(ctx context.Context, zone string) {
 	for {
-		sleep(ctx, zoneStepAfter)
+		_ = clocker.Sleep(ctx, zoneStepAfter)
 		if ctx.Err() != nil {
 			return
 		}
@@ -245,7 +239,7 @@
 			continue
 		}
 		from := time.Now().Add(zoneGrace)
-		sleep(ctx, zoneStepAfter)
+		_ = clocker.Sleep(ctx, zoneStepAfter)
 		to := time.Now()
 		s.mu.Lock()
 		s.outs = append(s.outs, zoneOut{zone, from, to})
--- a/command/log/trace/trace_test.go
+++ b/command/log/trace/trace_test.go
@@ -33,7 +33,8 @@
 			[]string{
 				"01:31:01.100\t+0.000s\t" + file + "\tjob offered\tanswer=0 job=0a1b queue=rota",
 				"01:31:01.150\t+0.050s\t" + file + "\ttask placed\tnode=vm-1 run=1 task=0a1b.0.0.0",
-			}, "",
+			},
+			"",
 		},
 		{"from standard input, as JSON", log, trace.Options{Job: "0a1b", Files: []string{"-"}, AsJSON: true}, []string{`"job": "0a1b"`, `"event": "task placed"`}, ""},
 		{"a job that nobody knows", log, trace.Options{Job: "ffff", Files: []string{"-"}}, nil, "no line tells of job ffff"},
--- a/decider/claim.go
+++ b/decider/claim.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 )
 
 // Keys of the topic of members.
@@ -73,7 +74,7 @@
 		if err == nil {
 			return nil
 		}
-		_ = sleep(ctx, retryPause)
+		_ = clocker.Sleep(ctx, retryPause)
 	}
 	return ctx.Err()
 }
@@ -142,7 +143,7 @@
 // campaign claims the jobs while no owner is heard of.
 func (d *Decider) campaign(ctx context.Context) error {
 	for ctx.Err() == nil {
-		_ = sleep(ctx, campaignEvery)
+		_ = clocker.Sleep(ctx, campaignEvery)
 		at, vacant := d.vacant()
 		if !vacant {
 			continue
@@ -155,7 +156,7 @@
 			Topic: MembersTopic, At: &at, Records: []plantainrail.KeyedRecord{{Key: claimKey, Value: raw}},
 		})
 		d.Logger.Info("ownership claimed", zap.Int64("offset", int64(at)), zap.Error(err))
-		_ = sleep(ctx, silenceLimit/2)
+		_ = clocker.Sleep(ctx, silenceLimit/2)
 	}
 	return ctx.Err()
 }
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/planner"
 )
 
@@ -209,19 +210,7 @@
 	if o != nil {
 		o.resign()
 	}
-	return sleep(ctx, farewell)
-}
-
-// sleep waits for a while, or until the context ends.
-func sleep(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return clocker.Sleep(ctx, farewell)
 }
 
 // wake tells all that wait for the book. The caller holds the lock.
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 )
 
 // Waits of long-polled reads. They tell whether the store is in reach, so that
@@ -56,7 +57,7 @@
 			if f.failed != nil {
 				f.failed()
 			}
-			_ = sleep(ctx, retryPause)
+			_ = clocker.Sleep(ctx, retryPause)
 			continue
 		}
 		if lost {
@@ -65,7 +66,7 @@
 		}
 		f.take(batch)
 		if f.pause > 0 && len(batch.Records) > 0 {
-			_ = sleep(ctx, f.pause)
+			_ = clocker.Sleep(ctx, f.pause)
 		}
 	}
 	return ctx.Err()
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/planner"
 )
@@ -151,7 +152,7 @@
 			return 0, err
 		}
 		o.d.Logger.Warn("progress not stored", zap.Int("records", len(records)), zap.Int64("sequence", o.sequence), zap.Error(err))
-		if err := sleep(ctx, retryPause); err != nil {
+		if err := clocker.Sleep(ctx, retryPause); err != nil {
 			return 0, err
 		}
 	}
@@ -192,7 +193,7 @@
 	batch, err := d.read(ctx, feed{topic: runsTopic, next: func() plantainrail.Offset { return from }})
 	if err != nil {
 		d.Logger.Warn("progress not read at takeover", zap.Int64("offset", int64(from)), zap.Int64("end", int64(end)), zap.Error(err))
-		return sleep(ctx, retryPause)
+		return clocker.Sleep(ctx, retryPause)
 	}
 	d.takeRuns(batch)
 	return ctx.Err()
--- a/decider/writer.go
+++ b/decider/writer.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/planner"
 )
 
@@ -126,7 +127,7 @@
 		sure := errors.Is(err, plantainrail.ErrNotDone)
 		batch = w.sift(batch, err, sure)
 		if len(batch) > 0 {
-			_ = sleep(ctx, retryPause)
+			_ = clocker.Sleep(ctx, retryPause)
 			if !slices.ContainsFunc(batch, func(job *write) bool { return job.unsure }) {
 				batch = w.gather(batch)
 			}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/reducer"
 )
 
@@ -91,19 +92,12 @@
 	for ctx.Err() == nil {
 		if err := f.readOnce(ctx); err != nil {
 			f.logger.Warn("log not read", zap.Error(err))
-			sleep(ctx, retryPause)
+			_ = clocker.Sleep(ctx, retryPause)
 		}
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (f *Follower) readOnce(ctx context.Context) error {
 	started := time.Now()
 	f.mu.RLock()
@@ -226,10 +220,10 @@
 		if err := f.appendGroup(ctx, group); err != nil {
 			f.logger.Warn("append in doubt", zap.Int("records", len(group)), zap.Error(err))
 			f.hasten()
-			sleep(ctx, retryPause)
+			_ = clocker.Sleep(ctx, retryPause)
 			continue
 		}
-		sleep(ctx, groupEvery)
+		_ = clocker.Sleep(ctx, groupEvery)
 	}
 	return nil
 }
--- a/hedger/hedger_test.go
+++ b/hedger/hedger_test.go
@@ -76,12 +76,14 @@
 		{"turned away", plantainrail.AppendCall{}, []answer{{err: plantainrail.ErrNotDone}}, plantainrail.ErrNotDone, time.Millisecond, 1},
 		{"fenced", plantainrail.AppendCall{}, []answer{{silent: true}, {err: plantainrail.ErrFenced}}, plantainrail.ErrFenced, 510 * time.Millisecond, 2},
 		{
-			"turned away after a try that may have been done", plantainrail.AppendCall{},
+			"turned away after a try that may have been done",
+			plantainrail.AppendCall{},
 			[]answer{{after: 600 * time.Millisecond, err: errLost}, {after: 200 * time.Millisecond, err: plantainrail.ErrNotDone}},
 			errLost, 710 * time.Millisecond, 2,
 		},
 		{
-			"may have been done after it was turned away", plantainrail.AppendCall{},
+			"may have been done after it was turned away",
+			plantainrail.AppendCall{},
 			[]answer{{after: 600 * time.Millisecond, err: plantainrail.ErrNotDone}, {after: 200 * time.Millisecond, err: errLost}},
 			errLost, 710 * time.Millisecond, 2,
 		},
@@ -150,8 +152,8 @@
 	return 0, ctx.Err()
 }
 
-// Read waits as long as it was asked to.
-func (s *store) Read(ctx context.Context, _ string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
+// Read answers as Append does.
+func (s *store) Read(ctx context.Context, _ string, from plantainrail.Offset, _ time.Duration) (plantainrail.KeyedBatch, error) {
 	_, err := s.Append(ctx, plantainrail.AppendCall{})
 	return plantainrail.KeyedBatch{Next: from + 1}, err
 }
--- a/minder/hold.go
+++ b/minder/hold.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/linker"
 )
 
@@ -53,7 +54,7 @@
 		if err != nil {
 			failures++
 			m.holdFailed(life, failures, err)
-			_ = sleep(ctx, holdPause)
+			_ = clocker.Sleep(ctx, holdPause)
 			continue
 		}
 		failures = 0
@@ -205,7 +206,7 @@
 			m.withdraw(life, r, plantainrail.RefusedSilent)
 			return
 		case deadline == 0:
-			_ = sleep(context.Background(), holdPause/3)
+			_ = clocker.Sleep(context.Background(), holdPause/3)
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
@@ -223,7 +224,7 @@
 			return
 		}
 		m.Logger.Warn("start not answered", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Error(err))
-		_ = sleep(context.Background(), holdPause/3)
+		_ = clocker.Sleep(context.Background(), holdPause/3)
 	}
 }
 
@@ -260,7 +261,7 @@
 			m.refuse(life, r, reason)
 			return
 		}
-		_ = sleep(context.Background(), holdPause/3)
+		_ = clocker.Sleep(context.Background(), holdPause/3)
 	}
 }
 
@@ -314,6 +315,6 @@
 			return true
 		}
 		m.Logger.Warn("stop not answered", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Error(err))
-		_ = sleep(context.Background(), holdPause)
+		_ = clocker.Sleep(context.Background(), holdPause)
 	}
 }
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/pacer"
 )
@@ -160,7 +161,7 @@
 		if !waits {
 			return nil
 		}
-		_ = sleep(ctx, drainLook)
+		_ = clocker.Sleep(ctx, drainLook)
 	}
 	return errors.New("no owner knows yet that the worker has ended")
 }
@@ -231,7 +232,7 @@
 			break
 		}
 		m.mu.Unlock()
-		_ = sleep(context.Background(), holdPause/3)
+		_ = clocker.Sleep(context.Background(), holdPause/3)
 	}
 	defer m.mu.Unlock()
 	if m.over(life) {
@@ -294,15 +295,3 @@
 	default:
 	}
 }
-
-// sleep waits for a while, or until the context ends.
-func sleep(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/minder/pace.go
+++ b/minder/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -123,55 +122,3 @@
 		m.pacing.confirmed[ref] = percent
 	}
 }
-
-// tailFade is the time in which two thirds of a change show in the worker's
-// tails, which look back half a second.
-const tailFade = 240 * time.Millisecond
-
-// figuresEvery is the time between two reports of figures to the owner.
-const figuresEvery = 500 * time.Millisecond
-
-// smooth lets what fillers used follow what they use now, as slowly as the tails
-// do. The caller holds the lock.
-func (m *Minder) smooth(passed time.Duration) {
-	now := map[string]float64{}
-	for ref, status := range m.running {
-		if r := m.wanted[ref]; r != nil && r.order.Filler {
-			now[r.order.Image] += float64(status.Figure)
-		}
-	}
-	kept := math.Exp(-passed.Seconds() / tailFade.Seconds())
-	for image, used := range m.pacing.used {
-		now[image] += 0
-		if used < 1 {
-			delete(m.pacing.used, image)
-		}
-	}
-	for image, use := range now {
-		m.pacing.used[image] = kept*m.pacing.used[image] + (1-kept)*use
-	}
-}
-
-// tellFigures tells the owner what was measured beside services, at an even
-// pace. The caller holds the lock.
-func (m *Minder) tellFigures(now time.Time) {
-	if now.Sub(m.pacing.measuredAt) < figuresEvery {
-		return
-	}
-	figures := linker.WorkFigures{Used: map[string]int{}}
-	for ref, status := range m.running {
-		if r := m.wanted[ref]; r != nil && r.order.TailTarget > 0 && status.Figure > 0 {
-			figures.Tails = append(figures.Tails, linker.RunTail{Ref: ref, Tail: status.Figure})
-		}
-	}
-	if len(figures.Tails) == 0 {
-		return
-	}
-	for image, used := range m.pacing.used {
-		if used >= 1 {
-			figures.Used[image] = int(used)
-		}
-	}
-	m.pacing.measuredAt = now
-	m.tell(linker.WorkReport{Figures: &figures})
-}
--- a/minder/session.go
+++ b/minder/session.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/linker"
 )
 
@@ -52,7 +53,7 @@
 			}
 			// The newest records are read anew, whatever the error was.
 			next, lost = -1, true
-			_ = sleep(ctx, retryPause)
+			_ = clocker.Sleep(ctx, retryPause)
 			continue
 		}
 		if lost {
@@ -129,7 +130,7 @@
 		known := !m.vm.Life.IsZero()
 		m.mu.Unlock()
 		if address == "" || !known {
-			_ = sleep(ctx, redialPause)
+			_ = clocker.Sleep(ctx, redialPause)
 			continue
 		}
 		session, owner, err := m.Dial(ctx, address)
@@ -139,14 +140,14 @@
 			if owner != address {
 				hint = owner
 			}
-			_ = sleep(ctx, redialPause)
+			_ = clocker.Sleep(ctx, redialPause)
 			continue
 		}
 		hint = ""
 		m.open(session, address)
 		err = session.Run(ctx, m)
 		m.close(session, err)
-		_ = sleep(ctx, redialPause)
+		_ = clocker.Sleep(ctx, redialPause)
 	}
 	return ctx.Err()
 }
@@ -178,7 +179,7 @@
 
 // beat asks the owner at an even pace to renew the lease.
 func (m *Minder) beat(ctx context.Context) error {
-	for sleep(ctx, beatEvery) == nil {
+	for clocker.Sleep(ctx, beatEvery) == nil {
 		m.mu.Lock()
 		m.renew()
 		m.mu.Unlock()
