--- a/command/log/trace/trace.go
+++ b/command/log/trace/trace.go
@@ -98,6 +98,9 @@
 		if l.Around {
 			event = "  " + event
 		}
+		if l.Alike > 0 {
+			event += fmt.Sprintf(" (and %d more)", l.Alike)
+		}
 		rows = append(rows, []string{
 			l.At.Format("15:04:05.000"), fmt.Sprintf("+%.3fs", l.At.Sub(before).Seconds()), l.Source, event, says(l.Fields),
 		})
--- a/planner/press_test.go
+++ b/planner/press_test.go
@@ -93,6 +93,7 @@
 }
 
 func (f *floor) start(plan planner.Plan) {
+	assert.Equal(f.t, len(plan.Stops), 0, "nothing is stopped for the sake of placing")
 	for _, a := range plan.Assignments {
 		step := f.p.Book.Job(a.Order.Ref.Task.Job).Steps[a.Order.Ref.Task.Step]
 		vm := f.vms[a.Life]
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -33,6 +33,12 @@
 	"worker lost": true, "worker regained": true, "worker departed": true, "fillers paced": true, "lines dropped": true,
 }
 
+// onNode lists those of them that matter only for a VM on which the job ran.
+var onNode = map[string]bool{
+	"agent started": true, "VM seen": true, "VM gone": true, "agent lost": true, "worker lost": true, "worker regained": true,
+	"worker departed": true, "fillers paced": true,
+}
+
 // Line is one line of a log.
 type Line struct {
 	At time.Time `json:"at"`
@@ -41,8 +47,10 @@
 	Event  string `json:"event"`
 	// Fields holds what else the line says.
 	Fields map[string]any `json:"fields,omitempty"`
-	// Around is set on a line that tells of the job's surroundings.
+	// Around is set on a line that tells of the job's surroundings, and Alike is
+	// the number of such lines of the same event that follow it.
 	Around bool `json:"around,omitempty"`
+	Alike  int  `json:"alike,omitempty"`
 }
 
 // Story is what the logs tell of one job, in order of time.
@@ -126,10 +134,16 @@
 	story := t.story
 	sortLines(story.Lines)
 	sortLines(t.around)
+	nodes := map[string]bool{}
+	for _, line := range story.Lines {
+		if node, ok := line.Fields["node"].(string); ok {
+			nodes[node] = true
+		}
+	}
 	var out []Line
 	for i, line := range story.Lines {
 		if i > 0 && line.At.Sub(story.Lines[i-1].At) >= gapLeast {
-			out = append(out, t.between(story.Lines[i-1].At, line.At)...)
+			out = append(out, collapse(t.between(story.Lines[i-1].At, line.At), nodes)...)
 		}
 		out = append(out, line)
 	}
@@ -143,6 +157,26 @@
 	return t.around[first:last]
 }
 
+// collapse leaves out what happened on VMs that have nothing to do with the job,
+// and counts lines of one event that follow each other.
+func collapse(lines []Line, nodes map[string]bool) []Line {
+	var out []Line
+	for _, line := range lines {
+		node, named := line.Fields["node"].(string)
+		if !named {
+			node = line.Source
+		}
+		switch last := len(out) - 1; {
+		case onNode[line.Event] && !nodes[node]:
+		case last >= 0 && out[last].Event == line.Event:
+			out[last].Alike++
+		default:
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
 func sortLines(lines []Line) {
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
 }
--- a/tracer/tracer_test.go
+++ b/tracer/tracer_test.go
@@ -40,6 +40,26 @@
 	assert.Equal(t, story.Lines[5].Fields["how"], "done")
 }
 
+// Of the surroundings only the VMs of the job matter, and what many processes
+// tell alike is told once.
+func TestSurroundingsAreKeptShort(t *testing.T) {
+	const log = `{"at":"2026-01-19T01:31:01.000Z","event":"task placed","task":"0a1b.0.0.0","node":"vm-1"}
+{"at":"2026-01-19T01:31:02.000Z","event":"fillers paced","node":"vm-1"}
+{"at":"2026-01-19T01:31:02.100Z","event":"fillers paced","node":"vm-2"}
+{"at":"2026-01-19T01:31:02.200Z","event":"store lost","topic":"jobs"}
+{"at":"2026-01-19T01:31:02.300Z","event":"store lost","topic":"runs"}
+{"at":"2026-01-19T01:31:02.400Z","event":"store lost","topic":"op"}
+{"at":"2026-01-19T01:31:09.000Z","event":"run ended","task":"0a1b.0.0.0","node":"vm-1"}
+`
+	tr := tracer.New("0a1b")
+	assert.NilError(t, tr.Read(strings.NewReader(log), "all.log"))
+	lines := tr.Story().Lines
+	assert.Equal(t, len(lines), 4)
+	assert.Equal(t, lines[1].Fields["node"], "vm-1")
+	assert.Equal(t, lines[2].Event, "store lost")
+	assert.Equal(t, lines[2].Alike, 2)
+}
+
 func TestJobThatIsNotInTheLogs(t *testing.T) {
 	tr := tracer.New("ffff")
 	assert.NilError(t, tr.Read(strings.NewReader(entryLog), "a.log"))
