--- a/planner/place.go
+++ b/planner/place.go
@@ -108,7 +108,7 @@
 		}
 		return Assignment{}, false
 	}
-	return p.assign(v, c.job, id, t, t.Run+1), true
+	return p.assign(v, c.job, id, t, t.Run+1, now), true
 }
 
 // placeGang assigns all members of a gang, or none.
@@ -142,16 +142,17 @@
 			return nil
 		}
 		t.Saved = saved
-		out = append(out, p.assign(v, c.job, id, t, run+1))
+		out = append(out, p.assign(v, c.job, id, t, run+1, now))
 	}
 	return out
 }
 
-func (p *Planner) assign(v *vm, j *Job, id plantainrail.TaskID, t *Task, run int64) Assignment {
+func (p *Planner) assign(v *vm, j *Job, id plantainrail.TaskID, t *Task, run int64, now time.Time) Assignment {
 	t.Phase, t.Run, t.Life = Placed, run, v.Life
 	j.Started = true
 	p.touch(j)
 	v.hold(j, id, t, false)
+	v.runs[plantainrail.RunRef{Task: id, Run: run}].since = now
 	return Assignment{Life: v.Life, Order: v.runs[plantainrail.RunRef{Task: id, Run: run}].order()}
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -348,3 +348,23 @@
 	r.now = r.now.Add(time.Second)
 	assert.Equal(t, len(r.tick().Assignments), 1, "one run tries the VM again")
 }
+
+// A VM on trial gets one run at a time, beside lasting tasks that ran before.
+func TestTrialBesideLastingTasks(t *testing.T) {
+	r := newRoom(t, newVM("a", 9000))
+	r.offer("service", plantainrail.Step{Count: 1, CPU: 1000, Lasting: true})
+	r.tick()
+	for i := range 2 {
+		r.offer(fmt.Sprint("bad", i), plantainrail.Step{Count: 1, CPU: 1000, Lasting: true})
+	}
+	for i, a := range r.tick().Assignments {
+		r.ended(a, int64(i+1), plantainrail.EndFailed)
+	}
+	assert.Equal(t, len(r.tick().Assignments), 0, "the VM is paused")
+	r.now = r.now.Add(time.Second)
+	assert.Equal(t, len(r.tick().Assignments), 1, "one run tries the VM, though a service runs there")
+	r.now = r.now.Add(time.Second)
+	assert.Equal(t, len(r.tick().Assignments), 0, "it is not known yet whether it fails")
+	r.now = r.now.Add(3 * time.Second)
+	assert.Equal(t, len(r.tick().Assignments), 1, "a run that has lasted has not failed")
+}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -14,6 +14,9 @@
 	pauseMost  = 8 * time.Second
 	// fillMost is the share of a VM's processors that fillers may ask for in all.
 	fillMost = 0.8
+	// trialLasts is how long a run on trial may take to fail; a worker that fails
+	// all it gets does so within a second.
+	trialLasts = 3 * time.Second
 	// suspectJobs is the number of different jobs that have to fail on a VM in
 	// a row before it is paused: one alone may be the job's own fault.
 	suspectJobs = 2
@@ -26,6 +29,8 @@
 	task      *Task
 	committed bool
 	stopping  bool
+	// since is when the run was assigned; zero when an earlier owner did.
+	since time.Time
 	// tail is the newest tail latency of a service, in milliseconds.
 	tail int
 }
@@ -65,6 +70,7 @@
 	pausedUntil time.Time
 	pauses      int
 	trial       bool
+	trialSince  time.Time
 	// pressed are the services here and what pressed on them at pressedAt; nil
 	// when that has to be found out anew.
 	pressed   []pressed
@@ -108,7 +114,7 @@
 	case plantainrail.EndFailed:
 		v.suspects[job] = true
 		if len(v.suspects) >= suspectJobs || v.trial {
-			v.trial = true
+			v.trial, v.trialSince = true, now
 			v.rest(now)
 		}
 	}
@@ -161,7 +167,7 @@
 		return obstacleService
 	case now.Before(v.pausedUntil):
 		return obstaclePaused
-	case v.trial && len(v.runs) > 0:
+	case v.trial && v.tried(now):
 		return obstacleTrial
 	case step.Label != "" && !slices.Contains(v.Labels, step.Label):
 		return obstacleLabel
@@ -175,6 +181,17 @@
 	return ""
 }
 
+// tried tells whether a run is under way that was begun on trial and may still
+// fail as those before it.
+func (v *vm) tried(now time.Time) bool {
+	for _, run := range v.runs {
+		if run.since.After(v.trialSince) && now.Sub(run.since) < trialLasts {
+			return true
+		}
+	}
+	return false
+}
+
 // ofStep counts the runs of an occurrence's step.
 func (v *vm) ofStep(id plantainrail.TaskID) int {
 	n := 0
