--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -90,3 +90,47 @@
 		assert.Equal(t, p.Pace(), pacer.Whole)
 	}
 }
+
+// A service that is over its target by its own load is passed over for a while.
+// When that load falls right then, fillers that press on it must be found in time,
+// also where looks, calls and figures are as late as workers make them.
+func TestFillersPressOnceOwnLoadHasFallen(t *testing.T) {
+	const (
+		tick    = 50 * time.Millisecond
+		look    = 450 * time.Millisecond
+		taken   = 300 * time.Millisecond
+		fade    = 250 * time.Millisecond
+		own     = 80.0
+		falling = 15.0
+		press   = 200.0
+	)
+	for falls := time.Duration(0); falls < 8*time.Second; falls += tick {
+		p, begin, figure := pacer.New(), time.Unix(1_700_000_000, 0), own
+		var over, worst time.Duration
+		still, stillFrom := false, time.Time{}
+		for now := begin; now.Before(begin.Add(20 * time.Second)); now = now.Add(tick) {
+			base := own
+			if now.Sub(begin) >= falls {
+				base = falling
+			}
+			working := !still || now.Before(stillFrom)
+			tail := base
+			if working {
+				tail += press
+			}
+			over += tick
+			if tail < target || base >= target {
+				over = 0
+			}
+			worst = max(worst, over)
+			figure += (tail - figure) * float64(tick) / float64(fade)
+			if now.Sub(begin)%look == 0 {
+				p.Step(now, []pacer.Service{{Name: "s", Tail: int(figure), Target: target}})
+				if paced := p.Pace() != pacer.Whole; paced != still {
+					still, stillFrom = paced, now.Add(taken)
+				}
+			}
+		}
+		assert.Assert(t, worst < harm, "own load falls after %s: over the target for %s on end", falls, worst)
+	}
+}
