Let callers hear of an outage while calls are made again; do not wait while the store is lost

A read that was made again never failed as long as a newer try was under way, so that its reader did not hear of the outage, went on waiting half a second for records and, with no failure noted, took the owner's silence after the outage for its end. Change: a call fails with its first try that may have been done; while the store is lost, reads do not wait for records. The test of an outage has a caller now that has to hear of it within the limit of one try; its bound counts the caller's own pause of 100 ms.

--- a/decider/follow.go
+++ b/decider/follow.go
@@ -48,7 +48,12 @@
 				continue
 			}
 		}
-		batch, err := d.read(ctx, f)
+		wait := f.wait
+		if lost {
+			// Nothing is waited for before it is known that the store is back.
+			wait = 0
+		}
+		batch, err := d.read(ctx, f, wait)
 		if err != nil {
 			if !lost && ctx.Err() == nil {
 				d.Logger.Warn("store lost", zap.String("topic", f.topic), zap.Error(err))
@@ -74,10 +79,10 @@
 
 // read returns what follows the records that are known, or the newest of each
 // key when those have expired.
-func (d *Decider) read(ctx context.Context, f feed) (plantainrail.KeyedBatch, error) {
+func (d *Decider) read(ctx context.Context, f feed, wait time.Duration) (plantainrail.KeyedBatch, error) {
 	from := f.next()
 	if from != unread {
-		batch, err := d.Store.Read(ctx, f.topic, from, f.wait)
+		batch, err := d.Store.Read(ctx, f.topic, from, wait)
 		if !errors.Is(err, plantainrail.ErrExpired) {
 			return batch, err
 		}
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -190,7 +190,7 @@
 	d.mu.Lock()
 	from := d.runsNext
 	d.mu.Unlock()
-	batch, err := d.read(ctx, feed{topic: runsTopic, next: func() plantainrail.Offset { return from }})
+	batch, err := d.read(ctx, feed{topic: runsTopic, next: func() plantainrail.Offset { return from }}, 0)
 	if err != nil {
 		d.Logger.Warn("progress not read at takeover", zap.Int64("offset", int64(from)), zap.Int64("end", int64(end)), zap.Error(err))
 		return clocker.Sleep(ctx, retryPause)
--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -54,7 +54,9 @@
 }
 
 // hedge tries a call, and again each time that it has had no answer for a while,
-// until one of the answers decides or none is owed any more.
+// until one of the answers decides, or one try has failed that may have been done:
+// its caller has to hear of an outage. A refusal counts once no try is owed an
+// answer.
 func hedge[T any](ctx context.Context, every time.Duration, call func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -71,8 +73,6 @@
 	again := time.NewTicker(every)
 	defer again.Stop()
 	var none T
-	// unsure is the error of a try that may have been done.
-	var unsure error
 	for {
 		select {
 		case o := <-outcomes:
@@ -80,16 +80,9 @@
 			if decided(o.err) {
 				return o.value, o.err
 			}
-			if !errors.Is(o.err, plantainrail.ErrNotDone) {
-				unsure = o.err
+			if pending == 0 || !errors.Is(o.err, plantainrail.ErrNotDone) {
+				return none, o.err
 			}
-			if pending > 0 {
-				continue
-			}
-			if unsure != nil {
-				return none, unsure
-			}
-			return none, o.err
 		case <-again.C:
 			if pending < triesMost {
 				try()
