--- a/planner/place.go
+++ b/planner/place.go
@@ -245,7 +245,7 @@
 // score rates a VM for a task of a step: higher is better.
 func (v *vm) score(j *Job, step plantainrail.Step) float64 {
 	free := float64(v.Room.Processors-v.used.Processors-v.fillers) / float64(max(v.Room.Processors, 1))
-	if step.Lasting && step.TailTarget > 0 {
+	if step.Serves() {
 		free += v.kinship(j, step)
 	}
 	if step.Rack != "" && v.inRack(step.Rack) {
--- a/planner/press.go
+++ b/planner/press.go
@@ -53,7 +53,7 @@
 	}
 	var services []estimator.Service
 	for ref, tail := range tails {
-		if run := v.runs[ref]; run != nil && run.serves() {
+		if run := v.runs[ref]; run != nil && run.step().Serves() {
 			run.tail = tail
 			services = append(services, run.service())
 		}
@@ -61,12 +61,6 @@
 	p.estimator.Observe(now, services, cores)
 }
 
-// serves tells whether the run is a service with a target.
-func (r *placedRun) serves() bool {
-	step := r.step()
-	return step.Lasting && step.TailTarget > 0
-}
-
 // service is a run that serves, as it was measured last. The users of a job are
 // spread over its services, so that these share a load.
 func (r *placedRun) service() estimator.Service {
@@ -96,7 +90,7 @@
 	}
 	v.pressed = []pressed{}
 	for _, run := range v.runs {
-		if run.serves() {
+		if run.step().Serves() {
 			service := run.service()
 			own := p.estimator.Own(service.Group)
 			v.pressed = append(v.pressed, pressed{
@@ -164,7 +158,7 @@
 	kin, all := 0.0, 0.0
 	for _, run := range v.runs {
 		s := run.step()
-		if !s.Lasting || s.TailTarget == 0 {
+		if !s.Serves() {
 			continue
 		}
 		all++
--- a/work.go
+++ b/work.go
@@ -97,6 +97,10 @@
 	return Resources{Processors: s.CPU, Memory: s.Memory, Accelerators: s.Accelerators}
 }
 
+// Serves tells whether the step's tasks are services with a target for their tail
+// latency, which fillers beside them may slow.
+func (s Step) Serves() bool { return s.Lasting && s.TailTarget > 0 }
+
 // Queue is a kind of job: where its tasks run and what it aims at.
 type Queue struct {
 	Name string `cbor:"0,keyasint"`
