--- a/command/root/root.go
+++ b/command/root/root.go
@@ -25,6 +25,7 @@
 	jobshow "github.com/plantainrail/plantainrail/command/job/show"
 	"github.com/plantainrail/plantainrail/command/job/submit"
 	"github.com/plantainrail/plantainrail/command/job/wait"
+	"github.com/plantainrail/plantainrail/command/log/trace"
 	nodeagent "github.com/plantainrail/plantainrail/command/node/agent"
 	nodeentry "github.com/plantainrail/plantainrail/command/node/entry"
 	"github.com/plantainrail/plantainrail/command/report/burn"
@@ -99,6 +100,9 @@
 		Cancel  cancel.Command  `cmd:"" help:"Cancel jobs."`
 		Wait    wait.Command    `cmd:"" help:"Wait until a job has ended."`
 	} `cmd:"" help:"Batch jobs."`
+	Log struct {
+		Trace trace.Command `cmd:"" help:"Tell the story of one job from the logs of several processes."`
+	} `cmd:"" help:"Logs of the processes on the users' platform."`
 	Settings struct {
 		Check settingscheck.Command `cmd:"" help:"Check a settings file."`
 		Keys  keys.Command          `cmd:"" help:"List the settings keys."`
@@ -122,6 +126,7 @@
 	l.Zone.Out, l.Zone.In, l.Zone.Show = set.New(true, nil), set.New(false, nil), zoneshow.New(nil)
 	l.Job.Submit, l.Job.List, l.Job.Show = submit.New(nil), joblist.New(nil), jobshow.New(nil)
 	l.Job.Explain, l.Job.Cancel, l.Job.Wait = jobshow.New(nil), cancel.New(nil), wait.New(nil)
+	l.Log.Trace = trace.New(nil)
 	l.Settings.Check, l.Settings.Keys = settingscheck.New(nil), keys.New(nil)
 	return l
 }
--- a/decider/writer.go
+++ b/decider/writer.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/planner"
 )
 
 const (
@@ -103,7 +104,7 @@
 			}
 			return
 		}
-		w.logger.Warn("jobs not stored", zap.Int("records", len(batch)), zap.Error(err))
+		w.logger.Warn("jobs not stored", zap.Strings("jobs", jobsOf(records)), zap.Error(err))
 		sure := errors.Is(err, plantainrail.ErrNotDone)
 		batch = w.sift(batch, err, sure)
 		if len(batch) > 0 {
@@ -113,6 +114,15 @@
 	}
 }
 
+// jobsOf returns the IDs of the jobs that records are about.
+func jobsOf(records []plantainrail.KeyedRecord) []string {
+	ids := make([]string, len(records))
+	for i, r := range records {
+		ids[i] = planner.JobOf(r)
+	}
+	return ids
+}
+
 // sift answers the writes whose time is over and returns the others.
 func (w *writer) sift(batch []*write, err error, sure bool) []*write {
 	var rest []*write
--- a/planner/book.go
+++ b/planner/book.go
@@ -42,6 +42,11 @@
 	return plantainrail.KeyedRecord{Key: cancelKey + id, Value: []byte{1}}
 }
 
+// JobOf returns the ID of the job that a record of the topic of jobs is about.
+func JobOf(r plantainrail.KeyedRecord) string {
+	return strings.TrimPrefix(strings.TrimPrefix(r.Key, offerKey), cancelKey)
+}
+
 // Job returns a job by its ID, or nil.
 func (b *Book) Job(id string) *Job { return b.jobs[id] }
 
--- a/planner/place.go
+++ b/planner/place.go
@@ -223,7 +223,12 @@
 	id := plantainrail.TaskID{Job: c.job.ID, Occurrence: c.occurrence, Step: c.step, Index: c.tasks[0]}
 	w := Wait{Job: c.job.ID, Occurrence: c.occurrence, Step: c.step, Tasks: len(c.tasks), Obstacles: map[Obstacle]int{}}
 	for _, v := range p.vms {
-		if o := p.obstacle(v, p.service(c.job), c.job.Steps[c.step], id, c.job.task(id), now); o != "" {
+		o := p.obstacle(v, p.service(c.job), c.job.Steps[c.step], id, c.job.task(id), now)
+		if o == "" && c.job.Steps[c.step].Filler {
+			// Only what it would do to services keeps a filler off such a VM.
+			o = obstacleHarm
+		}
+		if o != "" {
 			w.Obstacles[o]++
 		}
 	}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -147,6 +147,7 @@
 	obstacleStrained Obstacle = "strained"
 	obstacleRoom     Obstacle = "room"
 	obstacleFilled   Obstacle = "filled"
+	obstacleHarm     Obstacle = "harm"
 )
 
 // obstacle tells why the VM may not get a task of the step at the instant.
--- /dev/null
+++ b/tracer/tracer_test.go
@@ -0,0 +1,47 @@
+package tracer_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail/tracer"
+)
+
+const entryLog = `{"level":"info","at":"2026-01-19T01:31:01.100Z","event":"job offered","job":"0a1b","answer":0}
+{"level":"info","at":"2026-01-19T01:31:01.150Z","event":"task placed","task":"0a1b.0.0.0","run":1,"node":"vm-1"}
+{"level":"info","at":"2026-01-19T01:31:02.000Z","event":"ownership lost","epoch":3,"reason":"fenced"}
+{"level":"info","at":"2026-01-19T01:31:01.160Z","event":"task placed","task":"0a1bc.0.0.0","run":1,"node":"vm-1"}
+{"level":"warn","at":"2026-01-19T01:31:01.050Z","event":"jobs not stored","jobs":["ffee","0a1b"],"error":"refused"}
+not a line of a log
+`
+
+const ownerLog = `  -0.5 entry-2 {"level":"info","at":"2026-01-19T01:31:03.300Z","event":"ownership gained","epoch":4}
+   1.2 entry-2 {"level":"info","at":"2026-01-19T01:31:03.400Z","event":"run ended","task":"0a1b.0.0.0","run":1,"how":"done"}
+   9.9 entry-2 {"level":"info","at":"2026-01-19T01:31:09.000Z","event":"ownership lost","epoch":4}
+`
+
+func TestStoryIsToldInOrderWithWhatFillsItsGaps(t *testing.T) {
+	tr := tracer.New("0a1b")
+	// The logs of a later owner may come first.
+	assert.NilError(t, tr.Read(strings.NewReader(ownerLog), "b.log"))
+	assert.NilError(t, tr.Read(strings.NewReader(entryLog), "a.log"))
+	story := tr.Story()
+	var got []string
+	for _, l := range story.Lines {
+		got = append(got, l.Source+" "+l.Event)
+	}
+	assert.DeepEqual(t, got, []string{
+		"a.log jobs not stored", "a.log job offered", "a.log task placed", "a.log ownership lost", "entry-2 ownership gained", "entry-2 run ended",
+	})
+	assert.Equal(t, story.Skipped, 1)
+	assert.Assert(t, story.Lines[3].Around && !story.Lines[2].Around)
+	assert.Equal(t, story.Lines[5].Fields["how"], "done")
+}
+
+func TestJobThatIsNotInTheLogs(t *testing.T) {
+	tr := tracer.New("ffff")
+	assert.NilError(t, tr.Read(strings.NewReader(entryLog), "a.log"))
+	assert.Equal(t, len(tr.Story().Lines), 0)
+}
