Rate each VM once a step and keep the planner's decisions in a fixed order

Cause: the planner walked maps, so that equal input could give different plans. It also rated every VM again for every task of a step.

Change: VMs, runs and active jobs are kept in order, uses of fillers are sorted by image, and a rating holds the scores of all VMs for one step; an assignment rates only its own VM again. Steps count their waiting and done tasks.

TestPlansRepeat fails on the code before.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -17,6 +17,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -62,6 +64,23 @@
 	TailLatency, TailObjective int
 }
 
+// Use is the number of cores that the fillers of an image use on a VM.
+type Use struct {
+	Image string
+	Cores float64
+}
+
+// NewUses returns the uses of a VM's fillers, given by image, in the order of the
+// images: sums of floating-point numbers depend on their order.
+func NewUses(cores map[string]float64) []Use {
+	uses := make([]Use, 0, len(cores))
+	for image, used := range cores {
+		uses = append(uses, Use{image, used})
+	}
+	slices.SortFunc(uses, func(a, b Use) int { return strings.Compare(a.Image, b.Image) })
+	return uses
+}
+
 // imagePair is a service's image and a filler's image.
 type imagePair struct{ service, filler string }
 
@@ -91,19 +110,19 @@
 }
 
 // Observe records what a worker measured on one VM: its services, and the cores
-// that fillers used there by image. Services without a tail latency are
-// skipped.
-func (e *Estimator) Observe(now time.Time, services []Service, cores map[string]float64) {
+// that fillers used there, with one Use for each image. Services without a tail
+// latency are skipped.
+func (e *Estimator) Observe(now time.Time, services []Service, uses []Use) {
 	for _, s := range services {
 		if s.TailLatency > 0 {
-			e.observeService(now, s, cores)
+			e.observeService(now, s, uses)
 		}
 	}
 }
 
 // observeService compares a service's measured load with the one expected from
 // the estimates, and corrects them by the difference.
-func (e *Estimator) observeService(now time.Time, s Service, cores map[string]float64) {
+func (e *Estimator) observeService(now time.Time, s Service, uses []Use) {
 	load := e.measureLoad(s)
 	own, known := e.ownLoads[s.Group]
 	if !known {
@@ -112,17 +131,17 @@
 	own.variance += ownLoadDrift * max(now.Sub(own.updatedAt).Seconds(), 0)
 	own.updatedAt = now
 	expected, variance := own.mean, own.variance+measurementNoise
-	for image, used := range cores {
-		perCore := e.perCore(s.Image, image)
-		expected += used * perCore.mean
-		variance += used * used * perCore.variance
+	for _, u := range uses {
+		perCore := e.perCore(s.Image, u.Image)
+		expected += u.Cores * perCore.mean
+		variance += u.Cores * u.Cores * perCore.variance
 	}
 	// The measured load is bounded by maxLoad, so the expected one is, too.
 	residual := load - math.Min(expected, maxLoad)
-	for image, used := range cores {
-		if used > 0 {
-			perCore := e.perCore(s.Image, image)
-			e.setInterference(imagePair{s.Image, image}, perCore.updated(residual, used, variance, interferenceDrift))
+	for _, u := range uses {
+		if u.Cores > 0 {
+			perCore := e.perCore(s.Image, u.Image)
+			e.setInterference(imagePair{s.Image, u.Image}, perCore.updated(residual, u.Cores, variance, interferenceDrift))
 		}
 	}
 	// The drift of the own load, which depends on time, was added above.
@@ -191,12 +210,11 @@
 // parameter image is the service's image, and filler is the filler's image.
 func (e *Estimator) LoadPerCore(image, filler string) float64 { return e.perCore(image, filler).mean }
 
-// FillerLoad returns the load that fillers add to a service with the given image; cores
-// holds the cores that the fillers use, by their image.
-func (e *Estimator) FillerLoad(serviceImage string, cores map[string]float64) float64 {
+// FillerLoad returns the load that fillers add to a service with the given image.
+func (e *Estimator) FillerLoad(serviceImage string, uses []Use) float64 {
 	sum := 0.0
-	for image, used := range cores {
-		sum += used * e.perCore(serviceImage, image).mean
+	for _, u := range uses {
+		sum += u.Cores * e.perCore(serviceImage, u.Image).mean
 	}
 	return sum
 }
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -57,7 +57,7 @@
 						load += 7 * f.interference
 					}
 				}
-				e.Observe(start.Add(at), []estimator.Service{{Group: "job", Image: "s", TailLatency: noisyTail(load, random), TailObjective: tailObjective}}, cores)
+				e.Observe(start.Add(at), []estimator.Service{{Group: "job", Image: "s", TailLatency: noisyTail(load, random), TailObjective: tailObjective}}, estimator.NewUses(cores))
 			}
 		}
 		heavy, light := e.LoadPerCore("s", "heavy"), e.LoadPerCore("s", "light")
@@ -85,19 +85,19 @@
 func TestDefaultsBeforeMeasurements(t *testing.T) {
 	e := estimator.New()
 	s := estimator.Service{Group: "job", Image: "s", TailObjective: tailObjective}
-	e.Observe(start, []estimator.Service{s}, map[string]float64{"f": 5})
+	e.Observe(start, []estimator.Service{s}, []estimator.Use{{Image: "f", Cores: 5}})
 	assert.Equal(t, e.OwnLoad("job"), 0.0, "a service without a tail latency must be skipped")
 	assert.Equal(t, e.LoadAtTailObjective(s), 1.0, "an unknown service must be assumed to tolerate any load")
 	first := e.LoadPerCore("s", "f")
 	assert.Assert(t, first > 0, "an unknown filler must be assumed to interfere a little")
-	assert.Equal(t, e.FillerLoad("s", map[string]float64{"f": 3}), 3*first)
+	assert.Equal(t, e.FillerLoad("s", []estimator.Use{{Image: "f", Cores: 3}}), 3*first)
 }
 
 func TestMemoryIsBounded(t *testing.T) {
 	e := estimator.New()
 	for i := range 20_000 {
 		image := fmt.Sprint("s", i)
-		e.Observe(start, []estimator.Service{{Group: image, Image: image, TailLatency: 50, TailObjective: tailObjective}}, map[string]float64{"f": 1})
+		e.Observe(start, []estimator.Service{{Group: image, Image: image, TailLatency: 50, TailObjective: tailObjective}}, []estimator.Use{{Image: "f", Cores: 1}})
 	}
 	kept := 0
 	for i := range 20_000 {
@@ -118,8 +118,8 @@
 			// Four cores of a rebuild raise the tail of the feeds by a quarter.
 			s.TailLatency, cores["rebuild"] = 25, 4
 		}
-		e.Observe(start.Add(time.Duration(at)*time.Second), []estimator.Service{s}, cores)
+		e.Observe(start.Add(time.Duration(at)*time.Second), []estimator.Service{s}, estimator.NewUses(cores))
 	}
-	fmt.Printf("load at objective %.1f, four cores add %.1f\n", e.LoadAtTailObjective(s), e.FillerLoad("feed", map[string]float64{"rebuild": 4}))
+	fmt.Printf("load at objective %.1f, four cores add %.1f\n", e.LoadAtTailObjective(s), e.FillerLoad("feed", []estimator.Use{{Image: "rebuild", Cores: 4}}))
 	// Output: load at objective 0.8, four cores add 0.2
 }
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -57,14 +57,15 @@
 	for image, millicores := range usedMillicores {
 		cores[image] = float64(millicores) / millicoresPerCore
 	}
+	uses := estimator.NewUses(cores)
 	var services []estimator.Service
-	for ref, tail := range tails {
-		if run := v.runs[ref]; run != nil && run.step().HasTailObjective() {
+	for _, run := range v.orderedRuns {
+		if tail, measured := tails[run.ref()]; measured && run.step().HasTailObjective() {
 			run.tailLatency = tail
 			services = append(services, run.measuredService())
 		}
 	}
-	p.estimator.Observe(now, services, cores)
+	p.estimator.Observe(now, services, uses)
 }
 
 // measuredService returns the service with its latest tail latency. The users of
@@ -94,18 +95,19 @@
 	v.headroomsAt = now
 	// Fillers count with the processors that they request, not those they use.
 	fillerCores := map[string]float64{}
-	for _, run := range v.runs {
+	for _, run := range v.orderedRuns {
 		if step := run.step(); step.Filler {
 			fillerCores[step.Image] += float64(step.CPU) / millicoresPerCore
 		}
 	}
+	uses := estimator.NewUses(fillerCores)
 	v.headrooms = []serviceHeadroom{}
-	for _, run := range v.runs {
+	for _, run := range v.orderedRuns {
 		if run.step().HasTailObjective() {
 			measured := run.measuredService()
 			ownLoad := p.estimator.OwnLoad(measured.Group)
 			v.headrooms = append(v.headrooms, serviceHeadroom{
-				run: run, headroom: p.estimator.LoadAtTailObjective(measured) - ownLoad - p.estimator.FillerLoad(measured.Image, fillerCores),
+				run: run, headroom: p.estimator.LoadAtTailObjective(measured) - ownLoad - p.estimator.FillerLoad(measured.Image, uses),
 			})
 		}
 	}
@@ -118,7 +120,7 @@
 // objectives, as a share of the VM's processors. A service counts in part if the
 // filler would only bring it close to its latency objective, and counts less if
 // its headroom is below minHeadroom already.
-func (p *Planner) interference(v *vm, step plantainrail.Step, now time.Time) float64 {
+func (p *Planner) interference(v *vm, step *plantainrail.Step, now time.Time) float64 {
 	cores := float64(step.CPU) / millicoresPerCore
 	sum := 0.0
 	for _, s := range p.serviceHeadrooms(v, now) {
@@ -174,9 +176,9 @@
 // affinityWeight. It averages over the services on the VM. Services of one job
 // have their load peaks at the same time, and those of one image tolerate the
 // same fillers, so co-locating them leaves more VMs for each filler.
-func (v *vm) affinity(j *Job, step plantainrail.Step) float64 {
+func (v *vm) affinity(j *Job, step *plantainrail.Step) float64 {
 	sum, services := 0.0, 0.0
-	for _, run := range v.runs {
+	for _, run := range v.orderedRuns {
 		s := run.step()
 		if !s.HasTailObjective() {
 			continue
--- a/planner/interference_test.go
+++ b/planner/interference_test.go
@@ -60,6 +60,8 @@
 type poolModel struct {
 	*harness
 	vms map[plantainrail.WorkerIncarnation]*modelVM
+	// ordered holds the same VMs in the order in which they were added.
+	ordered []*modelVM
 	// interferencePerCore is the load that one core of a filler adds to a
 	// service, by the service's image and the filler's image.
 	interferencePerCore map[[2]string]float64
@@ -70,6 +72,8 @@
 	// fillers that have ended.
 	timeOverObjective time.Duration
 	fillersDone       int
+	// assignments lists all assignments in their order.
+	assignments []string
 }
 
 func newPoolModel(t *testing.T, vms int, seed uint64, reportsMeasurements bool) *poolModel {
@@ -81,7 +85,8 @@
 		vm := newVM(fmt.Sprintf("vm-%02d", i), 64_000)
 		vm.Capacity.Memory = 1 << 20
 		m.report(vm)
-		m.vms[vm.Incarnation] = &modelVM{incarnation: vm.Incarnation}
+		m.ordered = append(m.ordered, &modelVM{incarnation: vm.Incarnation})
+		m.vms[vm.Incarnation] = m.ordered[i]
 	}
 	return m
 }
@@ -91,7 +96,7 @@
 	const step = 100 * time.Millisecond
 	for until := m.now.Add(duration); m.now.Before(until); m.now = m.now.Add(step) {
 		m.startRuns(m.tick())
-		for _, vm := range m.vms {
+		for _, vm := range m.ordered {
 			m.planner.Renew(vm.incarnation, m.now)
 			m.advanceVM(vm, step)
 			if m.reportsMeasurements && m.now.Sub(start)%reportInterval == 0 {
@@ -106,6 +111,7 @@
 func (m *poolModel) startRuns(plan planner.Plan) {
 	assert.Equal(m.t, len(plan.Stops), 0, "placement must not stop runs")
 	for _, a := range plan.Assignments {
+		m.assignments = append(m.assignments, fmt.Sprint(a.Order.Ref.Task, " on ", a.Incarnation.Node))
 		step := m.planner.Book.Job(a.Order.Ref.Task.Job).Steps[a.Order.Ref.Task.Step]
 		vm := m.vms[a.Incarnation]
 		run := modelRun{ref: a.Order.Ref, image: step.Image, cores: float64(step.CPU) / 1000}
@@ -195,6 +201,16 @@
 	return m
 }
 
+// Guards against decisions that depend on the order of a map: two planners with the same
+// input must decide the same, in the same order.
+func TestPlansRepeat(t *testing.T) {
+	first := simulateColocation(t, 1, true)
+	for range 3 {
+		again := simulateColocation(t, 1, true)
+		assert.DeepEqual(t, first.assignments, again.assignments)
+	}
+}
+
 // Load pattern: neighbours. Guards against fillers that slow services on the same
 // VM: compared with a planner that gets no measurements, and so places by free
 // resources alone, the learned interference must halve the time over the latency
--- a/planner/job.go
+++ b/planner/job.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -51,8 +53,40 @@
 	Checkpoint string
 }
 
-// occurrence holds the tasks of one repetition of a job, by step and index.
-type occurrence [][]Task
+// stepTasks holds the tasks of one step in one occurrence of a job, by index.
+// waiting and done count the tasks in these phases.
+type stepTasks struct {
+	tasks         []Task
+	waiting, done int
+}
+
+// newStepTasks returns the given tasks with their counts.
+func newStepTasks(tasks []Task) stepTasks {
+	s := stepTasks{tasks: tasks}
+	for i := range tasks {
+		s.count(tasks[i].Phase, 1)
+	}
+	return s
+}
+
+// setPhase changes the phase of the task with the index.
+func (s *stepTasks) setPhase(index int, phase Phase) {
+	s.count(s.tasks[index].Phase, -1)
+	s.tasks[index].Phase = phase
+	s.count(phase, 1)
+}
+
+func (s *stepTasks) count(phase Phase, n int) {
+	switch phase {
+	case Waiting:
+		s.waiting += n
+	case Done:
+		s.done += n
+	}
+}
+
+// occurrence holds the tasks of one repetition of a job, by step.
+type occurrence []stepTasks
 
 // Job is a workflow and its progress.
 type Job struct {
@@ -103,7 +137,7 @@
 	}
 	o := make(occurrence, len(j.Steps))
 	for i, step := range j.Steps {
-		o[i] = make([]Task, step.Count)
+		o[i] = newStepTasks(make([]Task, step.Count))
 	}
 	j.occurrences[k] = o
 	return o
@@ -112,10 +146,15 @@
 // task returns a task, or nil if its occurrence has not begun or has ended.
 func (j *Job) task(id plantainrail.TaskID) *Task {
 	o := j.occurrences[id.Occurrence]
-	if id.Step >= len(o) || id.Index >= len(o[id.Step]) {
+	if id.Step >= len(o) || id.Index >= len(o[id.Step].tasks) {
 		return nil
 	}
-	return &o[id.Step][id.Index]
+	return &o[id.Step].tasks[id.Index]
+}
+
+// setPhase changes the phase of a task whose occurrence has begun and not ended.
+func (j *Job) setPhase(id plantainrail.TaskID, phase Phase) {
+	j.occurrences[id.Occurrence][id.Step].setPhase(id.Index, phase)
 }
 
 // dependenciesDone reports whether all tasks of the steps that a step depends
@@ -125,10 +164,8 @@
 		if dependency < 0 || dependency >= len(o) {
 			continue
 		}
-		for i := range o[dependency] {
-			if o[dependency][i].Phase != Done {
-				return false
-			}
+		if o[dependency].done < len(o[dependency].tasks) {
+			return false
 		}
 	}
 	return true
@@ -154,21 +191,20 @@
 
 // done reports whether all tasks of the occurrence are done.
 func (o occurrence) done() bool {
-	for _, tasks := range o {
-		for i := range tasks {
-			if tasks[i].Phase != Done {
-				return false
-			}
+	for i := range o {
+		if o[i].done < len(o[i].tasks) {
+			return false
 		}
 	}
 	return true
 }
 
 // eachTask calls f for every task of the occurrences that have begun and not
-// ended.
+// ended, in ascending order.
 func (j *Job) eachTask(f func(id plantainrail.TaskID, t *Task)) {
-	for k, o := range j.occurrences {
-		for s, tasks := range o {
+	for _, k := range slices.Sorted(maps.Keys(j.occurrences)) {
+		for s := range j.occurrences[k] {
+			tasks := j.occurrences[k][s].tasks
 			for i := range tasks {
 				f(plantainrail.TaskID{Job: j.ID, Occurrence: k, Step: s, Index: i}, &tasks[i])
 			}
@@ -203,7 +239,8 @@
 func (j *Job) Progress() ([]byte, error) {
 	p := progress{State: j.State, Started: j.Started}
 	incarnations := map[plantainrail.WorkerIncarnation]int{}
-	for k, o := range j.occurrences {
+	for _, k := range slices.Sorted(maps.Keys(j.occurrences)) {
+		o := j.occurrences[k]
 		if len(o) == 0 {
 			p.Closed = append(p.Closed, k)
 			continue
@@ -212,8 +249,8 @@
 			p.Open = map[int][][]taskRecord{}
 		}
 		p.Open[k] = make([][]taskRecord, len(o))
-		for s, tasks := range o {
-			for _, t := range tasks {
+		for s := range o {
+			for _, t := range o[s].tasks {
 				r := taskRecord{Phase: t.Phase, Run: t.Run, Failures: t.Failures}
 				if t.Phase != Done {
 					r.Checkpoint = t.Checkpoint
@@ -249,13 +286,15 @@
 	for k, steps := range p.Open {
 		o := make(occurrence, len(steps))
 		for s, records := range steps {
+			tasks := make([]Task, 0, len(records))
 			for _, r := range records {
 				t := Task{Phase: r.Phase, Run: r.Run, Failures: r.Failures, Checkpoint: r.Checkpoint}
 				if r.Incarnation > 0 && r.Incarnation <= len(p.Incarnations) {
 					t.Incarnation = p.Incarnations[r.Incarnation-1]
 				}
-				o[s] = append(o[s], t)
+				tasks = append(tasks, t)
 			}
+			o[s] = newStepTasks(tasks)
 		}
 		j.occurrences[k] = o
 	}
--- a/planner/place.go
+++ b/planner/place.go
@@ -1,7 +1,7 @@
 package planner
 
 import (
-	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -13,8 +13,17 @@
 	job        *Job
 	occurrence int
 	step       int
-	// tasks holds the indexes of the tasks that waited when the tick began.
-	tasks []int
+}
+
+// definition returns the step as submitted, which must not be changed.
+func (r readyStep) definition() *plantainrail.Step { return &r.job.Steps[r.step] }
+
+// tasks returns the step's tasks.
+func (r readyStep) tasks() []Task { return r.job.occurrences[r.occurrence][r.step].tasks }
+
+// taskID returns the ID of the task with the index.
+func (r readyStep) taskID(index int) plantainrail.TaskID {
+	return plantainrail.TaskID{Job: r.job.ID, Occurrence: r.occurrence, Step: r.step, Index: index}
 }
 
 // shape holds all properties of a task that decide whether a VM can take it,
@@ -31,26 +40,18 @@
 	mayWait bool
 }
 
-// place assigns tasks that are ready to VMs with enough free resources. It goes
-// on with the next step once a task of a step finds no VM, since the step's other
-// tasks request the same resources.
+// place assigns tasks that are ready to VMs with enough free resources, in the order
+// in which the jobs are served.
 func (p *Planner) place(now time.Time) []Assignment {
 	var out []Assignment
 	// A shape that finds no VM is not tried again in this tick, in which free
 	// resources only shrink.
 	clear(p.unplaceable)
 	for _, ready := range p.readySteps(now) {
-		if ready.job.Steps[ready.step].Gang {
+		if ready.definition().Gang {
 			out = append(out, p.placeGang(ready, now)...)
-			continue
-		}
-		for _, index := range ready.tasks {
-			a, ok := p.placeTask(ready, index, now)
-			if !ok {
-				p.recordUnplaced(ready, now)
-				break
-			}
-			out = append(out, a)
+		} else {
+			out = append(out, p.placeStep(ready, now)...)
 		}
 	}
 	return out
@@ -73,59 +74,55 @@
 			}
 			o := j.openOccurrence(k)
 			for s := range o {
-				ready := readyStep{job: j, occurrence: k, step: s, tasks: waitingTasks(o[s])}
-				if len(ready.tasks) > 0 && j.dependenciesDone(o, s) {
-					out = append(out, ready)
+				if o[s].waiting > 0 && j.dependenciesDone(o, s) {
+					out = append(out, readyStep{job: j, occurrence: k, step: s})
 				}
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b readyStep) int {
-		return cmp.Or(
-			cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority), cmp.Compare(a.job.arrival, b.job.arrival),
-			cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step),
-		)
-	})
 	return out
 }
 
-// waitingTasks returns the indexes of the tasks that are waiting.
-func waitingTasks(tasks []Task) []int {
-	var out []int
-	for i := range tasks {
-		if tasks[i].Phase == Waiting {
-			out = append(out, i)
-		}
+// shapeOf returns the shape of a step's tasks.
+func (p *Planner) shapeOf(ready readyStep, now time.Time) shape {
+	step := ready.definition()
+	s := shape{pool: p.vmPool(ready.job), label: step.VMLabel, resources: step.Reservation(), filler: step.Filler}
+	if step.Filler {
+		s.image, s.mayWait = step.Image, ready.job.fillersMayWait(now)
 	}
-	return out
+	return s
 }
 
-// placeTask assigns one task of a ready step. It returns false if no VM can take
-// the task now.
-func (p *Planner) placeTask(ready readyStep, index int, now time.Time) (Assignment, bool) {
-	id := plantainrail.TaskID{Job: ready.job.ID, Occurrence: ready.occurrence, Step: ready.step, Index: index}
-	t := ready.job.task(id)
-	step := ready.job.Steps[ready.step]
-	taskShape := shape{pool: p.vmPool(ready.job), label: step.VMLabel, resources: step.Reservation(), filler: step.Filler}
-	if step.Filler {
-		taskShape.image, taskShape.mayWait = step.Image, ready.job.fillersMayWait(now)
-	}
+// placeStep assigns waiting tasks of a step until one finds no VM, since the step's
+// other tasks request the same resources.
+func (p *Planner) placeStep(ready readyStep, now time.Time) []Assignment {
+	taskShape := p.shapeOf(ready, now)
 	if p.unplaceable[taskShape] {
 		if taskShape.mayWait {
-			// The job's fillers wait; chooseVM, which usually records this, is
-			// not called.
 			ready.job.trackFillerWait(true, now)
 		}
-		return Assignment{}, false
+		p.recordUnplaced(ready, now)
+		return nil
 	}
-	v := p.chooseVM(ready, id, t, now)
-	if v == nil {
-		if step.MaxPerVM == 0 && t.Failures == 0 {
-			p.unplaceable[taskShape] = true
+	var out []Assignment
+	r := p.rate(ready, taskShape, now)
+	for index := range ready.tasks() {
+		t := &ready.tasks()[index]
+		if t.Phase != Waiting {
+			continue
+		}
+		v := r.choose(t)
+		if v == nil {
+			if ready.definition().MaxPerVM == 0 && t.Failures == 0 {
+				p.unplaceable[taskShape] = true
+			}
+			p.recordUnplaced(ready, now)
+			break
 		}
-		return Assignment{}, false
+		out = append(out, p.assign(v, ready.job, ready.taskID(index), t, t.Run+1, now))
+		r.refresh(v)
 	}
-	return p.assign(v, ready.job, id, t, t.Run+1, now), true
+	return out
 }
 
 // placeGang assigns all members of a gang, or none. It assigns none unless all
@@ -133,8 +130,8 @@
 // checkpoint. The checkpoint is that of a member that has one, or empty if none
 // has.
 func (p *Planner) placeGang(ready readyStep, now time.Time) []Assignment {
-	tasks := ready.job.occurrences[ready.occurrence][ready.step]
-	if len(ready.tasks) < len(tasks) {
+	tasks := ready.tasks()
+	if ready.job.occurrences[ready.occurrence][ready.step].waiting < len(tasks) {
 		return nil
 	}
 	run, checkpoint := int64(0), ""
@@ -147,10 +144,10 @@
 	started := ready.job.Started
 	savedTasks := slices.Clone(tasks)
 	var out []Assignment
-	for _, index := range ready.tasks {
-		id := plantainrail.TaskID{Job: ready.job.ID, Occurrence: ready.occurrence, Step: ready.step, Index: index}
-		t := ready.job.task(id)
-		v := p.chooseVM(ready, id, t, now)
+	r := p.rate(ready, p.shapeOf(ready, now), now)
+	for index := range tasks {
+		t := &tasks[index]
+		v := r.choose(t)
 		if v == nil {
 			p.recordUnplaced(ready, now)
 			// Undo the assignments of the members placed so far.
@@ -159,11 +156,13 @@
 				memberVM.removeRun(memberVM.runs[a.Order.Ref])
 			}
 			copy(tasks, savedTasks)
+			ready.job.occurrences[ready.occurrence][ready.step] = newStepTasks(tasks)
 			ready.job.Started = started
 			return nil
 		}
 		t.Checkpoint = checkpoint
-		out = append(out, p.assign(v, ready.job, id, t, run+1, now))
+		out = append(out, p.assign(v, ready.job, ready.taskID(index), t, run+1, now))
+		r.refresh(v)
 	}
 	return out
 }
@@ -171,7 +170,8 @@
 // assign places a run of a task on a VM. The assignment must be stored before the
 // run may be started (see MarkStored).
 func (p *Planner) assign(v *vm, j *Job, id plantainrail.TaskID, t *Task, run int64, now time.Time) Assignment {
-	t.Phase, t.Run, t.Incarnation = Placed, run, v.Incarnation
+	j.setPhase(id, Placed)
+	t.Run, t.Incarnation = run, v.Incarnation
 	j.Started = true
 	p.markChanged(j)
 	v.addRun(j, id, t, false)
@@ -179,51 +179,93 @@
 	return Assignment{Incarnation: v.Incarnation, Order: v.runs[plantainrail.RunRef{Task: id, Run: run}].order()}
 }
 
-// chooseVM returns the VM for a task, or nil if there is none. Among the VMs that
-// can take the task it returns the one with the highest score, and among equal
-// ones the one whose node's name sorts first. For a filler, interference with
-// services lowers the score, and a VM with too much of it is left out while the
-// job's fillers may wait. chooseVM then also records whether they wait.
-func (p *Planner) chooseVM(ready readyStep, id plantainrail.TaskID, t *Task, now time.Time) *vm {
-	step := ready.job.Steps[ready.step]
-	pool := p.vmPool(ready.job)
-	mayWait := step.Filler && ready.job.fillersMayWait(now)
-	var best *vm
-	var bestScore float64
-	for _, v := range p.vms {
-		if p.taskObstacle(v, pool, step, id, t, now) != "" {
-			continue
-		}
-		score := v.score(ready.job, step)
-		if step.Filler {
-			interference := p.interference(v, step, now)
-			if interference > maxInterference && mayWait {
-				continue
-			}
-			score -= interferenceWeight * interference
+// rating holds the scores of all VMs for the tasks of one step. Assigning a task
+// changes the score of its VM alone, so a step of many tasks rates each VM once and
+// then only those that got a task.
+type rating struct {
+	planner *Planner
+	ready   readyStep
+	shape   shape
+	now     time.Time
+	// scores holds the score of each of Planner.ordered; unsuitable means that the VM
+	// cannot take a task of the step.
+	scores []float64
+}
+
+// unsuitable is the score of a VM that cannot take a task.
+var unsuitable = math.Inf(-1)
+
+// rate rates all VMs for the tasks of a step. At most one rating is used at a time.
+func (p *Planner) rate(ready readyStep, s shape, now time.Time) *rating {
+	p.scores = p.scores[:0]
+	r := &rating{planner: p, ready: ready, shape: s, now: now}
+	for _, v := range p.ordered {
+		p.scores = append(p.scores, r.score(v))
+	}
+	r.scores = p.scores
+	return r
+}
+
+// score returns the score of a VM. For a filler, interference with services lowers the
+// score, and a VM with too much of it is left out while the job's fillers may wait.
+func (r *rating) score(v *vm) float64 {
+	p, step := r.planner, r.ready.definition()
+	if p.stepObstacle(v, r.shape.pool, r.ready, r.now) != "" {
+		return unsuitable
+	}
+	score := v.score(r.ready.job, step)
+	if step.Filler {
+		interference := p.interference(v, step, r.now)
+		if interference > maxInterference && r.shape.mayWait {
+			return unsuitable
 		}
-		if best == nil || score > bestScore || score == bestScore && v.Incarnation.Node < best.Incarnation.Node {
+		score -= interferenceWeight * interference
+	}
+	return score
+}
+
+// refresh rates a VM again.
+func (r *rating) refresh(v *vm) {
+	at, found := slices.BinarySearchFunc(r.planner.ordered, v.Incarnation, compareIncarnation)
+	if found {
+		r.scores[at] = r.score(v)
+	}
+}
+
+// choose returns the VM with the highest score for a task, or nil if no VM can take it.
+// Among equal VMs it returns the first in the order of their nodes' names. While the
+// job's fillers may wait, choose also records whether they do.
+func (r *rating) choose(t *Task) *vm {
+	var best *vm
+	bestScore := unsuitable
+	for i, score := range r.scores {
+		if v := r.planner.ordered[i]; score > bestScore && !r.planner.failedOn(t, v) {
 			best, bestScore = v, score
 		}
 	}
-	if mayWait {
-		ready.job.trackFillerWait(best == nil, now)
+	if r.shape.mayWait {
+		r.ready.job.trackFillerWait(best == nil, r.now)
 	}
 	return best
 }
 
-// taskObstacle returns why the VM cannot take the task, or an empty Obstacle. It
-// does not consider interference.
-func (p *Planner) taskObstacle(v *vm, pool string, step plantainrail.Step, id plantainrail.TaskID, t *Task, now time.Time) Obstacle {
+// failedOn reports whether a task that has failed must avoid the VM, because its newest
+// run was on the same node.
+func (p *Planner) failedOn(t *Task, v *vm) bool {
+	return t.Failures > 0 && v.Incarnation.Node == t.Incarnation.Node && len(p.vms) > 1
+}
+
+// stepObstacle returns why the VM cannot take any task of the step, or an empty
+// Obstacle. It does not consider interference.
+func (p *Planner) stepObstacle(v *vm, pool string, ready readyStep, now time.Time) Obstacle {
+	step := ready.definition()
 	switch o := v.stepObstacle(pool, step, now); {
 	case o != "":
 		return o
 	case p.config.Out[v.Zone]:
 		return obstacleZone
-	case step.MaxPerVM > 0 && v.runsOfStep(id) >= step.MaxPerVM:
+	case step.MaxPerVM > 0 && v.runsOfStep(ready.taskID(0)) >= step.MaxPerVM:
 		return obstaclePerVM
-	case t.Failures > 0 && v.Incarnation.Node == t.Incarnation.Node && len(p.vms) > 1:
-		return obstacleFailed
 	}
 	return ""
 }
@@ -237,7 +279,7 @@
 	Job        string
 	Occurrence int
 	Step       int
-	// Tasks is the number of the step's tasks that waited when the tick began.
+	// Tasks is the number of the step's waiting tasks.
 	Tasks int
 	// Obstacles counts the VMs by the reason why they cannot take the first of these
 	// tasks.
@@ -246,28 +288,32 @@
 
 // recordUnplaced records that a task of a ready step cannot be placed on any VM, unless a
 // step of the job was recorded less than unplacedReportInterval ago. The recorded obstacles
-// are always those of the step's first ready task, even if a later task is the one without
-// a VM. The first task may have been placed already in this tick; then the obstacles are
-// computed as if it had to be placed once more.
+// are those of the step's first waiting task.
 func (p *Planner) recordUnplaced(ready readyStep, now time.Time) {
 	if now.Sub(ready.job.unplacedReportedAt) < unplacedReportInterval {
 		return
 	}
 	ready.job.unplacedReportedAt = now
-	id := plantainrail.TaskID{Job: ready.job.ID, Occurrence: ready.occurrence, Step: ready.step, Index: ready.tasks[0]}
-	unplaced := UnplacedStep{Job: ready.job.ID, Occurrence: ready.occurrence, Step: ready.step, Tasks: len(ready.tasks), Obstacles: map[Obstacle]int{}}
-	for _, v := range p.vms {
-		o := p.taskObstacle(v, p.vmPool(ready.job), ready.job.Steps[ready.step], id, ready.job.task(id), now)
-		if o == "" && ready.job.Steps[ready.step].Filler {
+	tasks, obstacles := ready.tasks(), map[Obstacle]int{}
+	first := &tasks[slices.IndexFunc(tasks, func(t Task) bool { return t.Phase == Waiting })]
+	for _, v := range p.ordered {
+		o := p.stepObstacle(v, p.vmPool(ready.job), ready, now)
+		if o == "" && p.failedOn(first, v) {
+			o = obstacleFailed
+		}
+		if o == "" && ready.definition().Filler {
 			// Without another obstacle, only interference with services keeps a
 			// filler off a VM.
 			o = obstacleInterference
 		}
 		if o != "" {
-			unplaced.Obstacles[o]++
+			obstacles[o]++
 		}
 	}
-	p.unplaced = append(p.unplaced, unplaced)
+	p.unplaced = append(p.unplaced, UnplacedStep{
+		Job: ready.job.ID, Occurrence: ready.occurrence, Step: ready.step,
+		Tasks: ready.job.occurrences[ready.occurrence][ready.step].waiting, Obstacles: obstacles,
+	})
 }
 
 // rackWeight is added to the score of a VM in the rack of the data. It ranks the
@@ -278,7 +324,7 @@
 // better. It adds up rackWeight for a VM in the rack of the data, the affinity of
 // a service with those on the VM, and the share of free processors, which is at
 // most 1 and decides between VMs that are equal otherwise.
-func (v *vm) score(j *Job, step plantainrail.Step) float64 {
+func (v *vm) score(j *Job, step *plantainrail.Step) float64 {
 	score := float64(v.Capacity.Processors-v.reserved.Processors-v.fillerMillicores) / float64(max(v.Capacity.Processors, 1))
 	if step.HasTailObjective() {
 		score += v.affinity(j, step)
@@ -293,10 +339,8 @@
 // configuration gives for the job's queue or, if the queue is no longer
 // configured, the one that the job was accepted with.
 func (p *Planner) vmPool(j *Job) string {
-	for _, q := range p.config.Queues {
-		if q.Name == j.Queue.Name {
-			return q.Pool
-		}
+	if pool, configured := p.pools[j.Queue.Name]; configured {
+		return pool
 	}
 	return j.Queue.Pool
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -6,6 +6,9 @@
 package planner
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/plantainrail/plantainrail"
@@ -67,15 +70,22 @@
 	timeouts Timeouts
 	config   plantainrail.OperatorConfig
 	vms      map[plantainrail.WorkerIncarnation]*vm
-	// active holds, by ID, the jobs that are not final or still have placed
-	// tasks.
-	active map[string]*Job
+	// ordered holds the VMs in the order of their incarnations, so that decisions
+	// do not depend on the order of a map.
+	ordered []*vm
+	// active holds the jobs that are not final or still have placed tasks, in the
+	// order in which they are served: by priority of the queue, then by arrival.
+	active []*Job
+	// pools maps the configured queues to their pools of VMs.
+	pools map[string]string
 	// changed, stops and unplaced are collected for the next Plan.
 	changed  map[string]*Job
 	stops    []Stop
 	unplaced []UnplacedStep
 	// unplaceable holds the shapes that found no VM in the current tick.
 	unplaceable map[shape]bool
+	// scores is the buffer of the ratings of the step that is being placed.
+	scores []float64
 	// estimator learns how fillers interfere with services.
 	estimator *estimator.Estimator
 }
@@ -87,15 +97,53 @@
 func New(book *Book, timeouts Timeouts, now time.Time) *Planner {
 	p := &Planner{
 		Book: book, timeouts: timeouts, vms: map[plantainrail.WorkerIncarnation]*vm{},
-		active: map[string]*Job{}, changed: map[string]*Job{}, unplaceable: map[shape]bool{},
+		changed: map[string]*Job{}, unplaceable: map[shape]bool{},
 		estimator: estimator.New(),
 	}
-	for _, j := range book.jobs {
+	for _, j := range slices.SortedFunc(maps.Values(book.jobs), compareArrival) {
 		p.activate(j, now)
 	}
 	return p
 }
 
+func compareArrival(a, b *Job) int { return cmp.Compare(a.arrival, b.arrival) }
+
+// compareActive orders the active jobs: by priority of the queue, then by arrival.
+func compareActive(a, b *Job) int {
+	return cmp.Or(cmp.Compare(a.Queue.Priority, b.Queue.Priority), compareArrival(a, b))
+}
+
+// isActive reports whether a job is among the active ones.
+func (p *Planner) isActive(j *Job) bool {
+	_, found := slices.BinarySearchFunc(p.active, j, compareActive)
+	return found
+}
+
+// addVM adds a VM, and returns it.
+func (p *Planner) addVM(v *vm) *vm {
+	p.vms[v.Incarnation] = v
+	at, _ := slices.BinarySearchFunc(p.ordered, v.Incarnation, compareIncarnation)
+	p.ordered = slices.Insert(p.ordered, at, v)
+	return v
+}
+
+// compareIncarnation compares a VM's incarnation with another one, by node, ID and start.
+func compareIncarnation(v *vm, other plantainrail.WorkerIncarnation) int {
+	return cmp.Or(
+		cmp.Compare(v.Incarnation.Node, other.Node), cmp.Compare(v.Incarnation.ID, other.ID), cmp.Compare(v.Incarnation.StartedMS, other.StartedMS),
+	)
+}
+
+// vmsOfNode returns the VMs on a node: one for each incarnation of the node's worker.
+func (p *Planner) vmsOfNode(node string) []*vm {
+	first, _ := slices.BinarySearchFunc(p.ordered, plantainrail.WorkerIncarnation{Node: node}, compareIncarnation)
+	last := first
+	for last < len(p.ordered) && p.ordered[last].Incarnation.Node == node {
+		last++
+	}
+	return slices.Clone(p.ordered[first:last])
+}
+
 // activate adds the placed tasks of a job to their VMs, and the job to the active
 // ones unless it is final and has no placed task. If the job is final, activate
 // orders the stop of its placed tasks. A VM whose worker has not reported yet is
@@ -110,14 +158,14 @@
 		placed = true
 		v := p.vms[t.Incarnation]
 		if v == nil {
-			v = newVM(plantainrail.VM{Incarnation: t.Incarnation}, now.Add(p.timeouts.TakeoverGrace))
-			p.vms[t.Incarnation] = v
+			v = p.addVM(newVM(plantainrail.VM{Incarnation: t.Incarnation}, now.Add(p.timeouts.TakeoverGrace)))
 		}
 		// The assignment is known from the store, so it is stored.
 		v.addRun(j, id, t, true)
 	})
 	if placed || !j.State.Final() {
-		p.active[j.ID] = j
+		at, _ := slices.BinarySearchFunc(p.active, j, compareActive)
+		p.active = slices.Insert(p.active, at, j)
 	}
 	if j.State.Final() {
 		// The earlier owner may not have delivered its stops to the workers.
@@ -135,14 +183,21 @@
 }
 
 // Configure replaces the operators' configuration.
-func (p *Planner) Configure(s plantainrail.OperatorConfig) { p.config = s }
+func (p *Planner) Configure(s plantainrail.OperatorConfig) {
+	p.config, p.pools = s, make(map[string]string, len(s.Queues))
+	for _, q := range s.Queues {
+		if _, known := p.pools[q.Name]; !known {
+			p.pools[q.Name] = q.Pool
+		}
+	}
+}
 
 // ApplyJob applies a record of the jobs topic. A cancellation takes effect in the
 // next Tick. ApplyJob returns an error if the record, or progress of the job that
 // was read before it, cannot be decoded.
 func (p *Planner) ApplyJob(r plantainrail.KeyedRecord, now time.Time) error {
 	j, err := p.Book.ApplyJob(r)
-	if err != nil || j == nil || p.active[j.ID] == j {
+	if err != nil || j == nil || p.isActive(j) {
 		return err
 	}
 	p.activate(j, now)
@@ -165,8 +220,8 @@
 // before the first UpdateWorker of the new incarnation, which requeues all other runs
 // of the earlier one.
 func (p *Planner) ApplyPredecessorEnds(incarnation plantainrail.WorkerIncarnation, ends []plantainrail.RunEnd, now time.Time) {
-	for _, v := range p.vms {
-		if v.Incarnation.Node != incarnation.Node || v.Incarnation.ID != incarnation.ID || v.Incarnation == incarnation {
+	for _, v := range p.vmsOfNode(incarnation.Node) {
+		if v.Incarnation.ID != incarnation.ID || v.Incarnation == incarnation {
 			continue
 		}
 		for _, end := range ends {
@@ -181,15 +236,14 @@
 // the worker as connected. All other incarnations on the same node are removed
 // and their runs requeued.
 func (p *Planner) UpdateWorker(reported plantainrail.VM, now time.Time) {
-	for incarnation, v := range p.vms {
-		if incarnation.Node == reported.Incarnation.Node && incarnation != reported.Incarnation {
+	for _, v := range p.vmsOfNode(reported.Incarnation.Node) {
+		if v.Incarnation != reported.Incarnation {
 			p.removeVM(v)
 		}
 	}
 	v := p.vms[reported.Incarnation]
 	if v == nil {
-		v = newVM(reported, now)
-		p.vms[reported.Incarnation] = v
+		v = p.addVM(newVM(reported, now))
 	}
 	v.VM, v.connected = reported, true
 	// The agent has a session with this owner and accepts no more renewals from
@@ -288,10 +342,10 @@
 	if v == nil {
 		return nil, nil
 	}
-	for ref, run := range v.runs {
+	for _, run := range v.orderedRuns {
 		switch {
 		case run.stopping:
-			stops = append(stops, ref)
+			stops = append(stops, run.ref())
 		case run.stored:
 			orders = append(orders, run.order())
 		}
@@ -310,7 +364,7 @@
 		t.Checkpoint = end.Checkpoint
 	}
 	v.removeRun(run)
-	t.Phase = Waiting
+	j.setPhase(run.id, Waiting)
 	p.markChanged(j)
 	v.recordOutcome(j.ID, end.Outcome, now)
 	switch {
@@ -329,7 +383,7 @@
 // runs or, for a gang, the sum of all.
 func (j *Job) failures(id plantainrail.TaskID, gang bool) int {
 	worst, sum := 0, 0
-	for _, t := range j.occurrences[id.Occurrence][id.Step] {
+	for _, t := range j.occurrences[id.Occurrence][id.Step].tasks {
 		worst, sum = max(worst, t.Failures), sum+t.Failures
 	}
 	if gang {
@@ -344,18 +398,17 @@
 // completeTask marks a task as done. One member of a gang completes the whole
 // gang.
 func (p *Planner) completeTask(j *Job, id plantainrail.TaskID) {
-	tasks := j.occurrences[id.Occurrence][id.Step]
-	tasks[id.Index].Phase = Done
+	j.setPhase(id, Done)
 	if j.Steps[id.Step].Gang {
-		for i := range tasks {
+		for i, t := range j.occurrences[id.Occurrence][id.Step].tasks {
 			id.Index = i
-			if tasks[i].Phase == Placed {
+			if t.Phase == Placed {
 				// The other members have ended with this one. Their own ends, which
 				// arrive later, no longer find a run and are ignored.
-				v := p.vms[tasks[i].Incarnation]
-				v.removeRun(v.runs[plantainrail.RunRef{Task: id, Run: tasks[i].Run}])
+				v := p.vms[t.Incarnation]
+				v.removeRun(v.runs[plantainrail.RunRef{Task: id, Run: t.Run}])
 			}
-			tasks[i].Phase = Done
+			j.setPhase(id, Done)
 		}
 	}
 	j.completeOccurrences()
@@ -385,7 +438,7 @@
 // its task wait again.
 func (p *Planner) requeue(v *vm, run *placedRun) {
 	v.removeRun(run)
-	run.task.Phase = Waiting
+	run.job.setPhase(run.id, Waiting)
 	p.markChanged(run.job)
 	p.deactivateIfIdle(run.job)
 }
@@ -393,10 +446,13 @@
 // removeVM removes a VM on which certainly nothing runs any longer, and requeues
 // all its runs.
 func (p *Planner) removeVM(v *vm) {
-	for _, run := range v.runs {
+	for _, run := range slices.Clone(v.orderedRuns) {
 		p.requeue(v, run)
 	}
 	delete(p.vms, v.Incarnation)
+	if at, found := slices.BinarySearchFunc(p.ordered, v.Incarnation, compareIncarnation); found {
+		p.ordered = slices.Delete(p.ordered, at, at+1)
+	}
 }
 
 func (p *Planner) markChanged(j *Job) { p.changed[j.ID] = j }
@@ -409,8 +465,8 @@
 	}
 	placed := false
 	j.eachTask(func(_ plantainrail.TaskID, t *Task) { placed = placed || t.Phase == Placed })
-	if !placed {
-		delete(p.active, j.ID)
+	if at, found := slices.BinarySearchFunc(p.active, j, compareActive); found && !placed {
+		p.active = slices.Delete(p.active, at, at+1)
 	}
 }
 
@@ -418,15 +474,16 @@
 // cancelled jobs and places tasks.
 func (p *Planner) Tick(now time.Time) Plan {
 	p.expireLeases(now)
-	for _, j := range p.active {
+	// The active jobs are copied, since a job that ends may be removed from them.
+	for _, j := range slices.Clone(p.active) {
 		if j.CancelRequested && !j.State.Final() {
 			p.endJob(j, Cancelled)
 		}
 	}
 	assignments := p.place(now)
-	plan := Plan{Assignments: assignments, Stops: p.stops, Unplaced: p.unplaced}
-	for _, j := range p.changed {
-		plan.Changed = append(plan.Changed, j)
+	plan := Plan{
+		Changed:     slices.SortedFunc(maps.Values(p.changed), compareArrival),
+		Assignments: assignments, Stops: p.stops, Unplaced: p.unplaced,
 	}
 	p.stops, p.unplaced = nil, nil
 	clear(p.changed)
@@ -436,8 +493,12 @@
 // expireLeases removes the workers whose leases have expired. These may include
 // workers with a connected agent that cannot reach its worker.
 func (p *Planner) expireLeases(now time.Time) {
-	for _, v := range p.vms {
-		if now.After(p.timeouts.leaseExpiry(v.renewedAt)) {
+	expired := func(v *vm) bool { return now.After(p.timeouts.leaseExpiry(v.renewedAt)) }
+	if !slices.ContainsFunc(p.ordered, expired) {
+		return
+	}
+	for _, v := range slices.Clone(p.ordered) {
+		if expired(v) {
 			p.removeVM(v)
 		}
 	}
@@ -447,7 +508,7 @@
 // time at which a lease expires, but at most maxTickInterval from now.
 func (p *Planner) NextTick(now time.Time) time.Time {
 	next := now.Add(maxTickInterval)
-	for _, v := range p.vms {
+	for _, v := range p.ordered {
 		next = earlier(next, p.timeouts.leaseExpiry(v.renewedAt))
 	}
 	return next
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -41,7 +41,8 @@
 	tailLatency int
 }
 
-func (r *placedRun) step() plantainrail.Step { return r.job.Steps[r.id.Step] }
+// step returns the run's step, which must not be changed.
+func (r *placedRun) step() *plantainrail.Step { return &r.job.Steps[r.id.Step] }
 
 func (r *placedRun) ref() plantainrail.RunRef {
 	return plantainrail.RunRef{Task: r.id, Run: r.task.Run}
@@ -67,6 +68,8 @@
 	// takeover, when the earlier owner may still renew the lease.
 	renewedAt time.Time
 	runs      map[plantainrail.RunRef]*placedRun
+	// orderedRuns holds the runs in the order in which they were added.
+	orderedRuns []*placedRun
 	// reserved is the sum of the resources that the runs reserve.
 	reserved plantainrail.Resources
 	// fillerMillicores is the sum of the processors that fillers request, in
@@ -104,6 +107,7 @@
 	v.headrooms = nil
 	step := run.step()
 	v.runs[run.ref()] = run
+	v.orderedRuns = append(v.orderedRuns, run)
 	v.reserved = v.reserved.Add(step.Reservation())
 	if step.Filler {
 		v.fillerMillicores += step.CPU
@@ -118,6 +122,7 @@
 	}
 	step := run.step()
 	delete(v.runs, run.ref())
+	v.orderedRuns = slices.DeleteFunc(v.orderedRuns, func(r *placedRun) bool { return r == run })
 	v.headrooms = nil
 	v.reserved = v.reserved.Sub(step.Reservation())
 	if step.Filler {
@@ -198,9 +203,8 @@
 )
 
 // stepObstacle returns why the VM cannot take any task of the step now, or an
-// empty Obstacle. Planner.taskObstacle also checks the conditions that depend on the
-// zone and on the single task.
-func (v *vm) stepObstacle(pool string, step plantainrail.Step, now time.Time) Obstacle {
+// empty Obstacle. Planner.stepObstacle also checks the zone and the runs of the step.
+func (v *vm) stepObstacle(pool string, step *plantainrail.Step, now time.Time) Obstacle {
 	switch {
 	case !v.connected:
 		return obstacleDisconnected
@@ -228,7 +232,7 @@
 // probationRunActive reports whether a run that was assigned on probation, after
 // the newest failure, has not lasted for probationRunTime yet.
 func (v *vm) probationRunActive(now time.Time) bool {
-	for _, run := range v.runs {
+	for _, run := range v.orderedRuns {
 		if run.assignedAt.After(v.probationSince) && now.Sub(run.assignedAt) < probationRunTime {
 			return true
 		}
@@ -240,8 +244,8 @@
 // occurrence.
 func (v *vm) runsOfStep(id plantainrail.TaskID) int {
 	n := 0
-	for ref := range v.runs {
-		if ref.Task.Job == id.Job && ref.Task.Occurrence == id.Occurrence && ref.Task.Step == id.Step {
+	for _, run := range v.orderedRuns {
+		if run.id.Job == id.Job && run.id.Occurrence == id.Occurrence && run.id.Step == id.Step {
 			n++
 		}
 	}
