Never report a write as rejected after a try of unknown outcome

The first try to store a job got no answer and took effect, the later ones were rejected as overloaded, and the writer handed on the last error when the client's time was over: a 503, "not run", for a job that ran.

Change: plantainrail.WriteTries combines the errors of the tries of one write; it returns ErrRejected only if every try was rejected. The writer, the hedger and the relayer use it. The hedger and the relayer gave true results before, by their own conditions.

TestRejectionAfterUnansweredTryIsUncertain fails on the code before.

--- a/decider/writer.go
+++ b/decider/writer.go
@@ -32,8 +32,8 @@
 	record plantainrail.KeyedRecord
 	// rejectionDeadline is when the write fails if the store has rejected every try.
 	rejectionDeadline time.Time
-	// maybeStored is set once a try may have stored the record.
-	maybeStored bool
+	// tries holds the errors of the tries so far.
+	tries plantainrail.WriteTries
 	// acquired is set by the side that decides the outcome of a queued write: by
 	// the writer when it takes the write into a batch, or by the caller of append when
 	// it gives up the write.
@@ -134,11 +134,10 @@
 			return
 		}
 		w.logger.Warn("jobs not stored", zap.Strings("jobs", jobIDs(records)), zap.Error(err))
-		notStored := errors.Is(err, plantainrail.ErrRejected)
-		batch = w.completeExpired(batch, err, notStored)
+		batch = w.completeExpired(batch, err)
 		if len(batch) > 0 {
 			_ = clocker.Sleep(ctx, retryDelay)
-			if !slices.ContainsFunc(batch, func(pending *pendingWrite) bool { return pending.maybeStored }) {
+			if !slices.ContainsFunc(batch, func(pending *pendingWrite) bool { return pending.tries.MaybeDone() }) {
 				batch = w.fillBatch(batch)
 			}
 		}
@@ -154,23 +153,19 @@
 	return ids
 }
 
-// completeExpired gives up the writes of a batch that must not be retried after a failed
-// try, and returns the others. NotStored means that the try stored nothing. A write that
-// may be stored gets the error once its context has ended. A write that is certainly not
-// stored gets ErrRejected once its context has ended or its rejectionDeadline has
-// passed.
-func (w *writer) completeExpired(batch []*pendingWrite, err error, notStored bool) []*pendingWrite {
+// completeExpired gives up the writes of a batch that must not be retried after a try that
+// failed with the error, and returns the others. A write ends once its context has ended;
+// one that is certainly not stored also ends once its rejectionDeadline has passed.
+func (w *writer) completeExpired(batch []*pendingWrite, err error) []*pendingWrite {
 	var rest []*pendingWrite
 	for _, pending := range batch {
-		pending.maybeStored = pending.maybeStored || !notStored
-		switch {
-		case pending.maybeStored && pending.ctx.Err() != nil:
-			pending.result <- err
-		case !pending.maybeStored && (pending.ctx.Err() != nil || time.Now().After(pending.rejectionDeadline)):
-			pending.result <- errors.Wrap(plantainrail.ErrRejected, "the store rejected every try to write the record")
-		default:
-			rest = append(rest, pending)
+		pending.tries = pending.tries.With(err)
+		overdue := !pending.tries.MaybeDone() && time.Now().After(pending.rejectionDeadline)
+		if overdue || pending.ctx.Err() != nil {
+			pending.result <- errors.Wrap(pending.tries.Err(), "write given up")
+			continue
 		}
+		rest = append(rest, pending)
 	}
 	return rest
 }
--- a/decider/writer_test.go
+++ b/decider/writer_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
@@ -102,3 +103,49 @@
 		assert.NilError(t, out["late"].err)
 	})
 }
+
+// scriptedStore fails each append with the next of its errors, and with the last one
+// from then on. Without errors an append succeeds.
+type scriptedStore struct {
+	plantainrail.Store
+	errs []error
+}
+
+func (s *scriptedStore) Append(context.Context, plantainrail.AppendCall) (plantainrail.Offset, error) {
+	if len(s.errs) == 0 {
+		return 1, nil
+	}
+	err := s.errs[0]
+	if len(s.errs) > 1 {
+		s.errs = s.errs[1:]
+	}
+	return 0, err
+}
+
+// Load pattern: slow store beside restarts. Guards against a job that is reported as not
+// accepted although it runs: the store did not answer the first try, which took effect,
+// and rejected the later ones as overloaded.
+func TestRejectionAfterUnansweredTryIsUncertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		unanswered := errors.New("no answer")
+		rejected := errors.Wrap(plantainrail.ErrRejected, "status 503")
+		for _, c := range []struct {
+			name      string
+			errs      []error
+			uncertain bool
+		}{
+			{"unanswered, then rejected", []error{unanswered, rejected}, true},
+			{"rejected, unanswered, rejected", []error{rejected, unanswered, rejected}, true},
+			{"rejected always", []error{rejected}, false},
+		} {
+			ctx, stop := context.WithCancel(t.Context())
+			w := newWriter(&scriptedStore{errs: c.errs}, zap.NewNop())
+			go func() { _ = w.run(ctx) }()
+			call, cancel := context.WithTimeout(ctx, 2*time.Second)
+			err := w.append(call, plantainrail.KeyedRecord{Key: "j/a", Value: []byte{1}})
+			cancel()
+			stop()
+			assert.Equal(t, !errors.Is(err, plantainrail.ErrRejected), c.uncertain, "%s: %v", c.name, err)
+		}
+	})
+}
--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -59,9 +59,8 @@
 
 // hedge tries a call at once, and again after each delay if fewer than
 // maxPendingTries tries are pending. It returns the result of the first try that
-// is conclusive or fails with an error other than plantainrail.ErrRejected. A try
-// that failed with such an error may have taken effect, and the caller must learn
-// of an outage. hedge returns plantainrail.ErrRejected only when no try is
+// is conclusive or may have taken effect; in the second case the caller learns of
+// an outage. hedge returns plantainrail.ErrRejected only when no try is
 // pending, since a pending one may still take effect. The call must return when
 // its context ends; when hedge returns, it cancels the context of the tries that
 // are still pending.
@@ -82,6 +81,7 @@
 	ticker := time.NewTicker(delay)
 	defer ticker.Stop()
 	var zero T
+	var tries plantainrail.WriteTries
 	for {
 		select {
 		case o := <-outcomes:
@@ -89,8 +89,8 @@
 			if conclusive(o.err) {
 				return o.value, o.err
 			}
-			if pending == 0 || !errors.Is(o.err, plantainrail.ErrRejected) {
-				return zero, o.err
+			if tries = tries.With(o.err); pending == 0 || tries.MaybeDone() {
+				return zero, tries.Err()
 			}
 		case <-ticker.C:
 			if pending < maxPendingTries {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -213,23 +213,29 @@
 // tryPeers makes the call through the other entries in turn until one of them
 // reaches the store. An append is tried through the next entry only after a rejection,
 // since after any other failure it may have taken effect. If no entry reaches the
-// store, tryPeers returns the last error, and if no entry is known, ErrRejected.
+// store, tryPeers returns an error of the tries, see plantainrail.WriteTries, and if no
+// entry is known, ErrRejected.
 func (r *Relayer) tryPeers(ctx context.Context, c storeCall) (storeResult, error) {
 	r.mu.Lock()
 	peers, firstPeer := r.peers, r.nextPeer
 	r.mu.Unlock()
-	err := errors.Wrap(plantainrail.ErrRejected, "no other entry is known")
+	var tries plantainrail.WriteTries
 	for i := range peers {
-		var result storeResult
-		result, err = r.callPeer(ctx, peers[(firstPeer+i)%len(peers)], c)
-		if !isUnavailable(err) || c.Append != nil && !errors.Is(err, plantainrail.ErrRejected) {
+		result, err := r.callPeer(ctx, peers[(firstPeer+i)%len(peers)], c)
+		if !isUnavailable(err) {
 			return result, err
 		}
+		if tries = tries.With(err); c.Append != nil && tries.MaybeDone() {
+			break
+		}
 		r.mu.Lock()
 		r.nextPeer++
 		r.mu.Unlock()
 	}
-	return storeResult{}, err
+	if len(peers) == 0 {
+		return storeResult{}, errors.Wrap(plantainrail.ErrRejected, "no other entry is known")
+	}
+	return storeResult{}, tries.Err()
 }
 
 // callPeer makes the call through the entry at the address. The store's errors are
--- a/store.go
+++ b/store.go
@@ -66,6 +66,35 @@
 	ErrExpired = errors.New("records have expired")
 )
 
+// WriteTries holds the errors of several tries of one write. It keeps a caller from
+// reporting a write as not done because its last try was rejected, although an earlier
+// one may have taken effect. The zero value stands for no try.
+type WriteTries struct {
+	rejection, unknown error
+}
+
+// With returns the tries with one more, which failed with the error.
+func (t WriteTries) With(err error) WriteTries {
+	if errors.Is(err, ErrRejected) {
+		t.rejection = err
+	} else {
+		t.unknown = err
+	}
+	return t
+}
+
+// MaybeDone reports whether a try may have taken effect.
+func (t WriteTries) MaybeDone() bool { return t.unknown != nil }
+
+// Err returns the newest error of a try that may have taken effect. Only if every try was
+// rejected does it return an error that is ErrRejected, and nil if there was no try.
+func (t WriteTries) Err() error {
+	if t.unknown != nil {
+		return t.unknown
+	}
+	return t.rejection
+}
+
 // OffsetMismatchError means that nothing was appended because the topic does not end
 // at the offset in AppendCall.At. End is the offset at which it ends.
 type OffsetMismatchError struct{ End Offset }
