--- a/assembler/fleet_config_test.go
+++ b/assembler/fleet_config_test.go
@@ -19,7 +19,7 @@
 	const applyTime = 2 * time.Second
 	for phase := time.Duration(0); phase < 1500*time.Millisecond; phase += 100 * time.Millisecond {
 		t.Run(phase.String(), func(t *testing.T) {
-			runInFleet(t, func(f *fleet) {
+			runInFleet(t, smallFleet, func(f *fleet) {
 				time.Sleep(phase)
 				assert.Equal(t, f.newQueueStatus(0), http.StatusNotFound)
 				cutLinks := []string{linkName(f.entries[0].name, "store")}
--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -11,15 +11,46 @@
 	"github.com/plantainrail/plantainrail/standin/keeper"
 )
 
-// fleetFaults are the faults that are injected while jobs run. Each inject
-// function returns when its fault is over, or at once if the fault does not end.
-var fleetFaults = []struct {
+// fleetFault is a fault that is injected while jobs run. Its inject function returns when
+// the fault is over, or at once if the fault does not end.
+type fleetFault struct {
 	name   string
 	inject func(f *fleet)
-}{
+}
+
+// fleetCase is a fault in a fleet of a shape.
+type fleetCase struct {
+	shape fleetShape
+	fault fleetFault
+}
+
+func (c fleetCase) String() string { return c.shape.name + "/" + c.fault.name }
+
+// fleetCases returns each fault in each shape.
+func fleetCases() []fleetCase {
+	var out []fleetCase
+	for _, shape := range fleetShapes {
+		for _, fault := range fleetFaults {
+			out = append(out, fleetCase{shape, fault})
+		}
+	}
+	return out
+}
+
+var fleetFaults = []fleetFault{
 	{"none", func(*fleet) {}},
 	{"owner killed", func(f *fleet) { f.killEntry(f.owner(), time.Second) }},
-	{"another entry killed", func(f *fleet) { f.killEntry((f.owner()+1)%fleetEntries, time.Second) }},
+	{"another entry killed", func(f *fleet) { f.killEntry((f.owner()+1)%len(f.entries), time.Second) }},
+	{"zone of the owner lost", func(f *fleet) { f.loseZone(f.zoneOf(f.owner()), 4*time.Second) }},
+	{"another zone lost", func(f *fleet) { f.loseZone(f.zoneOf(f.owner()+1), 4*time.Second) }},
+	{"zone of the owner cut off", func(f *fleet) { f.cutZone(f.zoneOf(f.owner()), 6*time.Second) }},
+	{"zone of the owner cut off for longer than the leases", func(f *fleet) { f.cutZone(f.zoneOf(f.owner()), 14*time.Second) }},
+	{"another zone cut off", func(f *fleet) { f.cutZone(f.zoneOf(f.owner()+1), 6*time.Second) }},
+	{"replicas killed", func(f *fleet) {
+		for _, i := range f.replicas() {
+			f.killEntry(i, 10*time.Millisecond)
+		}
+	}},
 	{"all entries killed", func(f *fleet) {
 		for i := range f.entries {
 			f.killEntry(i, 10*time.Millisecond)
@@ -79,14 +110,66 @@
 	f.store.SetFault(keeper.Healthy)
 }
 
-// blackholeAgent cuts the first VM's agent off and returns when it is connected
-// again.
+// loseZone cuts the power of a zone: its entries, agents and workers end at once and start
+// again after the downtime.
+func (f *fleet) loseZone(zone string, downtime time.Duration) {
+	entries, vms := f.inZone(zone)
+	for _, i := range entries {
+		f.net.setFault(f.entries[i].name, down)
+		f.entries[i].stop()
+	}
+	for _, v := range vms {
+		f.net.setFault(v.name, down)
+		v.stop()
+		v.worker.Crash()
+	}
+	time.Sleep(downtime)
+	for _, i := range entries {
+		f.net.setFault(f.entries[i].name, healthy)
+		f.startEntry(i)
+	}
+	for _, v := range vms {
+		f.net.setFault(v.name, healthy)
+		v.registry = f.net.relisten(v.registry)
+		f.startAgent(v)
+		v.worker.Restart()
+	}
+}
+
+// cutZone cuts a zone's entries and agents off from everything outside of it, the store
+// included, and returns when they are connected again.
+func (f *fleet) cutZone(zone string, duration time.Duration) {
+	inside, outside := []string{}, []string{"store"}
+	for i, e := range f.entries {
+		if f.zoneOf(i) == zone {
+			inside = append(inside, e.name)
+		} else {
+			outside = append(outside, e.name)
+		}
+	}
+	for i, v := range f.vms {
+		if f.zoneOf(i) == zone {
+			inside = append(inside, v.name)
+		} else {
+			outside = append(outside, v.name)
+		}
+	}
+	setLinks := func(state fault) {
+		for _, a := range inside {
+			for _, b := range outside {
+				f.net.setFault(linkName(a, b), state)
+			}
+		}
+	}
+	setLinks(blackholed)
+	time.Sleep(duration)
+	setLinks(healthy)
+}
+
+// blackholeAgent cuts the first VM's agent off from the network and returns when it is
+// connected again. The agent still reaches its worker.
 func (f *fleet) blackholeAgent(duration time.Duration) {
 	f.net.setFault(f.vms[0].name, blackholed)
-	// The worker runs on the same VM, so its link to the agent should stay up. This
-	// call has no effect: the fault of the agent applies to all its links, and
-	// faultBetween returns the largest fault.
-	f.net.setFault(linkName(f.vms[0].name, f.vms[0].name+"-worker"), healthy)
 	time.Sleep(duration)
 	f.net.setFault(f.vms[0].name, healthy)
 }
@@ -103,15 +186,15 @@
 		// twice the run time of the jobs, and the retry pauses of an outage.
 		recoveryTime = 30 * time.Second
 	)
-	for _, fault := range fleetFaults {
-		t.Run(fault.name, func(t *testing.T) {
-			runInFleet(t, func(f *fleet) {
+	for _, c := range fleetCases() {
+		t.Run(c.String(), func(t *testing.T) {
+			runInFleet(t, c.shape, func(f *fleet) {
 				f.submit(lastingJob, "", []map[string]any{{"count": 2, "cpu": 1000, "longRunning": true}})
 				for n := range jobs {
 					f.submit(n, "800", jobSteps)
 				}
 				time.Sleep(300 * time.Millisecond)
-				fault.inject(f)
+				c.fault.inject(f)
 				for n := range jobs {
 					f.waitForState(n, "completed", recoveryTime)
 				}
@@ -141,10 +224,11 @@
 	// recoveryTime is how long the jobs may take to complete after both faults.
 	const recoveryTime = 45 * time.Second
 	random := rand.New(rand.NewPCG(fleetSeed, 0))
-	for range fleetPairs {
+	for pair := range fleetPairs {
+		shape := fleetShapes[pair%len(fleetShapes)]
 		first, second := fleetFaults[random.IntN(len(fleetFaults))], fleetFaults[random.IntN(len(fleetFaults))]
-		t.Run(first.name+", then "+second.name, func(t *testing.T) {
-			runInFleet(t, func(f *fleet) {
+		t.Run(shape.name+": "+first.name+", then "+second.name, func(t *testing.T) {
+			runInFleet(t, shape, func(f *fleet) {
 				for n := range 6 {
 					f.submit(n, "800", jobSteps)
 				}
--- a/assembler/fleet_outage_test.go
+++ b/assembler/fleet_outage_test.go
@@ -30,7 +30,7 @@
 		{"busy", keeper.Unavailable, 4 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			runInFleet(t, func(f *fleet) {
+			runInFleet(t, smallFleet, func(f *fleet) {
 				time.Sleep(time.Second)
 				f.breakStore(c.fault, c.duration)
 				outageEnd := time.Now()
--- /dev/null
+++ b/assembler/fleet_replica_test.go
@@ -0,0 +1,104 @@
+package assembler_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// storeCallRate returns the calls to the store in a second of a fleet that runs jobs.
+func storeCallRate(t *testing.T, shape fleetShape) float64 {
+	const duration = 10 * time.Second
+	rate := 0.0
+	runInFleet(t, shape, func(f *fleet) {
+		before := f.store.Calls()
+		for n := range int(duration / time.Second) {
+			f.submit(n, "300", jobSteps)
+			time.Sleep(time.Second)
+		}
+		rate = float64(f.store.Calls()-before) / duration.Seconds()
+	})
+	return rate
+}
+
+// Size: many entries. Guards against a load of the store that grows with the product of
+// entries and work: an entry more in a zone may only read the configuration.
+func TestStoreCallsDoNotGrowWithEntries(t *testing.T) {
+	few := fleetShape{entries: 4, zones: 2, vms: 4}
+	many := fleetShape{entries: 24, zones: 2, vms: 4}
+	perEntry := (storeCallRate(t, many) - storeCallRate(t, few)) / float64(many.entries-few.entries)
+	assert.Assert(t, perEntry < 1.5, "each further entry makes %.1f calls a second", perEntry)
+}
+
+// Size: many entries. One entry of each zone follows the jobs, the largest one, and every
+// entry answers clients.
+func TestEveryEntryAnswersThroughTheReplica(t *testing.T) {
+	shape := fleetShape{entries: 6, zones: 2, vms: 4, cores: []float64{0.2, 0.2, 0.8, 0.8, 0.2, 0.2}}
+	runInFleet(t, shape, func(f *fleet) {
+		assert.DeepEqual(t, f.replicas(), []int{2, 3})
+		client := f.client("client")
+		defer client.CloseIdleConnections()
+		for i := range f.entries {
+			status, _, _ := f.callEntry(client, i, http.MethodPost, "/q/"+jobID(i), map[string]any{"spec": "500", "steps": jobSteps})
+			assert.Equal(t, status, http.StatusOK, "submission through entry %d", i)
+		}
+		time.Sleep(time.Second)
+		for i := range f.entries {
+			begin := time.Now()
+			status, response, _ := f.callEntry(client, i, http.MethodGet, "/q/"+jobID(0), nil)
+			assert.Equal(t, status, http.StatusOK, "query through entry %d", i)
+			assert.Assert(t, response["state"] != "", "query through entry %d", i)
+			assert.Assert(t, time.Since(begin) < 50*time.Millisecond, "entry %d answered after %s", i, time.Since(begin))
+			status, _, _ = f.callEntry(client, i, http.MethodGet, "/q/"+jobID(99), nil)
+			assert.Equal(t, status, http.StatusGone, "unknown job through entry %d", i)
+			status, _, _ = f.callEntry(client, i, http.MethodGet, "/q/", nil)
+			assert.Equal(t, status, http.StatusOK, "pending jobs through entry %d", i)
+		}
+		for n := range f.entries {
+			f.waitForState(n, "completed", 10*time.Second)
+		}
+	})
+}
+
+// A replica that is gone, whatever way it went, must be replaced, and its zone's entries
+// must answer meanwhile and afterwards.
+func TestReplicaIsReplaced(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(f *fleet, replica int)
+	}{
+		{"power lost", func(f *fleet, i int) {
+			f.net.setFault(f.entries[i].name, down)
+			f.entries[i].stop()
+		}},
+		{"silent", func(f *fleet, i int) { f.net.setFault(f.entries[i].name, blackholed) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runInFleet(t, widerFleet, func(f *fleet) {
+				f.submit(1, "300", jobSteps)
+				f.waitForState(1, "completed", 10*time.Second)
+				lost := f.replicas()[0]
+				c.lose(f, lost)
+				client := f.client("client")
+				defer client.CloseIdleConnections()
+				for begin := time.Now(); time.Since(begin) < 4*time.Second; time.Sleep(100 * time.Millisecond) {
+					for i := range f.entries {
+						if i == lost {
+							continue
+						}
+						_, response, _ := f.callEntry(client, i, http.MethodGet, "/q/"+jobID(1), nil)
+						assert.Equal(t, response["state"], "completed", fmt.Sprintf("entry %d, %s after the loss", i, time.Since(begin)))
+					}
+				}
+				replaced := false
+				for _, i := range f.replicas() {
+					replaced = replaced || i != lost && f.zoneOf(i) == f.zoneOf(lost)
+				}
+				assert.Assert(t, replaced, "no other entry of the zone follows the jobs")
+			})
+		})
+	}
+}
--- a/assembler/fleet_stop_test.go
+++ b/assembler/fleet_stop_test.go
@@ -20,10 +20,10 @@
 			name = "owner"
 		}
 		t.Run(name, func(t *testing.T) {
-			runInFleet(t, func(f *fleet) {
+			runInFleet(t, smallFleet, func(f *fleet) {
 				i := f.owner()
 				if !owner {
-					i = (i + 1) % fleetEntries
+					i = (i + 1) % len(f.entries)
 				}
 				stopped := make(chan error, 1)
 				go func() {
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -33,6 +33,7 @@
 	t            *testing.T
 	net          *network
 	ctx          context.Context
+	shape        fleetShape
 	store        *keeper.Store
 	storeAddress string
 	entries      []*fleetEntry
@@ -56,11 +57,25 @@
 	stop context.CancelFunc
 }
 
+// fleetShape is the size of a fleet. Entry i and VM i are in zone i modulo zones.
+type fleetShape struct {
+	name                string
+	entries, zones, vms int
+	// cores are the processors of the entries; a missing one stands for one core.
+	cores []float64
+}
+
+var (
+	// smallFleet has one entry in each zone, so that every entry is a replica. In
+	// widerFleet most entries ask the replica of their zone.
+	smallFleet  = fleetShape{name: "an entry a zone", entries: 3, zones: 3, vms: 4}
+	widerFleet  = fleetShape{name: "three entries a zone", entries: 6, zones: 2, vms: 4}
+	fleetShapes = []fleetShape{smallFleet, widerFleet}
+)
+
 const (
 	// fleetHost is the host of the route in fleetConfig.
-	fleetHost    = "desk.example"
-	fleetEntries = 3
-	fleetVMs     = 4
+	fleetHost = "desk.example"
 	// fleetMaxRuns is the maximum number of concurrent runs on a worker.
 	fleetMaxRuns = 6
 )
@@ -69,19 +84,56 @@
 const fleetConfig = `{"version":1,"routes":[{"name":"q","host":"desk.example","pathPrefix":"/q/","service":"desk",
 "maxAttempts":2,"stretchFactor":2,"targetLatencyMs":500}],"services":[{"name":"desk","rejectsOverload":true}]}`
 
+// zoneOf returns the availability zone of entry or VM i.
+func (f *fleet) zoneOf(i int) string { return fmt.Sprint("zone-", i%f.shape.zones) }
+
+// coresOf returns the processors of entry i.
+func (f *fleet) coresOf(i int) float64 {
+	if i < len(f.shape.cores) {
+		return f.shape.cores[i]
+	}
+	return 1
+}
+
+// replicas returns the indexes of the entries that follow the jobs.
+func (f *fleet) replicas() []int {
+	var out []int
+	for i, e := range f.entries {
+		if e.decider.Follows() {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// inZone returns the indexes of a zone's entries, and its VMs.
+func (f *fleet) inZone(zone string) (entries []int, vms []*fleetVM) {
+	for i := range f.entries {
+		if f.zoneOf(i) == zone {
+			entries = append(entries, i)
+		}
+	}
+	for i, v := range f.vms {
+		if f.zoneOf(i) == zone {
+			vms = append(vms, v)
+		}
+	}
+	return entries, vms
+}
+
 // runInFleet runs a test in a fleet that is ready to accept jobs.
-func runInFleet(t *testing.T, test func(*fleet)) {
+func runInFleet(t *testing.T, shape fleetShape, test func(*fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		f := &fleet{t: t, net: newNetwork(), ctx: ctx, store: keeper.New()}
+		f := &fleet{t: t, net: newNetwork(), ctx: ctx, shape: shape, store: keeper.New()}
 		f.storeAddress = f.serve("store", f.store)
 		f.store.Put("keyed.op", "config", []byte(fleetConfig))
-		for i := range fleetEntries {
+		for i := range shape.entries {
 			f.entries = append(f.entries, nil)
 			f.startEntry(i)
 		}
-		for i := range fleetVMs {
+		for i := range shape.vms {
 			f.startVM(fmt.Sprint("vm-", i))
 		}
 		time.Sleep(4 * time.Second)
@@ -129,6 +181,7 @@
 	store := relayer.New(platform.NewStore(f.storeAddress, f.client(name)), f.client(name), logger())
 	d := decider.New(decider.Options{
 		Name: name, Address: peerListener.Addr().String(), Store: hedger.New(store), Relay: store, SetPeers: store.SetPeers,
+		PeerClient: f.client(name), Zone: f.zoneOf(i), Cores: f.coresOf(i),
 		ApplyOperatorRecord: (&platform.OperatorState{}).Apply, OperatorTopic: platform.OperatorTopic, Peers: peerListener, Clients: clientListener,
 		ClientHandler: platform.JobHandler, HealthHandler: platform.ReadyHandler, Now: time.Now, Logger: logger().Named(name),
 	})
@@ -156,9 +209,9 @@
 	// The worker only reports the address "there"; the agent calls it at workerAddress.
 	v.worker = runner.New(runner.Options{
 		ID: "w-" + name, Service: "desk", Zone: "z", Address: "there", AgentAddress: registry.Addr().String(),
-		Client: f.client(name + "-worker"), MaxRuns: fleetMaxRuns,
+		Client: f.client(name + workerSuffix), MaxRuns: fleetMaxRuns,
 	})
-	v.workerAddress = f.serve(name+"-worker", v.worker)
+	v.workerAddress = f.serve(name+workerSuffix, v.worker)
 	f.vms = append(f.vms, v)
 	f.startAgent(v)
 	f.group.Go(func() error { v.worker.Run(f.ctx); return nil })
@@ -228,27 +281,31 @@
 // a server error. It returns the HTTP status and the decoded response, and fails the
 // test after 60 tries.
 func (f *fleet) call(method string, n int, body any) (int, map[string]string) {
-	raw, err := json.Marshal(body)
-	assert.NilError(f.t, err)
 	client := f.client("client")
 	defer client.CloseIdleConnections()
 	for i := range 60 {
-		ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
-		e := f.entries[i%len(f.entries)]
-		request, err := http.NewRequestWithContext(ctx, method, "http://"+e.clientAddress+"/q/"+jobID(n), bytes.NewReader(raw))
-		assert.NilError(f.t, err)
-		request.Host = fleetHost
-		if status, response, ok := sendRequest(client, request); ok {
-			cancel()
+		if status, response, ok := f.callEntry(client, i%len(f.entries), method, "/q/"+jobID(n), body); ok {
 			return status, response
 		}
-		cancel()
 		time.Sleep(200 * time.Millisecond)
 	}
 	f.t.Fatalf("%s of job %d: no entry responded without a server error", method, n)
 	return 0, nil
 }
 
+// callEntry sends a request to entry i. The bool is false if there was no complete
+// response or it was a server error.
+func (f *fleet) callEntry(client *http.Client, i int, method, path string, body any) (int, map[string]string, bool) {
+	raw, err := json.Marshal(body)
+	assert.NilError(f.t, err)
+	ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+f.entries[i].clientAddress+path, bytes.NewReader(raw))
+	assert.NilError(f.t, err)
+	request.Host = fleetHost
+	return sendRequest(client, request)
+}
+
 // sendRequest returns the HTTP status and the decoded response. The bool is false if
 // there was no complete response or it was a server error.
 func sendRequest(client *http.Client, request *http.Request) (int, map[string]string, bool) {
--- a/assembler/network_test.go
+++ b/assembler/network_test.go
@@ -125,13 +125,22 @@
 	}
 }
 
-// faultBetween returns the largest fault of two components and their link.
+// faultBetween returns the largest fault of two components and their link. A component
+// that is blackholed still reaches the worker on its own VM.
 func (n *network) faultBetween(a, b string) fault {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return max(n.faults[a], n.faults[b], n.faults[linkName(a, b)], n.faults[linkName(b, a)])
+	component, link := max(n.faults[a], n.faults[b]), max(n.faults[linkName(a, b)], n.faults[linkName(b, a)])
+	if sameVM := a+workerSuffix == b || b+workerSuffix == a; sameVM && component == blackholed {
+		component = healthy
+	}
+	return max(component, link)
 }
 
+// workerSuffix ends the name of the worker on the VM of the component that the rest of
+// the name names.
+const workerSuffix = "-worker"
+
 // linkName returns the name of the link between two components for setFault.
 func linkName(a, b string) string { return a + " " + b }
 
--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -68,9 +68,11 @@
 	defer closeLog()
 	o.ServeMetrics(s.IP, counters, logger)
 	operator := &platform.OperatorState{}
-	store := relayer.New(platform.NewStore(s.StoreAddress, platform.NewClient()), platform.NewClient(), logger)
+	peers := platform.NewClient()
+	store := relayer.New(platform.NewStore(s.StoreAddress, platform.NewClient()), peers, logger)
 	return o.Serve(decider.New(decider.Options{
 		Name: s.Name, Address: peerAddress, Store: hedger.New(store), Relay: store, SetPeers: store.SetPeers,
+		PeerClient: peers, Zone: s.Zone, Cores: s.Cores,
 		ApplyOperatorRecord: operator.Apply, OperatorTopic: platform.OperatorTopic,
 		Peers: listeners[0], Clients: listeners[1], Health: listeners[2],
 		ClientHandler: func(f plantainrail.JobService) http.Handler { return platform.JobHandler(f) },
--- a/decider/claim.go
+++ b/decider/claim.go
@@ -98,7 +98,7 @@
 			defer d.mu.Unlock()
 			return d.membersNext
 		},
-		apply: func(b plantainrail.KeyedBatch) { d.applyMembers(ctx, b) },
+		apply: func(_ plantainrail.Offset, b plantainrail.KeyedBatch) { d.applyMembers(ctx, b) },
 	})
 }
 
@@ -185,14 +185,14 @@
 
 // shouldClaim reports whether the entry should claim ownership. It should if
 // nobody owns the jobs, the owner was an earlier process of this entry, or the
-// owner has timed out. It should not while it owns the jobs or drains, before it
-// has read the topics, or while reads of progress fail. shouldClaim also returns
+// owner has timed out. It should not while it owns the jobs, does not follow them or
+// drains, before it has read the topics, or while reads of progress fail. shouldClaim also returns
 // the offset at which the members topic must still end for the claim to be
 // stored, so that of several entries only one succeeds.
 func (d *Decider) shouldClaim() (plantainrail.Offset, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.owner != nil || d.stopping || d.membersNext == unread || d.progressNext == unread || d.jobsNext == unread || d.ownerSeenAt.IsZero() {
+	if d.owner != nil || d.stopping || !d.follows() || d.membersNext == unread || d.progressNext == unread || d.jobsNext == unread || d.ownerSeenAt.IsZero() {
 		return 0, false
 	}
 	now := d.Now()
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -58,9 +58,10 @@
 	followDelay = 60 * time.Millisecond
 	// retryDelay is the delay after a failed call to the store.
 	retryDelay = 100 * time.Millisecond
-	// maxJobsAge bounds the age of the newest read of the jobs topic. The entry
-	// is ready, accepts jobs and reports an unknown job as nonexistent only while
-	// that read is younger.
+	// maxJobsAge bounds the age of the newest read of the jobs topic by an entry that
+	// follows it, and of the operators' topic by any other. The entry is ready and accepts
+	// jobs only while that read is younger, and an entry that follows the jobs reports an
+	// unknown one as nonexistent only then.
 	maxJobsAge = 2500 * time.Millisecond
 	// maxConfigurationAge bounds the age of the newest read of the operators'
 	// topic. The entry reports that a path has no queue only while that read is
@@ -83,6 +84,11 @@
 	// SetPeers sets the addresses of the entries that this one can relay through.
 	Relay    http.Handler
 	SetPeers func(addresses []string)
+	// PeerClient makes the calls to other entries.
+	PeerClient *http.Client
+	// Zone is the entry's availability zone, and Cores its share of processors.
+	Zone  string
+	Cores float64
 	// ApplyOperatorRecord applies a record of the operators' topic. It returns the
 	// resulting configuration and whether the record has changed it.
 	ApplyOperatorRecord func(r plantainrail.KeyedRecord) (plantainrail.OperatorConfig, bool, error)
@@ -109,9 +115,17 @@
 	// mu guards the fields up to stopping. It is locked before the owner's mu where
 	// both are held.
 	mu sync.Mutex
-	// book holds the jobs and their progress as read from the store. The owner's
-	// planner works on a copy.
-	book *planner.Book
+	// catalog holds the jobs as read from the store. It is empty on an entry that does
+	// not follow them (see follows).
+	catalog *planner.Catalog
+	// replicas holds the newest claim of each availability zone. replicasRead is set
+	// once the claims were read.
+	replicas     map[string]replicaClaim
+	replicasRead bool
+	// pending holds the numbers of pending jobs by queue, as the zone's replica reported
+	// them at pendingReadAt.
+	pending       map[string]int
+	pendingReadAt time.Time
 	// configuration is the operators' current configuration; configured is set once
 	// one was read.
 	configuration plantainrail.OperatorConfig
@@ -128,8 +142,8 @@
 	// reads of progress started to succeed again, or when this entry's own
 	// ownership ended. It is zero after a failed read of progress.
 	ownerSeenAt time.Time
-	// bookChanged is closed and replaced whenever the book, the configuration or
-	// the owner may have changed.
+	// bookChanged is closed and replaced whenever the catalog, the configuration, the
+	// replicas or the owner may have changed.
 	bookChanged chan struct{}
 	// claim is the newest claim that was read; its epoch is 0 if there is none.
 	claim claim
@@ -152,7 +166,7 @@
 // is called.
 func New(o Options) *Decider {
 	d := &Decider{
-		Options: o, book: planner.NewBook(), bookChanged: make(chan struct{}), entries: map[string]string{},
+		Options: o, catalog: planner.NewCatalog(), bookChanged: make(chan struct{}), entries: map[string]string{}, replicas: map[string]replicaClaim{},
 		jobsNext: unread, progressNext: unread, membersNext: unread, nonce: newNonce(),
 	}
 	d.writer = newWriter(o.Store, o.Logger)
@@ -175,7 +189,8 @@
 	defer stop()
 	group, background := errgroup.WithContext(background)
 	for _, loop := range []func(context.Context) error{
-		d.writer.run, d.followOperators, d.followJobs, d.followProgress, d.followMembers, d.register, d.campaign,
+		d.writer.run, d.followOperators, d.followJobs, d.followProgress, d.followMembers, d.followReplicas,
+		d.register, d.campaign, d.maintainReplica,
 	} {
 		group.Go(func() error { return loop(background) })
 	}
@@ -246,7 +261,7 @@
 func (d *Decider) Drain(ctx context.Context) error {
 	d.mu.Lock()
 	d.stopping = true
-	o := d.owner
+	o, replica := d.owner, d.isReplica()
 	d.mu.Unlock()
 	d.Logger.Info("entry stopping", zap.String("entry", d.Name), zap.Bool("owner", o != nil))
 	// This is the server for clients. Without keep-alive, clients open new
@@ -255,6 +270,9 @@
 	if o != nil {
 		o.resign()
 	}
+	if replica {
+		d.resignReplica(ctx)
+	}
 	return clocker.Sleep(ctx, drainDuration)
 }
 
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -31,9 +31,9 @@
 	batchDelay time.Duration
 	// next returns the offset of the next read, or unread.
 	next func() plantainrail.Offset
-	// apply processes the records of a read and remembers the offset of the next
-	// read.
-	apply func(plantainrail.KeyedBatch)
+	// apply processes the records of a read that started at an offset, and remembers the
+	// offset of the next read.
+	apply func(from plantainrail.Offset, b plantainrail.KeyedBatch)
 	// onError, if set, is called after a failed read.
 	onError func()
 	// resumeSignal, if set, returns nil while the topic is to be read. Otherwise it
@@ -60,7 +60,8 @@
 			// A read without a wait shows at once that the store is reachable again.
 			wait = 0
 		}
-		batch, err := d.read(ctx, s, wait)
+		from := s.next()
+		batch, err := d.read(ctx, s.topic, from, wait)
 		if err != nil {
 			if !storeLost && ctx.Err() == nil {
 				d.Logger.Warn("store lost", zap.String("topic", s.topic), zap.Error(err))
@@ -76,7 +77,7 @@
 			d.Logger.Info("store regained", zap.String("topic", s.topic), zap.Int64("offset", int64(batch.Next)))
 			storeLost = false
 		}
-		s.apply(batch)
+		s.apply(from, batch)
 		if s.batchDelay > 0 && len(batch.Records) > 0 {
 			_ = clocker.Sleep(ctx, s.batchDelay)
 		}
@@ -84,25 +85,24 @@
 	return ctx.Err()
 }
 
-// read returns the records from the next offset on, or the newest record of each
-// key if nothing was read yet or those records have expired.
-func (d *Decider) read(ctx context.Context, s subscription, wait time.Duration) (plantainrail.KeyedBatch, error) {
-	from := s.next()
+// read returns the records from the offset on, or the newest record of each key if
+// nothing was read yet or those records have expired.
+func (d *Decider) read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
 	if from != unread {
-		batch, err := d.Store.Read(ctx, s.topic, from, wait)
+		batch, err := d.Store.Read(ctx, topic, from, wait)
 		if !errors.Is(err, plantainrail.ErrExpired) {
 			return batch, err
 		}
-		d.Logger.Warn("records expired before they were read", zap.String("topic", s.topic), zap.Int64("offset", int64(from)))
+		d.Logger.Warn("records expired before they were read", zap.String("topic", topic), zap.Int64("offset", int64(from)))
 	}
-	return d.Store.Newest(ctx, s.topic)
+	return d.Store.Newest(ctx, topic)
 }
 
 func (d *Decider) followOperators(ctx context.Context) error {
 	next := unread
 	return d.follow(ctx, subscription{
 		topic: d.OperatorTopic, wait: configurationPollWait, next: func() plantainrail.Offset { return next },
-		apply: func(b plantainrail.KeyedBatch) {
+		apply: func(_ plantainrail.Offset, b plantainrail.KeyedBatch) {
 			next = b.Next
 			d.mu.Lock()
 			d.configurationReadAt = d.Now()
@@ -144,18 +144,22 @@
 			defer d.mu.Unlock()
 			return d.jobsNext
 		},
-		apply: d.applyJobs,
+		resumeSignal: d.waitToFollow,
+		apply:        d.applyJobs,
 	})
 }
 
-// applyJobs applies records of the jobs topic to the book and, on the owner, to
-// the planner.
-func (d *Decider) applyJobs(b plantainrail.KeyedBatch) {
+// applyJobs applies records of the jobs topic to the catalog and, on the owner, to
+// the planner. It drops records that were read before the entry gave up its catalog.
+func (d *Decider) applyJobs(from plantainrail.Offset, b plantainrail.KeyedBatch) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.follows() || from != d.jobsNext {
+		return
+	}
 	d.jobsNext, d.jobsReadAt = b.Next, d.Now()
 	for _, r := range b.Records {
-		if _, err := d.book.ApplyJob(r); err != nil {
+		if err := d.catalog.ApplyJob(r); err != nil {
 			d.Logger.Error("job unreadable", zap.String("key", r.Key), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
 		}
 	}
@@ -175,7 +179,7 @@
 			defer d.mu.Unlock()
 			return d.progressNext
 		},
-		resumeSignal: d.ownershipReleased,
+		resumeSignal: d.waitToReadProgress,
 		apply:        d.applyProgress,
 		onError: func() {
 			// Without reads of progress the owner cannot be found to have timed out.
@@ -186,24 +190,28 @@
 	})
 }
 
-// ownershipReleased returns a channel that is closed once this entry's ownership
-// is released, or nil if it is not the owner. The owner does not read progress
-// here, since it applies what it has written itself.
-func (d *Decider) ownershipReleased() <-chan struct{} {
+// waitToReadProgress returns a channel that is closed once this entry's ownership
+// is released, if it is the owner, which does not read progress here, since it applies
+// what it has written itself. On any other entry it returns the result of waitToFollow.
+func (d *Decider) waitToReadProgress() <-chan struct{} {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.owner == nil {
-		return nil
+	o := d.owner
+	d.mu.Unlock()
+	if o == nil {
+		return d.waitToFollow()
 	}
-	return d.owner.released
+	return o.released
 }
 
-// applyProgress applies records of the progress topic to the book. Records below
-// the next offset are skipped, since the book already holds their state or a newer
-// one.
-func (d *Decider) applyProgress(b plantainrail.KeyedBatch) {
+// applyProgress applies records of the progress topic to the catalog. Records below
+// the next offset are skipped, since the catalog already holds their state or a newer
+// one, and so are records that were read before the entry gave up its catalog.
+func (d *Decider) applyProgress(from plantainrail.Offset, b plantainrail.KeyedBatch) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.follows() || from != unread && d.progressNext == unread {
+		return
+	}
 	if len(b.Records) > 0 || d.ownerSeenAt.IsZero() {
 		d.ownerSeenAt = d.Now()
 	}
@@ -211,7 +219,7 @@
 		if r.Offset < d.progressNext || r.Key == heartbeatKey {
 			continue
 		}
-		if err := d.book.ApplyProgress(r); err != nil {
+		if err := d.catalog.ApplyProgress(r); err != nil {
 			d.Logger.Error("progress unreadable", zap.String("job", r.Key), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
 		}
 	}
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -20,11 +20,22 @@
 const unknownJobWait = 300 * time.Millisecond
 
 // Ready implements plantainrail.JobService. The entry is ready if it has read the
-// operators' configuration, has read the jobs topic recently and is not stopping.
+// operators' configuration, has read the store recently and is not stopping.
 func (d *Decider) Ready() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.configured && !d.stopping && d.Now().Sub(d.jobsReadAt) < maxJobsAge
+	return d.configured && !d.stopping && d.storeReadRecently()
+}
+
+// storeReadRecently reports whether a read of the store has succeeded within maxJobsAge:
+// of the jobs topic if the entry follows it, and of the operators' topic otherwise. The
+// caller holds the lock.
+func (d *Decider) storeReadRecently() bool {
+	readAt := d.configurationReadAt
+	if d.follows() {
+		readAt = d.jobsReadAt
+	}
+	return d.Now().Sub(readAt) < maxJobsAge
 }
 
 // Queue implements plantainrail.JobService. It reports a path without a queue as known
@@ -38,19 +49,20 @@
 	return rule, found, configured && (found || fresh)
 }
 
-// Submit implements plantainrail.JobService. If a job with this ID is in the book (see
-// planner.Book) already, it returns success and writes nothing, without comparing the
-// contents of the two jobs.
+// Submit implements plantainrail.JobService. If a job with this ID is in the entry's catalog
+// (see planner.Catalog) already, it returns success and writes nothing, without comparing
+// the contents of the two jobs. An entry that does not follow the jobs writes the job again;
+// the first record of an ID counts.
 func (d *Decider) Submit(ctx context.Context, w plantainrail.Workflow) plantainrail.Reply {
 	d.mu.Lock()
-	known, fresh := d.book.Job(w.ID) != nil, d.Now().Sub(d.jobsReadAt) < maxJobsAge
+	known, fresh := d.catalog.Accepted(w.ID), d.storeReadRecently()
 	d.mu.Unlock()
 	switch {
 	case known:
 		return plantainrail.Reply{Result: plantainrail.CallOK}
 	case !fresh:
-		// No read of the jobs topic has succeeded within maxJobsAge, so the store is
-		// probably unreachable. The job is rejected without a try to write it.
+		// No read has succeeded within maxJobsAge, so the store is probably unreachable.
+		// The job is rejected without a try to write it.
 		d.Logger.Info("job turned away", zap.String("job", w.ID), zap.String("queue", w.Queue.Name))
 		return plantainrail.Reply{Result: plantainrail.CallUnavailable, RetryAfter: storeRetryAfter}
 	}
@@ -72,9 +84,11 @@
 func (d *Decider) persist(ctx context.Context, id string, record plantainrail.KeyedRecord) plantainrail.Reply {
 	written := make(chan error, 1)
 	go func() { written <- d.writer.append(ctx, record) }()
+	check := time.NewTicker(acceptanceCheckInterval)
+	defer check.Stop()
 	for {
 		d.mu.Lock()
-		known, changed := d.book.Job(id) != nil, d.bookChanged
+		known, follows, changed := d.catalog.Accepted(id), d.follows(), d.bookChanged
 		d.mu.Unlock()
 		if known {
 			return plantainrail.Reply{Result: plantainrail.CallOK}
@@ -83,6 +97,10 @@
 		case err := <-written:
 			return replyFor(err)
 		case <-changed:
+		case <-check.C:
+			if !follows && d.findJob(ctx, jobQuery{ID: id, Immediate: true}).Result == plantainrail.CallOK {
+				return plantainrail.Reply{Result: plantainrail.CallOK}
+			}
 		}
 	}
 }
@@ -99,56 +117,50 @@
 	return plantainrail.Reply{Result: plantainrail.CallUncertain}
 }
 
-// findJob returns the state of a job as reported to clients, and whether its
-// cancellation was requested. It waits up to unknownJobWait for an unknown job. If
-// the job stays unknown, the reply is CallNotFound or, if no read of the jobs topic has
-// succeeded within maxJobsAge, CallUnavailable, since the job may exist.
-func (d *Decider) findJob(ctx context.Context, id string) (state planner.State, cancelRequested bool, reply plantainrail.Reply) {
-	ctx, cancel := context.WithTimeout(ctx, unknownJobWait)
-	defer cancel()
-	for {
-		d.mu.Lock()
-		j, changed, fresh := d.book.Job(id), d.bookChanged, d.Now().Sub(d.jobsReadAt) < maxJobsAge
-		if j != nil {
-			defer d.mu.Unlock()
-			return j.PublicState(), j.CancelRequested, plantainrail.Reply{Result: plantainrail.CallOK}
-		}
-		d.mu.Unlock()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			if fresh {
-				return "", false, plantainrail.Reply{Result: plantainrail.CallNotFound}
-			}
-			return "", false, plantainrail.Reply{Result: plantainrail.CallUnavailable, RetryAfter: storeRetryAfter}
-		}
-	}
-}
-
 // State implements plantainrail.JobService.
 func (d *Decider) State(ctx context.Context, id string) plantainrail.Reply {
-	state, _, reply := d.findJob(ctx, id)
-	reply.State = string(state)
-	return reply
+	return d.findJob(ctx, jobQuery{ID: id}).reply()
+}
+
+// reply returns the reply to a client.
+func (a jobAnswer) reply() plantainrail.Reply {
+	out := plantainrail.Reply{Result: a.Result, State: string(a.State)}
+	if a.Result == plantainrail.CallUnavailable {
+		out.RetryAfter = storeRetryAfter
+	}
+	return out
 }
 
 // Cancel implements plantainrail.JobService. It writes nothing if the job has ended
 // or its cancellation was requested before.
 func (d *Decider) Cancel(ctx context.Context, id string) plantainrail.Reply {
-	state, cancelRequested, reply := d.findJob(ctx, id)
-	if reply.Result != plantainrail.CallOK || cancelRequested || state.Final() {
-		return reply
+	job := d.findJob(ctx, jobQuery{ID: id})
+	if job.Result != plantainrail.CallOK || job.CancelRequested || job.State.Final() {
+		job.State = ""
+		return job.reply()
 	}
-	reply = replyFor(d.writer.append(ctx, planner.NewCancelRecord(id)))
+	reply := replyFor(d.writer.append(ctx, planner.NewCancelRecord(id)))
 	// This event is logged for every result, as in Submit. The field "state" is the job's
 	// state before the write.
-	d.Logger.Info("job cancelled", zap.String("job", id), zap.String("state", string(state)), zap.Int("answer", int(reply.Result)))
+	d.Logger.Info("job cancelled", zap.String("job", id), zap.String("state", string(job.State)), zap.Int("answer", int(reply.Result)))
 	return reply
 }
 
+// maxPendingAge bounds the age of the numbers of pending jobs. They are pinged for every
+// replicaPingInterval.
+const maxPendingAge = 1500 * time.Millisecond
+
 // PendingJobs implements plantainrail.JobService.
-func (d *Decider) PendingJobs(queue string) int {
+func (d *Decider) PendingJobs(ctx context.Context, queue string) (int, plantainrail.Reply) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.book.Pending(queue)
+	pending, fresh, follows := d.pending, d.Now().Sub(d.pendingReadAt) < maxPendingAge, d.follows()
+	d.mu.Unlock()
+	if follows || !fresh {
+		answer := d.findJob(ctx, jobQuery{})
+		if answer.Result != plantainrail.CallOK {
+			return 0, answer.reply()
+		}
+		pending = answer.Pending
+	}
+	return pending[queue], plantainrail.Reply{Result: plantainrail.CallOK}
 }
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -143,6 +143,7 @@
 	defer o.decider.mu.Unlock()
 	if o.decider.owner == o {
 		o.decider.owner, o.decider.ownerSeenAt = nil, o.decider.Now()
+		o.decider.dropUnfollowed()
 	}
 	close(o.released)
 }
@@ -176,8 +177,8 @@
 	}
 }
 
-// takeOver waits until the book holds all progress of earlier owners, which is
-// before the given end of the topic, and creates a planner from a copy of the book.
+// takeOver waits until the catalog holds all progress of earlier owners, which is
+// before the given end of the topic, and creates a planner of its jobs.
 func (o *owner) takeOver(ctx context.Context, end plantainrail.Offset) error {
 	d := o.decider
 	for {
@@ -193,7 +194,7 @@
 		}
 	}
 	defer d.mu.Unlock()
-	book, err := d.book.Clone()
+	book, err := d.catalog.Book()
 	if err != nil {
 		return err
 	}
@@ -212,12 +213,12 @@
 	d.mu.Lock()
 	from := d.progressNext
 	d.mu.Unlock()
-	batch, err := d.read(ctx, subscription{topic: progressTopic, next: func() plantainrail.Offset { return from }}, 0)
+	batch, err := d.read(ctx, progressTopic, from, 0)
 	if err != nil {
 		d.Logger.Warn("progress not read at takeover", zap.Int64("offset", int64(from)), zap.Int64("end", int64(end)), zap.Error(err))
 		return clocker.Sleep(ctx, retryDelay)
 	}
-	d.applyProgress(batch)
+	d.applyProgress(from, batch)
 	return ctx.Err()
 }
 
@@ -251,8 +252,8 @@
 		if err != nil {
 			return err
 		}
-		// The entry's book gets the records here, since the owner does not read them.
-		o.decider.applyProgress(plantainrail.KeyedBatch{Records: setOffsets(records, offset), Next: offset + plantainrail.Offset(len(records))})
+		// The entry's catalog gets the records here, since the owner does not read them.
+		o.decider.applyProgress(offset, plantainrail.KeyedBatch{Records: setOffsets(records, offset), Next: offset + plantainrail.Offset(len(records))})
 	}
 	o.dispatch(plan, appliedEnds)
 	return o.waitForRound(ctx)
--- a/decider/owner_test.go
+++ b/decider/owner_test.go
@@ -18,20 +18,25 @@
 	}
 }
 
+// makeReplica makes the entry the replica of its zone, so that it follows the jobs.
+func makeReplica(d *Decider) { d.replicas[d.Zone] = replicaClaim{Name: d.Name, Nonce: d.nonce} }
+
 // Guards against a busy loop: an ownership that has ended is released a little
 // later, and in between the reader of the progress topic must wait for the release.
 func TestProgressReaderWaitsForOwnershipRelease(t *testing.T) {
 	d := New(Options{Logger: zap.NewNop(), Now: time.Now})
-	assert.Assert(t, d.ownershipReleased() == nil, "an entry that is not the owner must read progress")
+	assert.Assert(t, d.waitToReadProgress() != nil, "an entry that is neither replica nor owner must not read progress")
+	makeReplica(d)
+	assert.Assert(t, d.waitToReadProgress() == nil, "a replica that is not the owner must read progress")
 	o := newOwner(d, 1)
 	d.owner = o
 	o.stop("fenced")
-	released := d.ownershipReleased()
+	released := d.waitToReadProgress()
 	assert.Assert(t, released != nil)
 	assert.Assert(t, !isClosed(released), "the reader must wait until the ownership is released")
 	o.release()
 	assert.Assert(t, isClosed(released))
-	assert.Assert(t, d.ownershipReleased() == nil)
+	assert.Assert(t, d.waitToReadProgress() == nil)
 }
 
 // Guards against jobs that nobody plans for the whole ownerTimeout after a restart:
@@ -53,6 +58,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			d := New(Options{Name: "a", Logger: zap.NewNop(), Now: func() time.Time { return now }})
 			d.nonce, d.claim = "2", c.claim
+			makeReplica(d)
 			d.membersNext, d.progressNext, d.jobsNext = 7, 7, 7
 			d.ownerSeenAt, d.jobsReadAt = now, now
 			at, shouldClaim := d.shouldClaim()
--- /dev/null
+++ b/decider/query.go
@@ -0,0 +1,243 @@
+package decider
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/planner"
+)
+
+const (
+	// queryPath is the path at which an entry that follows the jobs answers others.
+	queryPath = "/-/jobs"
+	// queryTimeout bounds one query of another entry. It is above unknownJobWait, for
+	// which that entry may wait itself.
+	queryTimeout = 600 * time.Millisecond
+	// queryHedgeDelay is the time without an answer after which the next replica is
+	// asked too.
+	queryHedgeDelay = 200 * time.Millisecond
+	// maxQueryBytes bounds a query and its answer.
+	maxQueryBytes = 1 << 20
+	// acceptanceCheckInterval is how often an entry that does not follow the jobs asks
+	// whether a job was stored whose write is unanswered.
+	acceptanceCheckInterval = 250 * time.Millisecond
+)
+
+// jobQuery asks an entry that follows the jobs for the state of a job or, without an ID,
+// for the numbers of pending jobs.
+type jobQuery struct {
+	ID string `cbor:"0,keyasint,omitempty"`
+	// Immediate means that an unknown job is not waited for.
+	Immediate bool `cbor:"1,keyasint,omitempty"`
+}
+
+// jobAnswer is the answer to a jobQuery.
+type jobAnswer struct {
+	Result          plantainrail.CallResult `cbor:"0,keyasint,omitempty"`
+	State           planner.State           `cbor:"1,keyasint,omitempty"`
+	CancelRequested bool                    `cbor:"2,keyasint,omitempty"`
+	// Fresh means that the entry has read the store recently.
+	Fresh bool `cbor:"3,keyasint,omitempty"`
+	// Pending holds the numbers of pending jobs by queue.
+	Pending map[string]int `cbor:"4,keyasint,omitempty"`
+}
+
+// serveQuery answers the query of another entry. It responds with status 421 if this
+// entry does not follow the jobs.
+func (d *Decider) serveQuery(w http.ResponseWriter, req *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxQueryBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var q jobQuery
+	if err := cbor.Unmarshal(raw, &q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	d.mu.Lock()
+	follows := d.follows()
+	d.mu.Unlock()
+	if !follows {
+		http.Error(w, "this entry does not follow the jobs", http.StatusMisdirectedRequest)
+		return
+	}
+	raw, err = cbor.Marshal(d.answer(req.Context(), q))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	// A write fails only if the other entry has gone.
+	_, _ = w.Write(raw)
+}
+
+// answer answers a query from the entry's own catalog.
+func (d *Decider) answer(ctx context.Context, q jobQuery) jobAnswer {
+	if q.ID == "" {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return jobAnswer{Fresh: d.catalogFresh(), Pending: d.catalog.Pending()}
+	}
+	wait := unknownJobWait
+	if q.Immediate {
+		wait = 0
+	}
+	return d.awaitJob(ctx, q.ID, wait)
+}
+
+// catalogFresh reports whether the catalog holds what was stored until maxJobsAge ago. The
+// caller holds the lock.
+func (d *Decider) catalogFresh() bool {
+	return d.Now().Sub(d.jobsReadAt) < maxJobsAge && (d.owner != nil || !d.ownerSeenAt.IsZero())
+}
+
+// awaitJob returns the state of a job from the entry's own catalog. It waits for an
+// unknown job for up to the given time. If the job stays unknown, the result is
+// CallNotFound or, if the jobs were not read recently, CallUnavailable, since the job may
+// exist.
+func (d *Decider) awaitJob(ctx context.Context, id string, wait time.Duration) jobAnswer {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		d.mu.Lock()
+		state, cancelRequested, accepted := d.catalog.State(id)
+		changed, fresh := d.bookChanged, d.catalogFresh()
+		d.mu.Unlock()
+		if accepted {
+			return jobAnswer{Result: plantainrail.CallOK, State: state, CancelRequested: cancelRequested, Fresh: fresh}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			if fresh {
+				return jobAnswer{Result: plantainrail.CallNotFound, Fresh: true}
+			}
+			return jobAnswer{Result: plantainrail.CallUnavailable}
+		}
+	}
+}
+
+// findJob returns the state of a job: from the entry's own catalog if it follows the jobs,
+// and otherwise from a replica. If no replica answers, the result is CallUnavailable.
+func (d *Decider) findJob(ctx context.Context, q jobQuery) jobAnswer {
+	d.mu.Lock()
+	follows, addresses := d.follows(), d.replicaAddresses()
+	d.mu.Unlock()
+	if follows {
+		return d.answer(ctx, q)
+	}
+	answer, err := d.askReplicas(ctx, addresses, q)
+	if err != nil {
+		d.Logger.Warn("no replica answers", zap.String("job", q.ID), zap.Int("replicas", len(addresses)), zap.Error(err))
+		return jobAnswer{Result: plantainrail.CallUnavailable}
+	}
+	return answer
+}
+
+// replicaAddresses returns the addresses of the replicas: first that of the entry's own
+// zone, then the owner's, then those of the other zones in the order of their names. The
+// caller holds the lock.
+func (d *Decider) replicaAddresses() []string {
+	var out []string
+	add := func(address string) {
+		if address != "" && address != d.Address && !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+	add(d.replicas[d.Zone].Address)
+	add(d.claim.Address)
+	for _, zone := range slices.Sorted(maps.Keys(d.replicas)) {
+		add(d.replicas[zone].Address)
+	}
+	return out
+}
+
+// askReplicas asks the replicas in turn and returns the first fresh answer. It asks the
+// next one once a replica has failed or has not answered for queryHedgeDelay. Without a
+// fresh answer it returns one that is not, or the last error if there is none.
+func (d *Decider) askReplicas(ctx context.Context, addresses []string, q jobQuery) (jobAnswer, error) {
+	if len(addresses) == 0 {
+		return jobAnswer{}, errors.New("no replica is known")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type outcome struct {
+		answer jobAnswer
+		err    error
+	}
+	// The buffer lets queries end after askReplicas has returned.
+	outcomes := make(chan outcome, len(addresses))
+	asked, pending := 0, 0
+	askNext := func() {
+		if asked == len(addresses) {
+			return
+		}
+		address := addresses[asked]
+		asked, pending = asked+1, pending+1
+		go func() {
+			answer, err := d.ask(ctx, address, q)
+			outcomes <- outcome{answer, err}
+		}()
+	}
+	ticker := time.NewTicker(queryHedgeDelay)
+	defer ticker.Stop()
+	var stale *jobAnswer
+	var lastErr error
+	askNext()
+	for pending > 0 {
+		select {
+		case <-ticker.C:
+			askNext()
+		case o := <-outcomes:
+			pending--
+			if o.err == nil && o.answer.Fresh {
+				return o.answer, nil
+			}
+			if o.err == nil && (stale == nil || o.answer.Result == plantainrail.CallOK) {
+				stale = &o.answer
+			}
+			lastErr = o.err
+			askNext()
+		}
+	}
+	if stale != nil {
+		return *stale, nil
+	}
+	return jobAnswer{}, lastErr
+}
+
+// ask sends a query to the entry at the address.
+func (d *Decider) ask(ctx context.Context, address string, q jobQuery) (jobAnswer, error) {
+	raw, err := cbor.Marshal(q)
+	if err != nil {
+		return jobAnswer{}, errors.Wrap(err, "encode query")
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+queryPath, bytes.NewReader(raw))
+	if err != nil {
+		return jobAnswer{}, errors.Wrap(err, "create query")
+	}
+	response, err := d.PeerClient.Do(req)
+	if err != nil {
+		return jobAnswer{}, errors.Wrap(err, "query another entry")
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err = io.ReadAll(io.LimitReader(response.Body, maxQueryBytes))
+	if err != nil || response.StatusCode != http.StatusOK {
+		return jobAnswer{}, errors.Errorf("entry %s answered a query with status %d: %v", address, response.StatusCode, err)
+	}
+	var answer jobAnswer
+	err = cbor.Unmarshal(raw, &answer)
+	return answer, errors.Wrap(err, "decode the answer to a query")
+}
--- /dev/null
+++ b/decider/replica.go
@@ -0,0 +1,226 @@
+package decider
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
+	"github.com/plantainrail/plantainrail/planner"
+)
+
+// replicasTopic holds the replicas of the availability zones. One entry of each zone
+// follows the jobs and their progress; the others ask it (see query.go), so that the
+// store's load grows with the number of zones and not with that of the entries.
+const replicasTopic = "replicas"
+
+const (
+	// replicaPingInterval is the time between two pings of the zone's replica.
+	replicaPingInterval = 500 * time.Millisecond
+	// replicaTimeout is how long pings of the replica may fail before another entry of
+	// the zone takes its place.
+	replicaTimeout = time.Second
+	// promotionDelay is how long an entry waits before it replaces a replica that has
+	// far fewer processors than itself.
+	promotionDelay = 3 * time.Second
+	// promotionFactor is how many times as many processors that entry must have.
+	promotionFactor = 2
+	// claimDelayPerCore and maxClaimDelay determine the delay of a claim: an entry with
+	// one core waits for claimDelayPerCore, and a smaller one for longer, so that a
+	// large entry claims first. claimJitter keeps equal entries apart.
+	claimDelayPerCore = 40 * time.Millisecond
+	maxClaimDelay     = 500 * time.Millisecond
+	claimJitter       = 60 * time.Millisecond
+)
+
+// replicaClaim is the record that makes an entry the replica of its zone. Its key is the
+// zone, and the newest record of a zone counts.
+type replicaClaim struct {
+	Name    string `cbor:"0,keyasint"`
+	Address string `cbor:"1,keyasint"`
+	// Nonce identifies the entry's process.
+	Nonce string `cbor:"2,keyasint"`
+	// Cores is the entry's share of processors.
+	Cores float64 `cbor:"3,keyasint,omitempty"`
+	// Resigned is set when the entry stops. It answers until another entry claims.
+	Resigned bool `cbor:"4,keyasint,omitempty"`
+}
+
+// claimDelay returns how long an entry with the given processors waits before a claim.
+func claimDelay(cores float64) time.Duration {
+	if cores <= 0 {
+		return maxClaimDelay
+	}
+	return min(time.Duration(float64(claimDelayPerCore)/cores), maxClaimDelay)
+}
+
+// isReplica reports whether the newest claim of the entry's zone is this process's own.
+// The caller holds the lock.
+func (d *Decider) isReplica() bool { return d.replicas[d.Zone].Nonce == d.nonce }
+
+// follows reports whether the entry reads the jobs and their progress: it is the replica
+// of its zone or owns the jobs. The caller holds the lock.
+func (d *Decider) follows() bool { return d.isReplica() || d.owner != nil }
+
+// dropUnfollowed forgets the jobs if the entry does not follow them any more. The caller
+// holds the lock.
+func (d *Decider) dropUnfollowed() {
+	if d.follows() || d.jobsNext == unread && d.progressNext == unread {
+		return
+	}
+	d.catalog, d.jobsNext, d.progressNext = planner.NewCatalog(), unread, unread
+	d.jobsReadAt, d.ownerSeenAt = time.Time{}, time.Time{}
+}
+
+// waitToFollow returns nil if the entry follows the jobs, and otherwise a channel that is
+// closed when that may have changed.
+func (d *Decider) waitToFollow() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.follows() {
+		return nil
+	}
+	return d.bookChanged
+}
+
+func (d *Decider) followReplicas(ctx context.Context) error {
+	next := unread
+	return d.follow(ctx, subscription{
+		topic: replicasTopic, wait: membersPollWait, next: func() plantainrail.Offset { return next },
+		apply: func(_ plantainrail.Offset, b plantainrail.KeyedBatch) {
+			next = b.Next
+			d.applyReplicas(b)
+		},
+	})
+}
+
+// applyReplicas applies records of the replicas topic.
+func (d *Decider) applyReplicas(b plantainrail.KeyedBatch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.replicasRead = true
+	for _, r := range b.Records {
+		var c replicaClaim
+		if err := cbor.Unmarshal(r.Value, &c); err != nil {
+			d.Logger.Error("replica unreadable", zap.String("zone", r.Key), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
+			continue
+		}
+		d.replicas[r.Key] = c
+		d.Logger.Info("replica known", zap.String("zone", r.Key), zap.String("entry", c.Name), zap.Bool("resigned", c.Resigned), zap.Int64("offset", int64(r.Offset)))
+	}
+	d.dropUnfollowed()
+	d.broadcastChange()
+}
+
+// replicaWatch is what an entry knows about the replica of its zone from its pings.
+type replicaWatch struct {
+	claim replicaClaim
+	// since is when the claim was first seen, and silentSince when the pings began to
+	// fail; zero if the last one succeeded.
+	since, silentSince time.Time
+}
+
+// maintainReplica pings the zone's replica and claims its place if there is none, it does
+// not answer or it is too small, until the context ends. It returns the context's error.
+func (d *Decider) maintainReplica(ctx context.Context) error {
+	var watch replicaWatch
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		claim, ready := d.replicas[d.Zone], d.replicasRead && !d.stopping
+		d.mu.Unlock()
+		if claim != watch.claim {
+			watch = replicaWatch{claim: claim, since: d.Now()}
+		}
+		if ready && d.replicaVacant(ctx, &watch) {
+			d.claimReplica(ctx, claim)
+		}
+		_ = clocker.Sleep(ctx, replicaPingInterval)
+	}
+	return ctx.Err()
+}
+
+// replicaVacant reports whether the entry should become the zone's replica. It pings the
+// present one.
+func (d *Decider) replicaVacant(ctx context.Context, w *replicaWatch) bool {
+	c := w.claim
+	switch {
+	case c.Nonce == d.nonce:
+		return c.Resigned
+	case c.Name == "" || c.Resigned || c.Name == d.Name:
+		// An entry of the same name was this entry's earlier process.
+		return true
+	}
+	now := d.Now()
+	if d.pingReplica(ctx, c.Address) {
+		w.silentSince = time.Time{}
+		return d.Cores >= promotionFactor*c.Cores && now.Sub(w.since) > promotionDelay
+	}
+	d.mu.Lock()
+	storeReachable := d.Now().Sub(d.configurationReadAt) < maxConfigurationAge
+	d.mu.Unlock()
+	switch {
+	case !storeReachable:
+		// In an outage of the store no entry can do better than the replica.
+		w.silentSince = time.Time{}
+	case w.silentSince.IsZero():
+		w.silentSince = now
+	}
+	return !w.silentSince.IsZero() && d.Now().Sub(w.silentSince) >= replicaTimeout
+}
+
+// pingReplica asks the replica for the numbers of pending jobs. It reports whether the
+// replica has answered and is up to date.
+func (d *Decider) pingReplica(ctx context.Context, address string) bool {
+	answer, err := d.ask(ctx, address, jobQuery{})
+	if err != nil || !answer.Fresh {
+		d.Logger.Debug("replica not fresh", zap.String("address", address), zap.Error(err))
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pending, d.pendingReadAt = answer.Pending, d.Now()
+	return true
+}
+
+// claimReplica makes this entry the replica of its zone, unless another claim than the
+// given one is known after the delay. A failed write is logged; the caller tries again.
+func (d *Decider) claimReplica(ctx context.Context, known replicaClaim) {
+	if known.Name != d.Name {
+		_ = clocker.Sleep(ctx, claimDelay(d.Cores)+rand.N(claimJitter))
+	}
+	d.mu.Lock()
+	superseded := d.replicas[d.Zone] != known || d.stopping
+	d.mu.Unlock()
+	if superseded {
+		return
+	}
+	err := d.writeReplica(ctx, replicaClaim{Name: d.Name, Address: d.Address, Nonce: d.nonce, Cores: d.Cores})
+	d.Logger.Info("replica claimed", zap.String("zone", d.Zone), zap.String("earlier", known.Name), zap.Error(err))
+}
+
+// resignReplica lets another entry of the zone take this one's place.
+func (d *Decider) resignReplica(ctx context.Context) {
+	c := replicaClaim{Name: d.Name, Address: d.Address, Nonce: d.nonce, Cores: d.Cores, Resigned: true}
+	if err := d.writeReplica(ctx, c); err != nil {
+		d.Logger.Warn("resignation as replica not stored", zap.Error(err))
+	}
+}
+
+// writeReplica appends the zone's record.
+func (d *Decider) writeReplica(ctx context.Context, c replicaClaim) error {
+	raw, err := cbor.Marshal(c)
+	if err != nil {
+		return errors.Wrap(err, "encode claim of a replica")
+	}
+	ctx, cancel := context.WithTimeout(ctx, replicaTimeout)
+	defer cancel()
+	_, err = d.Store.Append(ctx, plantainrail.AppendCall{
+		Topic: replicasTopic, Records: []plantainrail.KeyedRecord{{Key: d.Zone, Value: raw}},
+	})
+	return err
+}
--- a/decider/session.go
+++ b/decider/session.go
@@ -37,6 +37,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+SessionPath, d.serveSession)
 	mux.Handle("POST "+relayer.Path, d.Relay)
+	mux.HandleFunc("POST "+queryPath, d.serveQuery)
 	return mux
 }
 
@@ -47,7 +48,7 @@
 	d.mu.Lock()
 	o, address := d.owner, d.claim.Address
 	d.mu.Unlock()
-	if !d.Owns() {
+	if o == nil || !o.active() {
 		w.Header().Set(OwnerHeader, address)
 		http.Error(w, "this entry does not own the jobs", http.StatusMisdirectedRequest)
 		return
@@ -72,6 +73,14 @@
 	return o != nil && o.active()
 }
 
+// Follows reports whether the entry reads the jobs and their progress: it is the replica
+// of its zone or owns the jobs.
+func (d *Decider) Follows() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.follows()
+}
+
 // active reports whether the takeover is complete and the ownership has not ended.
 func (o *owner) active() bool {
 	o.mu.Lock()
--- a/jobs.go
+++ b/jobs.go
@@ -50,6 +50,6 @@
 	// Cancel cancels the job with the ID.
 	Cancel(ctx context.Context, id string) Reply
 	// PendingJobs returns the number of the queue's jobs that have not started any
-	// task.
-	PendingJobs(queue string) int
+	// task. It is valid if the reply's result is CallOK.
+	PendingJobs(ctx context.Context, queue string) (int, Reply)
 }
--- a/planner/book.go
+++ b/planner/book.go
@@ -15,8 +15,9 @@
 	cancelKeyPrefix = "c/"
 )
 
-// Book is the in-memory registry of the jobs: it holds every job that occurs in the
-// store's records, with its progress. Records may be repeated, and records of different
+// Book is the owner's in-memory registry of the jobs: it holds every job that occurs in the
+// store's records, with the state of each task. Entries that do not own the jobs keep a
+// Catalog instead. Records may be repeated, and records of different
 // topics may arrive in any order.
 type Book struct {
 	jobs map[string]*Job
@@ -54,16 +55,12 @@
 // Job returns the job with the ID, or nil if it is unknown.
 func (b *Book) Job(id string) *Job { return b.jobs[id] }
 
-// Pending returns the number of the queue's jobs that are in the public state
-// Queued: no task was placed yet and no cancellation was requested.
-func (b *Book) Pending(queue string) int {
-	n := 0
-	for _, j := range b.jobs {
-		if j.Queue.Name == queue && j.PublicState() == Queued {
-			n++
-		}
-	}
-	return n
+// addEnded adds a job that has ended and has no placed task. Its steps are not known.
+func (b *Book) addEnded(id string, state State) {
+	b.acceptedCount++
+	j := newJob(plantainrail.Workflow{ID: id}, b.acceptedCount)
+	j.State = state
+	b.jobs[id] = j
 }
 
 // ApplyJob applies a record of the jobs topic, a submission or a cancellation,
@@ -116,29 +113,3 @@
 	}
 	return j.restore(r.Value)
 }
-
-// Clone returns a copy that shares no mutable state with the book. It returns
-// an error if a job's progress cannot be encoded or decoded.
-func (b *Book) Clone() (*Book, error) {
-	out := NewBook()
-	out.acceptedCount = b.acceptedCount
-	for id, j := range b.jobs {
-		copied := newJob(j.Workflow, j.arrival)
-		raw, err := j.Progress()
-		if err != nil {
-			return nil, err
-		}
-		if err := copied.restore(raw); err != nil {
-			return nil, err
-		}
-		copied.CancelRequested = j.CancelRequested
-		out.jobs[id] = copied
-	}
-	for id, raw := range b.pendingProgress {
-		out.pendingProgress[id] = raw
-	}
-	for id := range b.pendingCancels {
-		out.pendingCancels[id] = true
-	}
-	return out, nil
-}
--- /dev/null
+++ b/planner/catalog.go
@@ -0,0 +1,161 @@
+package planner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+// Catalog holds what an entry that follows the store needs to know about each job: its
+// queue and state, and the records from which an owner's Book is made. It decodes of a
+// record only what clients ask for. Records may be repeated, and records of different
+// topics may arrive in any order.
+type Catalog struct {
+	jobs map[string]*catalogJob
+	// acceptedCount is the number of submissions so far; it gives catalogJob.arrival.
+	acceptedCount int64
+}
+
+// catalogJob is a job of a Catalog. A cancellation or progress may be known before the
+// submission; accepted is set once the latter was read.
+type catalogJob struct {
+	queue           string
+	arrival         int64
+	accepted        bool
+	cancelRequested bool
+	progress        progressSummary
+	// submission and progressRecord are the values of the records. They are dropped
+	// once the job has ended and none of its tasks is placed.
+	submission, progressRecord []byte
+}
+
+// progressSummary is the part of the stored progress that is reported to clients. Its
+// fields are those of progress; the incarnations are only counted.
+type progressSummary struct {
+	State        State             `cbor:"0,keyasint,omitempty"`
+	Started      bool              `cbor:"1,keyasint,omitempty"`
+	Incarnations []cbor.RawMessage `cbor:"2,keyasint,omitempty"`
+}
+
+// ended reports whether the job has ended and none of its tasks is placed.
+func (s progressSummary) ended() bool { return s.State.Final() && len(s.Incarnations) == 0 }
+
+// NewCatalog returns an empty Catalog.
+func NewCatalog() *Catalog { return &Catalog{jobs: map[string]*catalogJob{}} }
+
+// job returns the job with the ID, and creates it if it is unknown.
+func (c *Catalog) job(id string) *catalogJob {
+	j := c.jobs[id]
+	if j == nil {
+		j = &catalogJob{progress: progressSummary{State: Queued}}
+		c.jobs[id] = j
+	}
+	return j
+}
+
+// ApplyJob applies a record of the jobs topic, a submission or a cancellation. It returns
+// an error, and accepts no job, if a submission cannot be decoded.
+func (c *Catalog) ApplyJob(r plantainrail.KeyedRecord) error {
+	if id, ok := strings.CutPrefix(r.Key, cancelKeyPrefix); ok {
+		c.job(id).cancelRequested = true
+		return nil
+	}
+	id, ok := strings.CutPrefix(r.Key, jobKeyPrefix)
+	if !ok || len(r.Value) == 0 || c.Accepted(id) {
+		return nil
+	}
+	var submission struct {
+		Queue plantainrail.Queue `cbor:"1,keyasint"`
+	}
+	if err := cbor.Unmarshal(r.Value, &submission); err != nil {
+		return errors.Wrapf(err, "decode job %s", id)
+	}
+	c.acceptedCount++
+	j := c.job(id)
+	j.accepted, j.arrival, j.queue, j.submission = true, c.acceptedCount, submission.Queue.Name, r.Value
+	j.dropEnded()
+	return nil
+}
+
+// ApplyProgress applies a record of the progress topic, whose key is the job's ID. It
+// returns an error if the record cannot be decoded.
+func (c *Catalog) ApplyProgress(r plantainrail.KeyedRecord) error {
+	var summary progressSummary
+	if err := cbor.Unmarshal(r.Value, &summary); err != nil {
+		return errors.Wrapf(err, "decode progress of job %s", r.Key)
+	}
+	j := c.job(r.Key)
+	j.progress, j.progressRecord = summary, r.Value
+	j.dropEnded()
+	return nil
+}
+
+// dropEnded drops the records of a job that has ended and has no placed task.
+func (j *catalogJob) dropEnded() {
+	if j.accepted && j.progress.ended() {
+		j.submission, j.progressRecord = nil, nil
+	}
+}
+
+// Accepted reports whether the submission of the job is known.
+func (c *Catalog) Accepted(id string) bool {
+	j := c.jobs[id]
+	return j != nil && j.accepted
+}
+
+// State returns the state of a job as reported to clients (see Job.PublicState), and
+// whether its cancellation was requested. It returns false if the submission is not known.
+func (c *Catalog) State(id string) (state State, cancelRequested, accepted bool) {
+	j := c.jobs[id]
+	if j == nil || !j.accepted {
+		return "", false, false
+	}
+	return publicState(j.progress.State, j.cancelRequested, j.progress.Started), j.cancelRequested, true
+}
+
+// Pending returns, by queue, the number of jobs in the public state Queued.
+func (c *Catalog) Pending() map[string]int {
+	out := map[string]int{}
+	for _, j := range c.jobs {
+		if j.accepted && publicState(j.progress.State, j.cancelRequested, j.progress.Started) == Queued {
+			out[j.queue]++
+		}
+	}
+	return out
+}
+
+// Book returns a Book of all jobs, decoded from their records. Of jobs that have ended
+// and have no placed task it holds only the state. It returns an error if a record cannot
+// be decoded.
+func (c *Catalog) Book() (*Book, error) {
+	b := NewBook()
+	byArrival := func(x, y string) int { return cmp.Compare(c.jobs[x].arrival, c.jobs[y].arrival) }
+	for _, id := range slices.SortedFunc(maps.Keys(c.jobs), byArrival) {
+		j := c.jobs[id]
+		switch {
+		case j.accepted && j.progress.ended():
+			b.addEnded(id, j.progress.State)
+		case j.accepted:
+			if _, err := b.ApplyJob(plantainrail.KeyedRecord{Key: jobKeyPrefix + id, Value: j.submission}); err != nil {
+				return nil, err
+			}
+		}
+		if len(j.progressRecord) > 0 {
+			if err := b.ApplyProgress(plantainrail.KeyedRecord{Key: id, Value: j.progressRecord}); err != nil {
+				return nil, err
+			}
+		}
+		if j.cancelRequested {
+			if _, err := b.ApplyJob(NewCancelRecord(id)); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return b, nil
+}
--- a/planner/job.go
+++ b/planner/job.go
@@ -117,13 +117,15 @@
 
 // PublicState returns the state that is reported to clients: a job counts as
 // cancelled as soon as this is requested, and as running once a task was placed.
-func (j *Job) PublicState() State {
+func (j *Job) PublicState() State { return publicState(j.State, j.CancelRequested, j.Started) }
+
+func publicState(state State, cancelRequested, started bool) State {
 	switch {
-	case j.State.Final():
-		return j.State
-	case j.CancelRequested:
+	case state.Final():
+		return state
+	case cancelRequested:
 		return Cancelled
-	case j.Started:
+	case started:
 		return Running
 	}
 	return Queued
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -82,14 +82,15 @@
 // stored and has no reports of agents yet.
 func (h *harness) takeOver() *harness {
 	h.t.Helper()
-	book := planner.NewBook()
+	catalog := planner.NewCatalog()
 	for id, raw := range h.stored {
-		assert.NilError(h.t, book.ApplyProgress(plantainrail.KeyedRecord{Key: id, Value: raw}))
+		assert.NilError(h.t, catalog.ApplyProgress(plantainrail.KeyedRecord{Key: id, Value: raw}))
 	}
 	for _, record := range h.jobRecords {
-		_, err := book.ApplyJob(record)
-		assert.NilError(h.t, err)
+		assert.NilError(h.t, catalog.ApplyJob(record))
 	}
+	book, err := catalog.Book()
+	assert.NilError(h.t, err)
 	return &harness{t: h.t, planner: planner.New(book, timeouts, h.now), now: h.now, stored: h.stored, jobRecords: h.jobRecords}
 }
 
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -37,6 +37,8 @@
 	// topics holds the topics by name.
 	topics map[string]*topic
 	fault  Fault
+	// calls counts all calls.
+	calls int
 	// lossyAppends counts the appends under the fault LosesReplies.
 	lossyAppends int
 }
@@ -77,6 +79,13 @@
 	s.fault = f
 }
 
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // Expire expires all present records of all topics, as limited retention does. They
 // can no longer be read, but the newest record of each key can still be listed.
 func (s *Store) Expire() {
@@ -122,6 +131,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	s.mu.Lock()
+	s.calls++
 	fault := s.fault
 	if fault == LosesReplies && req.URL.Path == "/log-append" {
 		if s.lossyAppends++; s.lossyAppends%2 == 0 {
