Store the jobs of a zone's entries through its replica

Change: an entry that does not follow the jobs leaves its records to the replica of its zone, which stores the records of many entries with one append. While the replica does not answer, entries write for themselves. After a forwarded write of unknown outcome a later rejection does not count as "not run" (plantainrail.WriteTries).

--- a/assembler/fleet_replica_test.go
+++ b/assembler/fleet_replica_test.go
@@ -63,6 +63,36 @@
 	})
 }
 
+// Load pattern: slow store beside many entries. Guards against jobs that are refused because
+// the appends of many entries queue up at a store that takes 75 ms for each, as on
+// trouble-2 of the large site: the entries of a zone must share appends.
+func TestSlowStoreAcceptsTheJobsOfManyEntries(t *testing.T) {
+	const interval, duration = 45 * time.Millisecond, 5 * time.Second
+	runInFleet(t, fleetShape{entries: 24, zones: 2, vms: 4}, func(f *fleet) {
+		f.store.SetAppendTime(75 * time.Millisecond)
+		client := f.client("client")
+		defer client.CloseIdleConnections()
+		accepted := make(chan bool)
+		jobs := int(duration / interval)
+		for n := range jobs {
+			go func() {
+				time.Sleep(time.Duration(n) * interval)
+				status, _, _ := f.callEntry(client, n%len(f.entries), http.MethodPost, "/q/"+jobID(n), map[string]any{"spec": "100", "steps": jobSteps[:1]})
+				accepted <- status == http.StatusOK
+			}()
+		}
+		refused := 0
+		for range jobs {
+			if !<-accepted {
+				refused++
+			}
+		}
+		assert.Assert(t, refused*20 <= jobs, "%d of %d jobs were not accepted", refused, jobs)
+		f.store.SetAppendTime(0)
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // A replica that is gone, whatever way it went, must be replaced, and its zone's entries
 // must answer meanwhile and afterwards.
 func TestReplicaIsReplaced(t *testing.T) {
--- /dev/null
+++ b/decider/forward.go
@@ -0,0 +1,131 @@
+package decider
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
+)
+
+const (
+	// forwardPath is the path at which a replica stores the records of other entries.
+	forwardPath = "/-/write"
+	// forwardTimeout bounds how long a record is left to the replica. A store that is
+	// slower than usual by a factor of seventy answers within it.
+	forwardTimeout = 2 * time.Second
+	// maxReplicaSilence is the age of the replica's newest answer above which records are
+	// not left to it: two pings and a margin.
+	maxReplicaSilence = 1300 * time.Millisecond
+	// replicaCheckInterval is how often an entry checks whether the replica still answers
+	// while a record is left to it.
+	replicaCheckInterval = 250 * time.Millisecond
+)
+
+// write stores a record of the jobs topic. The results are those of writer.append. Unless
+// the entry follows the jobs, it leaves the record to the replica of its zone, which
+// stores the records of many entries with one append: a partition of the store processes
+// its appends one at a time. If the replica does not answer, the entry writes the record
+// itself; a record may be stored twice.
+func (d *Decider) write(ctx context.Context, record plantainrail.KeyedRecord) error {
+	address, ok := d.forwardAddress()
+	if !ok {
+		return d.writer.append(ctx, record)
+	}
+	var tries plantainrail.WriteTries
+	err := d.forward(ctx, address, record)
+	if err == nil || errors.Is(err, plantainrail.ErrRejected) {
+		return err
+	}
+	tries = tries.With(err)
+	d.Logger.Warn("write not forwarded", zap.String("key", record.Key), zap.String("address", address), zap.Error(err))
+	if err := d.writer.append(ctx, record); err != nil {
+		return tries.With(err).Err()
+	}
+	return nil
+}
+
+// forwardAddress returns the address of the zone's replica, or false if the entry should
+// write to the store itself: it follows the jobs, or the replica has not answered lately.
+func (d *Decider) forwardAddress() (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	address := d.replicas[d.Zone].Address
+	return address, !d.follows() && address != "" && d.replicaAnswers()
+}
+
+// replicaAnswers reports whether the zone's replica has answered a ping within
+// maxReplicaSilence. The caller holds the lock.
+func (d *Decider) replicaAnswers() bool { return d.Now().Sub(d.pendingReadAt) < maxReplicaSilence }
+
+// forward lets the entry at the address store a record. After an error other than
+// plantainrail.ErrRejected the record may be stored. It gives up when the replica of the
+// zone has not answered pings lately.
+func (d *Decider) forward(ctx context.Context, address string, record plantainrail.KeyedRecord) error {
+	raw, err := cbor.Marshal(record)
+	if err != nil {
+		return errors.Wrap(err, "encode record")
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	go func() {
+		for clocker.Sleep(ctx, replicaCheckInterval) == nil {
+			d.mu.Lock()
+			answers := d.replicaAnswers()
+			d.mu.Unlock()
+			if !answers {
+				cancel()
+			}
+		}
+	}()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+forwardPath, bytes.NewReader(raw))
+	if err != nil {
+		return errors.Wrap(err, "create request to the replica")
+	}
+	// Without GetBody the transport cannot resend the request by itself after a
+	// connection failure.
+	req.GetBody = nil
+	response, err := d.PeerClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "leave a record to the replica")
+	}
+	defer func() { _ = response.Body.Close() }()
+	// The body holds only the text of an error.
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxQueryBytes))
+	switch {
+	case response.StatusCode == http.StatusOK:
+		return nil
+	case response.StatusCode == http.StatusServiceUnavailable:
+		return errors.Wrapf(plantainrail.ErrRejected, "replica: %s", bytes.TrimSpace(text))
+	}
+	return errors.Errorf("replica answered with status %d: %s: %v", response.StatusCode, bytes.TrimSpace(text), err)
+}
+
+// serveWrite stores a record of another entry. It responds with status 503 if the record
+// is not stored and never will be by this call, and with 504 if that is not known.
+func (d *Decider) serveWrite(w http.ResponseWriter, req *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxQueryBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	var record plantainrail.KeyedRecord
+	if err := cbor.Unmarshal(raw, &record); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	switch err := d.writer.append(req.Context(), record); {
+	case err == nil:
+	case errors.Is(err, plantainrail.ErrRejected):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		http.Error(w, err.Error(), http.StatusGatewayTimeout)
+	}
+}
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -83,7 +83,7 @@
 // reply to the write was lost.
 func (d *Decider) persist(ctx context.Context, id string, record plantainrail.KeyedRecord) plantainrail.Reply {
 	written := make(chan error, 1)
-	go func() { written <- d.writer.append(ctx, record) }()
+	go func() { written <- d.write(ctx, record) }()
 	check := time.NewTicker(acceptanceCheckInterval)
 	defer check.Stop()
 	for {
@@ -139,7 +139,7 @@
 		job.State = ""
 		return job.reply()
 	}
-	reply := replyFor(d.writer.append(ctx, planner.NewCancelRecord(id)))
+	reply := replyFor(d.write(ctx, planner.NewCancelRecord(id)))
 	// This event is logged for every result, as in Submit. The field "state" is the job's
 	// state before the write.
 	d.Logger.Info("job cancelled", zap.String("job", id), zap.String("state", string(job.State)), zap.Int("answer", int(reply.Result)))
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -41,6 +41,8 @@
 	calls int
 	// lossyAppends counts the appends under the fault LosesReplies.
 	lossyAppends int
+	// appendTime is how long a topic takes for an append; see SetAppendTime.
+	appendTime time.Duration
 }
 
 // topic is an append-only list of records. The store's lock guards it.
@@ -56,6 +58,8 @@
 	producers map[string]*producer
 	// appended is closed and replaced by each append.
 	appended chan struct{}
+	// busyUntil is when the appends that were admitted so far are done.
+	busyUntil time.Time
 }
 
 // producer is the state of a fenced producer of a topic.
@@ -79,6 +83,37 @@
 	s.fault = f
 }
 
+// maxAppendBacklog is the backlog of a topic above which appends are rejected.
+const maxAppendBacklog = 2 * time.Second
+
+// SetAppendTime makes each topic process its appends one after the other, each of which
+// takes the given time. An append that would wait for longer than maxAppendBacklog is
+// rejected with status 503.
+func (s *Store) SetAppendTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appendTime = d
+}
+
+// awaitTurn waits until the topic has processed the earlier appends and this one. It
+// returns false if the append must be rejected.
+func (s *Store) awaitTurn(name string) bool {
+	s.mu.Lock()
+	t, now := s.topic(name), time.Now()
+	if t.busyUntil.Before(now) {
+		t.busyUntil = now
+	}
+	if s.appendTime > 0 && t.busyUntil.Sub(now) > maxAppendBacklog {
+		s.mu.Unlock()
+		return false
+	}
+	t.busyUntil = t.busyUntil.Add(s.appendTime)
+	wait := t.busyUntil.Sub(now)
+	s.mu.Unlock()
+	time.Sleep(wait)
+	return true
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -187,9 +222,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	query := req.URL.Query()
+	if !s.awaitTurn(query.Get("topic")) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	query := req.URL.Query()
 	t := s.topic(query.Get("topic"))
 	endOffset := int64(len(t.records))
 	if at := query.Get("at"); at != "" && parseNumber(at) != endOffset {
