Share the calls between entries and name what wakes their waiters

The query of a replica and the write that is left to it send and receive messages by the same functions. The channel that is closed by changes of catalog, configuration, replicas and owner is called stateChanged, and a field that nothing used is gone.

--- a/decider/decider.go
+++ b/decider/decider.go
@@ -142,13 +142,11 @@
 	// reads of progress started to succeed again, or when this entry's own
 	// ownership ended. It is zero after a failed read of progress.
 	ownerSeenAt time.Time
-	// bookChanged is closed and replaced whenever the catalog, the configuration, the
+	// stateChanged is closed and replaced whenever the catalog, the configuration, the
 	// replicas or the owner may have changed.
-	bookChanged chan struct{}
+	stateChanged chan struct{}
 	// claim is the newest claim that was read; its epoch is 0 if there is none.
 	claim claim
-	// resigned is not used; claim.Resigned is set after a resignation.
-	resigned bool
 	// owner is set while this entry owns the jobs, from when its own claim is read
 	// until the ownership is released.
 	owner *owner
@@ -166,7 +164,7 @@
 // is called.
 func New(o Options) *Decider {
 	d := &Decider{
-		Options: o, catalog: planner.NewCatalog(), bookChanged: make(chan struct{}), entries: map[string]string{}, replicas: map[string]replicaClaim{},
+		Options: o, catalog: planner.NewCatalog(), stateChanged: make(chan struct{}), entries: map[string]string{}, replicas: map[string]replicaClaim{},
 		jobsNext: unread, progressNext: unread, membersNext: unread, nonce: newNonce(),
 	}
 	d.writer = newWriter(o.Store, o.Logger)
@@ -276,9 +274,9 @@
 	return clocker.Sleep(ctx, drainDuration)
 }
 
-// broadcastChange wakes all goroutines that wait on bookChanged. The caller holds
+// broadcastChange wakes all goroutines that wait on stateChanged. The caller holds
 // the lock.
 func (d *Decider) broadcastChange() {
-	close(d.bookChanged)
-	d.bookChanged = make(chan struct{})
+	close(d.stateChanged)
+	d.stateChanged = make(chan struct{})
 }
--- a/decider/forward.go
+++ b/decider/forward.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -69,10 +67,6 @@
 // plantainrail.ErrRejected the record may be stored. It gives up when the replica of the
 // zone has not answered pings lately.
 func (d *Decider) forward(ctx context.Context, address string, record plantainrail.KeyedRecord) error {
-	raw, err := cbor.Marshal(record)
-	if err != nil {
-		return errors.Wrap(err, "encode record")
-	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	go func() {
@@ -85,39 +79,24 @@
 			}
 		}
 	}()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+forwardPath, bytes.NewReader(raw))
-	if err != nil {
-		return errors.Wrap(err, "create request to the replica")
-	}
-	// Without GetBody the transport cannot resend the request by itself after a
-	// connection failure.
-	req.GetBody = nil
-	response, err := d.PeerClient.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "leave a record to the replica")
-	}
-	defer func() { _ = response.Body.Close() }()
-	// The body holds only the text of an error.
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxQueryBytes))
+	// The body of the response holds only the text of an error.
+	status, text, err := d.post(ctx, address+forwardPath, record)
 	switch {
-	case response.StatusCode == http.StatusOK:
+	case err != nil:
+		return err
+	case status == http.StatusOK:
 		return nil
-	case response.StatusCode == http.StatusServiceUnavailable:
+	case status == http.StatusServiceUnavailable:
 		return errors.Wrapf(plantainrail.ErrRejected, "replica: %s", bytes.TrimSpace(text))
 	}
-	return errors.Errorf("replica answered with status %d: %s: %v", response.StatusCode, bytes.TrimSpace(text), err)
+	return errors.Errorf("replica answered with status %d: %s", status, bytes.TrimSpace(text))
 }
 
 // serveWrite stores a record of another entry. It responds with status 503 if the record
 // is not stored and never will be by this call, and with 504 if that is not known.
 func (d *Decider) serveWrite(w http.ResponseWriter, req *http.Request) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxQueryBytes))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
 	var record plantainrail.KeyedRecord
-	if err := cbor.Unmarshal(raw, &record); err != nil {
+	if err := receive(w, req, &record); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -88,7 +88,7 @@
 	defer check.Stop()
 	for {
 		d.mu.Lock()
-		known, follows, changed := d.catalog.Accepted(id), d.follows(), d.bookChanged
+		known, follows, changed := d.catalog.Accepted(id), d.follows(), d.stateChanged
 		d.mu.Unlock()
 		if known {
 			return plantainrail.Reply{Result: plantainrail.CallOK}
--- a/decider/query.go
+++ b/decider/query.go
@@ -26,8 +26,9 @@
 	// queryHedgeDelay is the time without an answer after which the next replica is
 	// asked too.
 	queryHedgeDelay = 200 * time.Millisecond
-	// maxQueryBytes bounds a query and its answer.
-	maxQueryBytes = 1 << 20
+	// maxPeerMessageBytes bounds a message between entries and its response. The largest
+	// job is below it.
+	maxPeerMessageBytes = 1 << 20
 	// acceptanceCheckInterval is how often an entry that does not follow the jobs asks
 	// whether a job was stored whose write is unanswered.
 	acceptanceCheckInterval = 250 * time.Millisecond
@@ -55,13 +56,8 @@
 // serveQuery answers the query of another entry. It responds with status 421 if this
 // entry does not follow the jobs.
 func (d *Decider) serveQuery(w http.ResponseWriter, req *http.Request) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxQueryBytes))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
 	var q jobQuery
-	if err := cbor.Unmarshal(raw, &q); err != nil {
+	if err := receive(w, req, &q); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -72,7 +68,7 @@
 		http.Error(w, "this entry does not follow the jobs", http.StatusMisdirectedRequest)
 		return
 	}
-	raw, err = cbor.Marshal(d.answer(req.Context(), q))
+	raw, err := cbor.Marshal(d.answer(req.Context(), q))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -111,7 +107,7 @@
 	for {
 		d.mu.Lock()
 		state, cancelRequested, accepted := d.catalog.State(id)
-		changed, fresh := d.bookChanged, d.catalogFresh()
+		changed, fresh := d.stateChanged, d.catalogFresh()
 		d.mu.Unlock()
 		if accepted {
 			return jobAnswer{Result: plantainrail.CallOK, State: state, CancelRequested: cancelRequested, Fresh: fresh}
@@ -218,26 +214,48 @@
 
 // ask sends a query to the entry at the address.
 func (d *Decider) ask(ctx context.Context, address string, q jobQuery) (jobAnswer, error) {
-	raw, err := cbor.Marshal(q)
-	if err != nil {
-		return jobAnswer{}, errors.Wrap(err, "encode query")
-	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+queryPath, bytes.NewReader(raw))
+	status, raw, err := d.post(ctx, address+queryPath, q)
+	if err != nil {
+		return jobAnswer{}, err
+	}
+	if status != http.StatusOK {
+		return jobAnswer{}, errors.Errorf("entry %s answered a query with status %d", address, status)
+	}
+	var answer jobAnswer
+	err = cbor.Unmarshal(raw, &answer)
+	return answer, errors.Wrap(err, "decode the answer to a query")
+}
+
+// post sends a message to another entry, whose address and path are given, and returns the
+// status and body of the response. After an error the message may have been processed.
+func (d *Decider) post(ctx context.Context, addressAndPath string, message any) (int, []byte, error) {
+	raw, err := cbor.Marshal(message)
 	if err != nil {
-		return jobAnswer{}, errors.Wrap(err, "create query")
+		return 0, nil, errors.Wrap(err, "encode message to another entry")
 	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addressAndPath, bytes.NewReader(raw))
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "create request to another entry")
+	}
+	// Without GetBody the transport cannot resend the request by itself after a
+	// connection failure.
+	req.GetBody = nil
 	response, err := d.PeerClient.Do(req)
 	if err != nil {
-		return jobAnswer{}, errors.Wrap(err, "query another entry")
+		return 0, nil, errors.Wrap(err, "call another entry")
 	}
 	defer func() { _ = response.Body.Close() }()
-	raw, err = io.ReadAll(io.LimitReader(response.Body, maxQueryBytes))
-	if err != nil || response.StatusCode != http.StatusOK {
-		return jobAnswer{}, errors.Errorf("entry %s answered a query with status %d: %v", address, response.StatusCode, err)
+	raw, err = io.ReadAll(io.LimitReader(response.Body, maxPeerMessageBytes))
+	return response.StatusCode, raw, errors.Wrap(err, "read the response of another entry")
+}
+
+// receive decodes the message in the body of another entry's request.
+func receive(w http.ResponseWriter, req *http.Request, message any) error {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxPeerMessageBytes))
+	if err != nil {
+		return errors.Wrap(err, "read message of another entry")
 	}
-	var answer jobAnswer
-	err = cbor.Unmarshal(raw, &answer)
-	return answer, errors.Wrap(err, "decode the answer to a query")
+	return errors.Wrap(cbor.Unmarshal(raw, message), "decode message of another entry")
 }
--- a/decider/replica.go
+++ b/decider/replica.go
@@ -85,7 +85,7 @@
 	if d.follows() {
 		return nil
 	}
-	return d.bookChanged
+	return d.stateChanged
 }
 
 func (d *Decider) followReplicas(ctx context.Context) error {
