Rank VMs by the headroom that their services may lose while a filler runs

A filler took a VM with more free processors if its services kept a headroom of just 0.1, which the swing of their own load uses up while the filler runs.

Change: the score of a VM counts services within 0.3 of their limits; only the decision to wait still uses 0.1.

TestFillerAvoidsServiceWithLittleHeadroom fails on the code before.

--- a/planner/interference.go
+++ b/planner/interference.go
@@ -13,9 +13,11 @@
 	// ranks a VM where a filler does not interfere with services above one that
 	// only has more free processors.
 	interferenceWeight = 6
-	// minHeadroom is the headroom of a service below which interference counts:
-	// the service's own load varies by about that much while a filler runs.
-	minHeadroom = 0.1
+	// minHeadroom is the headroom of a service below which a filler waits for another
+	// VM: the service's own load varies by about that much while a filler runs.
+	// rankingHeadroom is the headroom below which interference lowers the score of a VM.
+	minHeadroom     = 0.1
+	rankingHeadroom = 0.3
 	// existingInterferenceShare is the share of the interference by the running
 	// fillers that is not attributed to a further filler, since it would persist
 	// anyway.
@@ -114,21 +116,32 @@
 	return v.headrooms
 }
 
-// interference rates how one more filler of a step, together with the fillers
-// already on the VM, affects the VM's services. It returns the processors that
-// are requested by services which the filler would push over their latency
-// objectives, as a share of the VM's processors. A service counts in part if the
-// filler would only bring it close to its latency objective, and counts less if
-// its headroom is below minHeadroom already.
-func (p *Planner) interference(v *vm, step *plantainrail.Step, now time.Time) float64 {
+// interference is how one more filler of a step, together with the fillers already on the
+// VM, affects the VM's services: the processors that are requested by services which the
+// filler would push over their latency objectives, as a share of the VM's processors. A
+// service counts in part if the filler would only bring it close to its latency objective:
+// within minHeadroom for expected, and within rankingHeadroom for possible. It counts less
+// if its headroom is below that already.
+type interference struct{ expected, possible float64 }
+
+// interference rates a VM for one more filler of a step.
+func (p *Planner) interference(v *vm, step *plantainrail.Step, now time.Time) interference {
 	cores := float64(step.CPU) / millicoresPerCore
-	sum := 0.0
+	var out interference
 	for _, s := range p.serviceHeadrooms(v, now) {
 		service := s.run.step()
-		perCore := p.estimator.LoadPerCore(service.Image, step.Image)
-		sum += (headroomDeficit(s.headroom-cores*perCore) - existingInterferenceShare*headroomDeficit(s.headroom)) * float64(service.CPU)
+		after := s.headroom - cores*p.estimator.LoadPerCore(service.Image, step.Image)
+		share := float64(service.CPU) / float64(max(v.Capacity.Processors, 1))
+		out.expected += share * addedDeficit(s.headroom, after, minHeadroom)
+		out.possible += share * addedDeficit(s.headroom, after, rankingHeadroom)
 	}
-	return sum / float64(max(v.Capacity.Processors, 1))
+	return out
+}
+
+// addedDeficit returns the deficit of a headroom after a filler was added, less the part of
+// the earlier deficit that is not attributed to the filler.
+func addedDeficit(before, after, wanted float64) float64 {
+	return headroomDeficit(after, wanted) - existingInterferenceShare*headroomDeficit(before, wanted)
 }
 
 // fillerWaitLimit returns how long a job's fillers may wait in total for a VM
@@ -166,10 +179,10 @@
 	}
 }
 
-// headroomDeficit returns how far the headroom is below minHeadroom, as a fraction of
-// it: 0 if the headroom is at least minHeadroom, and 1 if none is left.
-func headroomDeficit(headroom float64) float64 {
-	return math.Min(math.Max((minHeadroom-headroom)/minHeadroom, 0), 1)
+// headroomDeficit returns how far the headroom is below the wanted one, as a fraction of
+// it: 0 if the headroom is as wanted, and 1 if none is left.
+func headroomDeficit(headroom, wanted float64) float64 {
+	return math.Min(math.Max((wanted-headroom)/wanted, 0), 1)
 }
 
 // affinity rates how well a service fits with those on the VM, from 0 to
--- a/planner/interference_test.go
+++ b/planner/interference_test.go
@@ -293,3 +293,39 @@
 		assert.Assert(t, sum > 40 && sum <= 0.8*64, "%s: fillers request %.0f cores of 64", vm.incarnation.Node, sum)
 	}
 }
+
+// Load pattern: neighbours. Guards against a filler that takes a VM only because it has more
+// free processors, although it brings a service there close to its latency objective: the
+// load of the service may rise while the filler runs.
+func TestFillerAvoidsServiceWithLittleHeadroom(t *testing.T) {
+	const ownLoad, fillerLoad = 0.5, 0.14
+	vms := []plantainrail.VM{newVM("vm-0", 64_000), newVM("vm-1", 64_000)}
+	h := newHarness(t, vms...)
+	nodes := map[string]plantainrail.RunRef{}
+	for _, step := range []plantainrail.Step{servingStep(1, 20_000, "near"), servingStep(1, 50_000, "tolerant")} {
+		h.submit("svc-"+step.Image, step)
+		a := h.tick().Assignments[0]
+		nodes[a.Incarnation.Node] = a.Order.Ref
+	}
+	for i := range 60 {
+		h.now = h.now.Add(reportInterval)
+		for _, vm := range vms {
+			h.report(vm)
+			ref, load, used := nodes[vm.Incarnation.Node], ownLoad, map[string]int{}
+			switch {
+			case i == 0:
+				// The services are idle once, which tells their lowest tail latency.
+				load = 0
+			case i%2 == 0:
+				used["f"] = 7_000
+				if ref.Task.Job == "svc-near" {
+					load += fillerLoad
+				}
+			}
+			h.planner.Observe(vm.Incarnation, map[plantainrail.RunRef]int{ref: int(idleTail / (1 - load))}, used, h.now)
+		}
+	}
+	h.submit("fill", fillerStep(1, 7_000, "f"))
+	a := h.tick().Assignments[0]
+	assert.Equal(t, nodes[a.Incarnation.Node].Task.Job, "svc-tolerant", "the filler must run beside the service that tolerates it")
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -216,10 +216,10 @@
 	score := v.score(r.ready.job, step)
 	if step.Filler {
 		interference := p.interference(v, step, r.now)
-		if interference > maxInterference && r.shape.mayWait {
+		if interference.expected > maxInterference && r.shape.mayWait {
 			return unsuitable
 		}
-		score -= interferenceWeight * interference
+		score -= interferenceWeight * interference.possible
 	}
 	return score
 }
