--- a/decider/forward.go
+++ b/decider/forward.go
@@ -16,22 +16,23 @@
 const (
 	// forwardPath is the path at which a replica stores the records of other entries.
 	forwardPath = "/-/write"
-	// forwardTimeout bounds how long a record is left to the replica. A store that is
-	// slower than usual by a factor of seventy answers within it.
+	// forwardTimeout bounds how long the replica may take to store a forwarded record. A
+	// store that is slower than usual by a factor of seventy answers within it.
 	forwardTimeout = 2 * time.Second
 	// maxReplicaSilence is the age of the replica's newest answer above which records are
-	// not left to it: two pings and a margin.
+	// not forwarded to it: two pings and a margin.
 	maxReplicaSilence = 1300 * time.Millisecond
 	// replicaCheckInterval is how often an entry checks whether the replica still answers
-	// while a record is left to it.
+	// while it stores a forwarded record.
 	replicaCheckInterval = 250 * time.Millisecond
 )
 
 // write stores a record of the jobs topic. The results are those of writer.append. Unless
-// the entry follows the jobs, it leaves the record to the replica of its zone, which
+// the entry follows the jobs, it forwards the record to the replica of its zone, which
 // stores the records of many entries with one append: a partition of the store processes
 // its appends one at a time. If the replica does not answer, the entry writes the record
-// itself; a record may be stored twice.
+// itself. The record may then be stored twice, which is harmless: the first one of a key
+// counts.
 func (d *Decider) write(ctx context.Context, record plantainrail.KeyedRecord) error {
 	address, ok := d.forwardAddress()
 	if !ok {
@@ -63,9 +64,9 @@
 // maxReplicaSilence. The caller holds the lock.
 func (d *Decider) replicaAnswers() bool { return d.Now().Sub(d.pendingReadAt) < maxReplicaSilence }
 
-// forward lets the entry at the address store a record. After an error other than
-// plantainrail.ErrRejected the record may be stored. It gives up when the replica of the
-// zone has not answered pings lately.
+// forward asks the replica at the address to store a record. After an error other than
+// plantainrail.ErrRejected the record may be stored. forward gives up early when the
+// replica stops answering pings.
 func (d *Decider) forward(ctx context.Context, address string, record plantainrail.KeyedRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -146,8 +146,8 @@
 	return reply
 }
 
-// maxPendingAge bounds the age of the numbers of pending jobs. They are pinged for every
-// replicaPingInterval.
+// maxPendingAge bounds the age of the numbers of pending jobs, which an entry gets with
+// each ping of its replica.
 const maxPendingAge = 1500 * time.Millisecond
 
 // PendingJobs implements plantainrail.JobService.
--- a/decider/replica.go
+++ b/decider/replica.go
@@ -67,8 +67,8 @@
 // of its zone or owns the jobs. The caller holds the lock.
 func (d *Decider) follows() bool { return d.isReplica() || d.owner != nil }
 
-// dropUnfollowed forgets the jobs if the entry does not follow them any more. The caller
-// holds the lock.
+// dropUnfollowed drops the catalog if the entry does not follow the jobs any more. It must
+// be called whenever that may have changed. The caller holds the lock.
 func (d *Decider) dropUnfollowed() {
 	if d.follows() || d.jobsNext == unread && d.progressNext == unread {
 		return
@@ -152,7 +152,7 @@
 	case c.Nonce == d.nonce:
 		return c.Resigned
 	case c.Name == "" || c.Resigned || c.Name == d.Name:
-		// An entry of the same name was this entry's earlier process.
+		// A claim under this entry's name but with another nonce is by its earlier process.
 		return true
 	}
 	now := d.Now()
