--- a/decider/owner.go
+++ b/decider/owner.go
@@ -303,6 +303,10 @@
 		ordersFor(s.Incarnation).Stops = append(ordersFor(s.Incarnation).Stops, s.Ref)
 		o.decider.Logger.Info("task stopped", zap.Stringer("task", s.Ref.Task), zap.Int64("run", s.Ref.Run), zap.String("node", s.Incarnation.Node), zap.String("reason", s.Reason))
 	}
+	for _, lost := range plan.Lost {
+		o.decider.Logger.Info("run lost", zap.Stringer("task", lost.Ref.Task), zap.Int64("run", lost.Ref.Run), zap.String("node", lost.Node),
+			zap.String("cause", string(lost.Cause)), zap.Int64("age", lost.Age.Milliseconds()))
+	}
 	for _, unplaced := range plan.Unplaced {
 		o.decider.Logger.Info("step waits", zap.String("job", unplaced.Job), zap.Int("occurrence", unplaced.Occurrence), zap.Int("step", unplaced.Step),
 			zap.Int("tasks", unplaced.Tasks), zap.Any("obstacles", unplaced.Obstacles))
--- a/decider/session.go
+++ b/decider/session.go
@@ -125,7 +125,7 @@
 	}
 	now := o.decider.Now()
 	if r.Departed {
-		o.planner.RemoveWorker(r.VM.Incarnation)
+		o.planner.RemoveWorker(r.VM.Incarnation, now)
 		o.decider.Logger.Info("VM gone", zap.String("node", r.VM.Incarnation.Node), zap.String("worker", r.VM.Incarnation.ID))
 		_ = a.session.Send(linker.Frame{Orders: &linker.WorkOrders{Epoch: o.epoch, Incarnation: r.VM.Incarnation, DepartureAcked: true}})
 		o.requestRound()
--- a/planner/place.go
+++ b/planner/place.go
@@ -175,8 +175,9 @@
 	j.Started = true
 	p.markChanged(j)
 	v.addRun(j, id, t, false)
-	v.runs[plantainrail.RunRef{Task: id, Run: run}].assignedAt = now
-	return Assignment{Incarnation: v.Incarnation, Order: v.runs[plantainrail.RunRef{Task: id, Run: run}].order()}
+	placed := v.runs[plantainrail.RunRef{Task: id, Run: run}]
+	placed.assignedAt, placed.knownSince = now, now
+	return Assignment{Incarnation: v.Incarnation, Order: placed.order()}
 }
 
 // rating holds the scores of all VMs for the tasks of one step. Assigning a task
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -53,12 +53,34 @@
 	Reason      string
 }
 
+// LossCause is the reason why the runs of a worker incarnation are lost.
+type LossCause string
+
+// Values of LossCause, as they appear in the log.
+const (
+	// LostReplaced means that the worker runs under another incarnation.
+	LostReplaced LossCause = "replaced"
+	LostDeparted LossCause = "departed"
+	LostExpired  LossCause = "expired"
+)
+
+// LostRun is a run that was lost with its worker incarnation.
+type LostRun struct {
+	Ref   plantainrail.RunRef
+	Node  string
+	Cause LossCause
+	// Age is the time from the assignment to the loss.
+	Age time.Duration
+}
+
 // Plan is the result of one Tick. The progress of the jobs in Changed must be
 // stored before assignments and stops are carried out.
 type Plan struct {
 	Changed     []*Job
 	Assignments []Assignment
 	Stops       []Stop
+	// Lost lists the runs that were lost since the last Tick.
+	Lost []LostRun
 	// Unplaced lists steps with tasks that cannot be placed on any VM. A job is
 	// listed at most once per unplacedReportInterval.
 	Unplaced []UnplacedStep
@@ -78,9 +100,10 @@
 	active []*Job
 	// pools maps the configured queues to their pools of VMs.
 	pools map[string]string
-	// changed, stops and unplaced are collected for the next Plan.
+	// changed, stops, lost and unplaced are collected for the next Plan.
 	changed  map[string]*Job
 	stops    []Stop
+	lost     []LostRun
 	unplaced []UnplacedStep
 	// unplaceable holds the shapes that found no VM in the current tick.
 	unplaceable map[shape]bool
@@ -162,6 +185,7 @@
 		}
 		// The assignment is known from the store, so it is stored.
 		v.addRun(j, id, t, true)
+		v.runs[plantainrail.RunRef{Task: id, Run: t.Run}].knownSince = now
 	})
 	if placed || !j.State.Final() {
 		at, _ := slices.BinarySearchFunc(p.active, j, compareActive)
@@ -238,7 +262,7 @@
 func (p *Planner) UpdateWorker(reported plantainrail.VM, now time.Time) {
 	for _, v := range p.vmsOfNode(reported.Incarnation.Node) {
 		if v.Incarnation != reported.Incarnation {
-			p.removeVM(v)
+			p.removeVM(v, LostReplaced, now)
 		}
 	}
 	v := p.vms[reported.Incarnation]
@@ -260,9 +284,9 @@
 }
 
 // RemoveWorker removes a worker that has deregistered and requeues its runs.
-func (p *Planner) RemoveWorker(incarnation plantainrail.WorkerIncarnation) {
+func (p *Planner) RemoveWorker(incarnation plantainrail.WorkerIncarnation, now time.Time) {
 	if v := p.vms[incarnation]; v != nil {
-		p.removeVM(v)
+		p.removeVM(v, LostDeparted, now)
 	}
 }
 
@@ -445,8 +469,9 @@
 
 // removeVM removes a VM on which certainly nothing runs any longer, and requeues
 // all its runs.
-func (p *Planner) removeVM(v *vm) {
+func (p *Planner) removeVM(v *vm, cause LossCause, now time.Time) {
 	for _, run := range slices.Clone(v.orderedRuns) {
+		p.lost = append(p.lost, LostRun{Ref: run.ref(), Node: v.Incarnation.Node, Cause: cause, Age: now.Sub(run.knownSince)})
 		p.requeue(v, run)
 	}
 	delete(p.vms, v.Incarnation)
@@ -483,9 +508,9 @@
 	assignments := p.place(now)
 	plan := Plan{
 		Changed:     slices.SortedFunc(maps.Values(p.changed), compareArrival),
-		Assignments: assignments, Stops: p.stops, Unplaced: p.unplaced,
+		Assignments: assignments, Stops: p.stops, Lost: p.lost, Unplaced: p.unplaced,
 	}
-	p.stops, p.unplaced = nil, nil
+	p.stops, p.lost, p.unplaced = nil, nil, nil
 	clear(p.changed)
 	return plan
 }
@@ -499,7 +524,7 @@
 	}
 	for _, v := range slices.Clone(p.ordered) {
 		if expired(v) {
-			p.removeVM(v)
+			p.removeVM(v, LostExpired, now)
 		}
 	}
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -254,6 +254,25 @@
 	assert.Equal(t, h.state("job"), planner.Running, "an end from the earlier incarnation must be ignored")
 }
 
+// A run that is lost with its worker's incarnation must be listed with the cause, so that
+// the log tells which runs ended with a crash.
+func TestLostRunsAreListed(t *testing.T) {
+	h := newHarness(t, newVM("a", 1000))
+	h.submit("job", plantainrail.Step{Count: 1, CPU: 1000})
+	first := h.tick().Assignments[0]
+	h.now = h.now.Add(time.Second)
+	reborn := newVM("a", 1000)
+	reborn.Incarnation.StartedMS++
+	h.report(reborn)
+	plan := h.tick()
+	assert.DeepEqual(t, plan.Lost, []planner.LostRun{{Ref: first.Order.Ref, Node: "a", Cause: planner.LostReplaced, Age: time.Second}})
+	h.planner.RemoveWorker(reborn.Incarnation, h.now)
+	plan = h.tick()
+	assert.Equal(t, len(plan.Lost), 1)
+	assert.Equal(t, plan.Lost[0].Cause, planner.LostDeparted)
+	assert.Equal(t, len(h.tick().Lost), 0)
+}
+
 func TestFailedRunsAreLimited(t *testing.T) {
 	h := newHarness(t, newVM("a", 2000), newVM("b", 2000), newVM("c", 2000))
 	h.submit("job", plantainrail.Step{Count: 1, CPU: 1000})
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -37,6 +37,8 @@
 	stopping bool
 	// assignedAt is when the run was assigned; zero if an earlier owner did so.
 	assignedAt time.Time
+	// knownSince is when this owner assigned the run, or took it over.
+	knownSince time.Time
 	// tailLatency is the latest tail latency of a service, in milliseconds.
 	tailLatency int
 }
