--- a/minder/lease.go
+++ b/minder/lease.go
@@ -43,8 +43,10 @@
 		renewal := plantainrail.LeaseRenewal{AckedThrough: m.acknowledged, DeadlineMS: m.leaseDeadline(), Wait: renewLeaseWait}
 		switch {
 		case len(m.ends) > 0:
-			// While there are unacknowledged ends, the wait of at most
-			// acknowledgmentWait after each call replaces the long poll.
+			// The wait of at most acknowledgmentWait after each call replaces the long poll.
+			renewal.Wait = 0
+		case m.unreachable || m.clock.readAt.IsZero():
+			// The reply shows a new incarnation, or the clock without which no lease can be set.
 			renewal.Wait = 0
 		case m.needsPacing() || !m.ordersComplete:
 			// Pacing needs new measurements at each interval. Until the list of ordered
@@ -138,7 +140,7 @@
 			m.Logger.Info("worker reborn", zap.String("worker", incarnation.ID), zap.Int64("born", reply.StartedMS))
 			incarnation.StartedMS = reply.StartedMS
 			m.startIncarnation(incarnation)
-			m.report(linker.WorkReport{})
+			m.renew()
 		}
 		return false
 	}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -219,7 +219,12 @@
 	m.vm = h.VM
 	if incarnation != current || drainingChanged {
 		m.Logger.Info("worker seen", zap.String("worker", incarnation.ID), zap.Int64("born", incarnation.StartedMS), zap.Bool("draining", h.VM.Draining))
-		m.report(linker.WorkReport{})
+		if incarnation != current {
+			// Starts on a new incarnation wait for its first lease.
+			m.renew()
+		} else {
+			m.report(linker.WorkReport{})
+		}
 		m.wakePoller()
 	}
 }
