--- /dev/null
+++ b/assembler/fleet_crash_test.go
@@ -0,0 +1,54 @@
+package assembler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail/standin/runner"
+)
+
+// Guards against a task that crashes one worker after another (BUDGET): its job must fail, also
+// across a change of the owner, and the tasks beside it must complete.
+func TestDeadlyTaskIsGivenUp(t *testing.T) {
+	const (
+		deadlyJob = 50
+		// maxStarts are three starts under which workers crash, and two more.
+		maxStarts = 5
+		// limit allows for three crashes, the time until each worker is back, and a lease.
+		limit = 30 * time.Second
+	)
+	for _, c := range []struct {
+		name  string
+		fault func(f *fleet)
+	}{
+		{"no fault", func(*fleet) {}},
+		{"owner killed after the first crash", func(f *fleet) { f.killEntry(f.owner(), time.Second) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runInFleet(t, smallFleet, func(f *fleet) {
+				for n := range 6 {
+					f.submit(n, "800", jobSteps)
+				}
+				f.submit(deadlyJob, "crash", []map[string]any{{"count": 1, "cpu": 1000}})
+				time.Sleep(time.Second)
+				c.fault(f)
+				f.waitForState(deadlyJob, "failed", limit)
+				for n := range 6 {
+					f.waitForState(n, "completed", limit)
+				}
+				starts := 0
+				for _, v := range f.vms {
+					for _, s := range v.worker.History() {
+						if runner.JobID(s.Task) == jobID(deadlyJob) {
+							starts++
+						}
+					}
+				}
+				assert.Assert(t, starts <= maxStarts, "%d starts", starts)
+				f.checkRuns()
+			})
+		})
+	}
+}
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -294,8 +294,12 @@
 		}
 		return orders[incarnation]
 	}
+	for _, lost := range plan.Lost {
+		o.decider.Logger.Info("run lost", zap.Stringer("task", lost.Ref.Task), zap.Int64("run", lost.Ref.Run), zap.String("node", lost.Node),
+			zap.String("cause", string(lost.Cause)), zap.Int64("age", lost.Age.Milliseconds()), zap.Int("crashes", lost.Crashes))
+	}
 	for _, a := range plan.Assignments {
-		o.planner.MarkStored(a)
+		o.planner.MarkStored(a, o.decider.Now())
 		ordersFor(a.Incarnation).Starts = append(ordersFor(a.Incarnation).Starts, a.Order)
 		o.decider.Logger.Info("task placed", zap.Stringer("task", a.Order.Ref.Task), zap.Int64("run", a.Order.Ref.Run), zap.String("node", a.Incarnation.Node))
 	}
@@ -303,10 +307,6 @@
 		ordersFor(s.Incarnation).Stops = append(ordersFor(s.Incarnation).Stops, s.Ref)
 		o.decider.Logger.Info("task stopped", zap.Stringer("task", s.Ref.Task), zap.Int64("run", s.Ref.Run), zap.String("node", s.Incarnation.Node), zap.String("reason", s.Reason))
 	}
-	for _, lost := range plan.Lost {
-		o.decider.Logger.Info("run lost", zap.Stringer("task", lost.Ref.Task), zap.Int64("run", lost.Ref.Run), zap.String("node", lost.Node),
-			zap.String("cause", string(lost.Cause)), zap.Int64("age", lost.Age.Milliseconds()))
-	}
 	for _, unplaced := range plan.Unplaced {
 		o.decider.Logger.Info("step waits", zap.String("job", unplaced.Job), zap.Int("occurrence", unplaced.Occurrence), zap.Int("step", unplaced.Step),
 			zap.Int("tasks", unplaced.Tasks), zap.Any("obstacles", unplaced.Obstacles))
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -108,6 +108,9 @@
 	if m.vm.Incarnation != incarnation {
 		return
 	}
+	if brokenOff(err) {
+		m.crashes = m.crashes.withBreak(m.Now())
+	}
 	if m.leaving && !m.departed && !errors.Is(err, context.DeadlineExceeded) {
 		// A worker that has deregistered replies until it closes its port. A call that
 		// fails for another reason than a timeout shows that it has ended.
@@ -119,7 +122,7 @@
 		return
 	}
 	m.unreachable = true
-	m.Logger.Warn("worker lost", zap.String("worker", incarnation.ID), zap.Error(err))
+	m.Logger.Warn("worker lost", zap.String("worker", incarnation.ID), zap.Any("started", m.crashes.suspects), zap.Error(err))
 	m.report(linker.WorkReport{})
 }
 
@@ -150,6 +153,7 @@
 		m.Logger.Info("worker regained", zap.String("worker", incarnation.ID))
 		m.renew()
 	}
+	m.crashes = m.crashes.withAnswer()
 	m.clock = workerClock{reading: reply.ClockMS, readAt: m.Now()}
 	clear(m.running)
 	for _, status := range reply.Running {
@@ -208,33 +212,46 @@
 // callTimeout bounds one call that starts, stops or paces a run.
 const callTimeout = 300 * time.Millisecond
 
-// start starts a run on the worker in the background. The caller holds the lock.
+// start starts a run on the worker in the background, and cancels the start if it is refused.
+// The caller holds the lock.
 func (m *Minder) start(r *run) {
-	go m.startRun(m.vm.Incarnation, r, m.Now().Add(startTimeout))
+	incarnation := m.vm.Incarnation
+	go func() {
+		release := m.starts.acquire(r)
+		if r.order.Alone {
+			// Starts just before must be told apart from this one.
+			_ = clocker.Sleep(context.Background(), batchTime)
+		}
+		reason, refused := m.startRun(incarnation, r, m.Now().Add(startTimeout))
+		if r.order.Alone && !refused {
+			_ = clocker.Sleep(context.Background(), aloneTime)
+		}
+		release()
+		if refused {
+			m.cancelStart(incarnation, r, reason)
+		}
+	}()
 }
 
 // startRun sends a start to the worker and repeats it until the worker accepts or
-// refuses it or the run is to be stopped. It cancels the start if the worker refuses it,
-// the VM is draining or the given time has passed. The time limit also bounds the wait
-// for a lease renewal: a start must not be sent after the owner has declared the worker
-// lost.
-func (m *Minder) startRun(incarnation plantainrail.WorkerIncarnation, r *run, until time.Time) {
+// refuses it or the run is to be stopped. It reports a refusal also if the VM is draining
+// or the given time has passed. The time limit also bounds the wait for a lease renewal: a
+// start must not be sent after the owner has declared the worker lost.
+func (m *Minder) startRun(incarnation plantainrail.WorkerIncarnation, r *run, until time.Time) (reason plantainrail.RefusalReason, refused bool) {
 	ref := r.order.Ref
 	for {
 		m.mu.Lock()
 		if m.superseded(incarnation) || m.orderedRuns[ref] != r || m.stopping[ref] {
 			m.mu.Unlock()
-			return
+			return "", false
 		}
 		epoch, deadline, draining := m.epoch, m.leaseDeadline(), m.vm.Draining
 		m.mu.Unlock()
 		switch {
 		case draining:
-			m.cancelStart(incarnation, r, plantainrail.RefusedDraining)
-			return
+			return plantainrail.RefusedDraining, true
 		case m.Now().After(until):
-			m.cancelStart(incarnation, r, plantainrail.RefusedNoResponse)
-			return
+			return plantainrail.RefusedNoResponse, true
 		case deadline == 0:
 			// The start waits for a lease renewal.
 			_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
@@ -243,16 +260,16 @@
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		err := m.Worker.Start(ctx, incarnation, epoch, r.order, deadline)
 		cancel()
-		var refused *plantainrail.RefusedError
+		m.noteStart(incarnation, ref, err)
+		var refusal *plantainrail.RefusedError
 		switch {
 		case err == nil:
 			m.mu.Lock()
 			m.applyPace(r)
 			m.mu.Unlock()
-			return
-		case errors.As(err, &refused):
-			m.cancelStart(incarnation, r, refused.Reason)
-			return
+			return "", false
+		case errors.As(err, &refusal):
+			return refusal.Reason, true
 		}
 		m.Logger.Warn("start not answered", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Error(err))
 		_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -65,6 +65,8 @@
 	// unreachable is set after maxRenewLeaseFailures failed RenewLease calls in a row,
 	// until one succeeds.
 	unreachable bool
+	// crashes tells which runs the worker was starting when it broke off its calls.
+	crashes crashWatch
 	// clearingEarlierRuns is set while a new incarnation may still receive starts
 	// that were meant for the previous one. While it is set, nothing is reported to
 	// the owner.
@@ -99,6 +101,7 @@
 	// listedAt is the send time of the last RenewLease call that the worker has replied to.
 	listedAt time.Time
 	clock    workerClock
+	starts   startSlots
 	pacing   pacing
 	// session is the current session with the owner; nil if there is none.
 	session *linker.Session
@@ -147,7 +150,7 @@
 	return &Minder{
 		Options: o, orderedRuns: map[plantainrail.RunRef]*run{}, stopping: map[plantainrail.RunRef]bool{},
 		running: map[plantainrail.RunRef]plantainrail.RunStatus{}, renewalSentAt: map[uint64]time.Time{},
-		changed: make(chan struct{}, 1), stopped: make(chan struct{}), entries: newDirectory(), pacing: newPacing(),
+		changed: make(chan struct{}, 1), stopped: make(chan struct{}), entries: newDirectory(), pacing: newPacing(), starts: newStartSlots(),
 	}
 }
 
@@ -241,6 +244,7 @@
 	}
 	m.vm.Incarnation = incarnation
 	m.leaving, m.departed, m.departureAcked = false, false, false
+	m.crashes = m.crashes.withNewIncarnation()
 	m.unreachable, m.ordersComplete, m.acknowledged, m.reported, m.heartbeatSequence = false, false, 0, 0, 0
 	m.ends, m.clock = nil, workerClock{}
 	m.leaseUntil = time.Time{}
@@ -339,6 +343,7 @@
 	r.VM = m.vm
 	// An unreachable worker is reported as draining, so that it gets no new runs.
 	r.VM.Draining = r.VM.Draining || m.unreachable
+	r.VM.StartedLast = m.crashes.startedLast(m.unreachable, m.ordersComplete)
 	r.VM.FillersPaused = m.pacing.pacer.Pace() != pacer.FullPace
 	// Send fails only if the session has ended. The next session begins with the
 	// unacknowledged ends and the owner's complete list of the runs that it wants.
--- /dev/null
+++ b/planner/crash_test.go
@@ -0,0 +1,194 @@
+package planner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/planner"
+)
+
+// crashModel is a fleet of workers in which the tasks of some jobs crash every worker that
+// starts them.
+type crashModel struct {
+	*harness
+	random  *rand.Rand
+	workers []*crashWorker
+	// deadly holds the jobs whose tasks with index 0 crash workers, and starts counts the
+	// starts of these tasks.
+	deadly map[string]bool
+	starts map[string]int
+	// submitted is the number of jobs.
+	submitted int
+}
+
+type crashWorker struct {
+	vm plantainrail.VM
+	// orders are the runs to be started, and startedLast those that were started in the
+	// newest step.
+	orders      []planner.Assignment
+	startedLast []plantainrail.RunRef
+	runs        []planner.Assignment
+	// ends are the times at which the runs end, and endNumber that of the newest end.
+	ends      []time.Time
+	endNumber int64
+	// crashAt and returnAt are when the worker will crash and be back; zero if not.
+	crashAt, returnAt time.Time
+}
+
+const (
+	crashDelay    = 10 * time.Millisecond
+	crashDowntime = 3200 * time.Millisecond
+	modelStep     = 25 * time.Millisecond
+)
+
+func newCrashModel(t *testing.T, workers int, seed uint64) *crashModel {
+	m := &crashModel{harness: newHarness(t), random: rand.New(rand.NewPCG(seed, 0)), deadly: map[string]bool{}, starts: map[string]int{}}
+	for i := range workers {
+		w := &crashWorker{vm: newVM(fmt.Sprintf("vm-%02d", i), 32_000)}
+		m.workers = append(m.workers, w)
+		m.report(w.vm)
+	}
+	return m
+}
+
+// submitJob submits a job of up to ten tasks.
+func (m *crashModel) submitJob(deadly bool) {
+	m.submitted++
+	id := fmt.Sprintf("job-%03d", m.submitted)
+	m.deadly[id] = deadly
+	m.submit(id, plantainrail.Step{Count: 1 + m.random.IntN(10), CPU: 500 + m.random.IntN(1000)})
+}
+
+// advance lets a step of time pass on all workers and runs a tick.
+func (m *crashModel) advance() {
+	m.now = m.now.Add(modelStep)
+	for _, w := range m.workers {
+		m.advanceWorker(w)
+	}
+	for _, a := range m.tick().Assignments {
+		for _, w := range m.workers {
+			if w.vm.Incarnation == a.Incarnation && w.returnAt.IsZero() {
+				w.orders = append(w.orders, a)
+			}
+		}
+	}
+	for _, w := range m.workers {
+		m.startRuns(w)
+	}
+}
+
+// startRuns starts the ordered runs as the agent does: those that are to be started alone one
+// after the other, at most one in a step.
+func (m *crashModel) startRuns(w *crashWorker) {
+	w.startedLast = nil
+	for len(w.orders) > 0 {
+		a := w.orders[0]
+		if a.Order.Alone && len(w.startedLast) > 0 {
+			return
+		}
+		m.startRun(w, a)
+		w.orders, w.startedLast = w.orders[1:], append(w.startedLast, a.Order.Ref)
+		if a.Order.Alone {
+			return
+		}
+	}
+}
+
+func (m *crashModel) startRun(w *crashWorker, a planner.Assignment) {
+	w.runs = append(w.runs, a)
+	w.ends = append(w.ends, m.now.Add(500*time.Millisecond+time.Duration(m.random.IntN(1500))*time.Millisecond))
+	if id := a.Order.Ref.Task; m.deadly[id.Job] && id.Index == 0 {
+		m.starts[id.Job]++
+		w.crashAt = m.now.Add(crashDelay)
+	}
+}
+
+// crash ends a worker's runs. It is back after crashDowntime.
+func (m *crashModel) crash(w *crashWorker) {
+	w.runs, w.ends, w.crashAt, w.returnAt = nil, nil, time.Time{}, m.now.Add(crashDowntime)
+	w.vm.Draining, w.vm.StartedLast, w.orders = true, w.startedLast, nil
+	m.planner.UpdateWorker(w.vm, m.now)
+}
+
+func (m *crashModel) advanceWorker(w *crashWorker) {
+	switch {
+	case !w.crashAt.IsZero() && !m.now.Before(w.crashAt):
+		m.crash(w)
+		return
+	case !w.returnAt.IsZero() && m.now.Before(w.returnAt):
+		return
+	case !w.returnAt.IsZero():
+		w.returnAt, w.endNumber, w.vm.Draining, w.vm.StartedLast = time.Time{}, 0, false, nil
+		w.vm.Incarnation.StartedMS++
+	}
+	m.report(w.vm)
+	for i := 0; i < len(w.runs); {
+		if m.now.Before(w.ends[i]) {
+			i++
+			continue
+		}
+		w.endNumber++
+		m.reportEnd(w.runs[i], w.endNumber, plantainrail.RunDone)
+		w.runs, w.ends = append(w.runs[:i], w.runs[i+1:]...), append(w.ends[:i], w.ends[i+1:]...)
+	}
+}
+
+// checkEnds fails the test unless the jobs with deadly tasks have failed after fewer starts
+// than the platform allows, and all others are complete.
+func (m *crashModel) checkEnds() {
+	// Three workers may crash, and the third start after that is one too many.
+	const maxStarts = 5
+	for id, deadly := range m.deadly {
+		if deadly {
+			assert.Equal(m.t, m.state(id), planner.Failed, id)
+			assert.Assert(m.t, m.starts[id] <= maxStarts, "%s: %d starts", id, m.starts[id])
+			continue
+		}
+		assert.Equal(m.t, m.state(id), planner.Completed, id)
+	}
+}
+
+// Guards against a task that crashes one worker after another, while the sound tasks beside it
+// are lost with them (BUDGET): its job must fail, and no other.
+func TestDeadlyTasksAreGivenUp(t *testing.T) {
+	for seed := range uint64(20) {
+		m := newCrashModel(t, 11, seed)
+		for step := range 1600 {
+			if step < 400 && step%10 == 0 {
+				m.submitJob(m.random.IntN(10) == 0)
+			}
+			if step == 600 {
+				m.harness = m.takeOver()
+			}
+			m.advance()
+		}
+		m.checkEnds()
+	}
+}
+
+// Guards against sound jobs that are given up (LOST) because workers crash for another
+// cause, some of them again and again.
+func TestFailingWorkersDoNotFailJobs(t *testing.T) {
+	for seed := range uint64(20) {
+		m := newCrashModel(t, 11, seed)
+		for step := range 2400 {
+			if step < 800 && step%10 == 0 {
+				m.submitJob(false)
+			}
+			for i, w := range m.workers {
+				// The first two workers are up for less than two seconds at a time.
+				flapping := i < 2 && m.random.IntN(40) == 0
+				if w.returnAt.IsZero() && (flapping || m.random.IntN(8000) == 0) && step < 1200 {
+					m.crash(w)
+				}
+			}
+			m.advance()
+		}
+		m.checkEnds()
+	}
+}
--- a/planner/job.go
+++ b/planner/job.go
@@ -49,6 +49,9 @@
 	Incarnation plantainrail.WorkerIncarnation
 	// Failures counts the runs that ended as failed.
 	Failures int
+	// Crashes counts the workers in a row that have crashed when a run of the task had
+	// just begun. Any end that a worker reports sets it to 0.
+	Crashes int
 	// Checkpoint is the newest known checkpoint.
 	Checkpoint string
 }
@@ -109,6 +112,8 @@
 	// may wait again.
 	fillerWait          time.Duration
 	fillersWaitingSince time.Time
+	// crashed is set once a crash was counted against a task of the job.
+	crashed bool
 }
 
 func newJob(w plantainrail.Workflow, arrival int64) *Job {
@@ -223,6 +228,8 @@
 	// occurrence, step and index. Closed lists the occurrences that have ended.
 	Open   map[int][][]taskRecord `cbor:"3,keyasint,omitempty"`
 	Closed []int                  `cbor:"4,keyasint,omitempty"`
+	// Crashes is not part of taskRecord, whose number of elements is fixed.
+	Crashes []crashRecord `cbor:"5,keyasint,omitempty"`
 }
 
 // taskRecord is the stored form of a Task. Incarnation is a position in
@@ -239,7 +246,7 @@
 // Progress returns the job's progress in the form in which it is stored. It
 // returns an error if the progress cannot be encoded.
 func (j *Job) Progress() ([]byte, error) {
-	p := progress{State: j.State, Started: j.Started}
+	p := progress{State: j.State, Started: j.Started, Crashes: j.crashRecords()}
 	incarnations := map[plantainrail.WorkerIncarnation]int{}
 	for _, k := range slices.Sorted(maps.Keys(j.occurrences)) {
 		o := j.occurrences[k]
@@ -300,5 +307,6 @@
 		}
 		j.occurrences[k] = o
 	}
+	j.restoreCrashes(p.Crashes)
 	return nil
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -69,8 +69,10 @@
 	Ref   plantainrail.RunRef
 	Node  string
 	Cause LossCause
-	// Age is the time from the assignment to the loss.
+	// Age is the time from the order, or the takeover by this owner, to the loss.
 	Age time.Duration
+	// Crashes is the number of crashes that count against the task.
+	Crashes int
 }
 
 // Plan is the result of one Tick. The progress of the jobs in Changed must be
@@ -98,6 +100,8 @@
 	// active holds the jobs that are not final or still have placed tasks, in the
 	// order in which they are served: by priority of the queue, then by arrival.
 	active []*Job
+	// crashedAt is when a worker last crashed on a node, by the node's name.
+	crashedAt map[string]time.Time
 	// pools maps the configured queues to their pools of VMs.
 	pools map[string]string
 	// changed, stops, lost and unplaced are collected for the next Plan.
@@ -120,7 +124,7 @@
 func New(book *Book, timeouts Timeouts, now time.Time) *Planner {
 	p := &Planner{
 		Book: book, timeouts: timeouts, vms: map[plantainrail.WorkerIncarnation]*vm{},
-		changed: map[string]*Job{}, unplaceable: map[shape]bool{},
+		changed: map[string]*Job{}, unplaceable: map[shape]bool{}, crashedAt: map[string]time.Time{},
 		estimator: estimator.New(),
 	}
 	for _, j := range slices.SortedFunc(maps.Values(book.jobs), compareArrival) {
@@ -185,7 +189,7 @@
 		}
 		// The assignment is known from the store, so it is stored.
 		v.addRun(j, id, t, true)
-		v.runs[plantainrail.RunRef{Task: id, Run: t.Run}].knownSince = now
+		v.runs[plantainrail.RunRef{Task: id, Run: t.Run}].orderedSince = now
 	})
 	if placed || !j.State.Final() {
 		at, _ := slices.BinarySearchFunc(p.active, j, compareActive)
@@ -262,6 +266,9 @@
 func (p *Planner) UpdateWorker(reported plantainrail.VM, now time.Time) {
 	for _, v := range p.vmsOfNode(reported.Incarnation.Node) {
 		if v.Incarnation != reported.Incarnation {
+			if len(reported.StartedLast) > 0 {
+				v.StartedLast = reported.StartedLast
+			}
 			p.removeVM(v, LostReplaced, now)
 		}
 	}
@@ -350,10 +357,10 @@
 
 // MarkStored records that an assignment is in the store. From then on DesiredRuns
 // returns its order, until the run ends or is to be stopped.
-func (p *Planner) MarkStored(a Assignment) {
+func (p *Planner) MarkStored(a Assignment, now time.Time) {
 	if v := p.vms[a.Incarnation]; v != nil {
 		if run := v.runs[a.Order.Ref]; run != nil {
-			run.stored = true
+			run.stored, run.orderedSince = true, now
 		}
 	}
 }
@@ -387,6 +394,7 @@
 	if end.Checkpoint != "" {
 		t.Checkpoint = end.Checkpoint
 	}
+	t.Crashes = 0
 	v.removeRun(run)
 	j.setPhase(run.id, Waiting)
 	p.markChanged(j)
@@ -468,12 +476,21 @@
 }
 
 // removeVM removes a VM on which certainly nothing runs any longer, and requeues
-// all its runs.
+// all its runs. If its worker has crashed just after a start, this counts against the task.
 func (p *Planner) removeVM(v *vm, cause LossCause, now time.Time) {
+	var failed *Job
+	if len(v.StartedLast) > 0 {
+		failed = p.countCrash(v, v.StartedLast, now)
+	}
 	for _, run := range slices.Clone(v.orderedRuns) {
-		p.lost = append(p.lost, LostRun{Ref: run.ref(), Node: v.Incarnation.Node, Cause: cause, Age: now.Sub(run.knownSince)})
+		p.lost = append(p.lost, LostRun{
+			Ref: run.ref(), Node: v.Incarnation.Node, Cause: cause, Age: now.Sub(run.orderedSince), Crashes: run.task.Crashes,
+		})
 		p.requeue(v, run)
 	}
+	if failed != nil {
+		p.endJob(failed, Failed)
+	}
 	delete(p.vms, v.Incarnation)
 	if at, found := slices.BinarySearchFunc(p.ordered, v.Incarnation, compareIncarnation); found {
 		p.ordered = slices.Delete(p.ordered, at, at+1)
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -37,8 +37,9 @@
 	stopping bool
 	// assignedAt is when the run was assigned; zero if an earlier owner did so.
 	assignedAt time.Time
-	// knownSince is when this owner assigned the run, or took it over.
-	knownSince time.Time
+	// orderedSince is when the run could first be ordered: when its assignment was
+	// stored or this owner took it over.
+	orderedSince time.Time
 	// tailLatency is the latest tail latency of a service, in milliseconds.
 	tailLatency int
 }
@@ -54,6 +55,7 @@
 	step := r.step()
 	order := plantainrail.RunOrder{
 		Ref: r.ref(), Spec: r.job.Spec, Checkpoint: r.task.Checkpoint, Filler: step.Filler, TailObjective: step.TailObjective,
+		Alone: r.task.suspect(),
 	}
 	if step.Filler {
 		order.Image = step.Image
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -24,6 +24,10 @@
 	// stopDuration is the time from the first call that stops a run to the end of
 	// the run.
 	stopDuration = 300 * time.Millisecond
+	// crashDelay is the time from the start of a run that crashes the worker to the crash,
+	// and crashDowntime the time from there to the restart.
+	crashDelay    = 10 * time.Millisecond
+	crashDowntime = 3200 * time.Millisecond
 )
 
 // Span describes one run in the history.
@@ -46,8 +50,8 @@
 }
 
 // Worker is a simulated worker on one VM. The spec of a task is its duration in
-// milliseconds, or "fail" for a task that fails after 100 ms. A task with an
-// empty spec runs until it is stopped.
+// milliseconds, "fail" for a task that fails after 100 ms, or "crash" for a task that crashes
+// the worker. A task with an empty spec runs until it is stopped.
 type Worker struct {
 	id, service, zone, address string
 	// agentAddress is the address of the agent that receives the heartbeats.
@@ -154,6 +158,18 @@
 	r.crashed = true
 }
 
+// crashAndRestart crashes the incarnation, and begins the next one after crashDowntime.
+func (r *Worker) crashAndRestart(incarnation int) {
+	r.mu.Lock()
+	current := r.incarnation == incarnation
+	r.mu.Unlock()
+	if !current {
+		return
+	}
+	r.Crash()
+	time.AfterFunc(crashDowntime, r.Restart)
+}
+
 // Drain makes the worker report that it is draining. It still accepts starts.
 func (r *Worker) Drain() {
 	r.mu.Lock()
@@ -389,6 +405,9 @@
 		duration = time.Duration(ms) * time.Millisecond
 	}
 	incarnation := r.incarnation
+	if c.Spec == "crash" {
+		time.AfterFunc(crashDelay, func() { r.crashAndRestart(incarnation) })
+	}
 	s.timer = time.AfterFunc(duration, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/work.go
+++ b/work.go
@@ -179,6 +179,9 @@
 	Draining bool      `cbor:"5,keyasint,omitempty"`
 	// FillersPaused means that the VM's fillers are paused to protect its services.
 	FillersPaused bool `cbor:"6,keyasint,omitempty"`
+	// StartedLast holds the runs that had just begun when the worker, or its incarnation
+	// before this one, broke off its calls.
+	StartedLast []RunRef `cbor:"7,keyasint,omitempty"`
 }
 
 // RunOutcome is the outcome of a run, as reported by the worker.
@@ -235,6 +238,9 @@
 	TailObjective int  `cbor:"4,keyasint,omitempty"`
 	// Image is that of the step; it is set only for fillers.
 	Image string `cbor:"5,keyasint,omitempty"`
+	// Alone means that no other run is started together with this one, since workers have
+	// crashed under its task.
+	Alone bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Worker runs tasks on one VM. Each call carries the worker incarnation that it is
