--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -101,6 +101,11 @@
 		time.Sleep(3 * time.Second)
 		f.store.Put("keyed.op", "evacuate/z", nil)
 	}},
+	{"end of an evacuation forgotten by the store", func(f *fleet) {
+		f.store.Put("keyed.op", "evacuate/z", []byte("{}"))
+		time.Sleep(2 * time.Second)
+		f.missEnd("evacuate/z")
+	}},
 }
 
 // breakStore injects a fault of the store and returns when it is over.
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -34,6 +34,9 @@
 	// apply processes the records of a read that started at an offset, and remembers the
 	// offset of the next read.
 	apply func(from plantainrail.Offset, b plantainrail.KeyedBatch)
+	// keys, if set, holds the topic's keys, so that apply also gets the deletions that have
+	// expired before they were read. It must be set for a topic with deleted keys.
+	keys topicKeys
 	// onError, if set, is called after a failed read.
 	onError func()
 	// resumeSignal, if set, returns nil while the topic is to be read. Otherwise it
@@ -61,7 +64,7 @@
 			wait = 0
 		}
 		from := s.next()
-		batch, err := d.read(ctx, s.topic, from, wait)
+		batch, complete, err := d.read(ctx, s.topic, from, wait)
 		if err != nil {
 			if !storeLost && ctx.Err() == nil {
 				d.Logger.Warn("store lost", zap.String("topic", s.topic), zap.Error(err))
@@ -77,6 +80,12 @@
 			d.Logger.Info("store regained", zap.String("topic", s.topic), zap.Int64("offset", int64(batch.Next)))
 			storeLost = false
 		}
+		if s.keys != nil {
+			if complete {
+				batch.Records = append(batch.Records, s.keys.deleted(batch.Records, batch.Next)...)
+			}
+			s.keys.update(batch.Records)
+		}
 		s.apply(from, batch)
 		if s.batchDelay > 0 && len(batch.Records) > 0 {
 			_ = clocker.Sleep(ctx, s.batchDelay)
@@ -86,22 +95,24 @@
 }
 
 // read returns the records from the offset on, or the newest record of each key if
-// nothing was read yet or those records have expired.
-func (d *Decider) read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
+// nothing was read yet or those records have expired. In the second case complete is set,
+// and a key without a record does not exist.
+func (d *Decider) read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (b plantainrail.KeyedBatch, complete bool, err error) {
 	if from != unread {
-		batch, err := d.Store.Read(ctx, topic, from, wait)
+		b, err = d.Store.Read(ctx, topic, from, wait)
 		if !errors.Is(err, plantainrail.ErrExpired) {
-			return batch, err
+			return b, false, err
 		}
 		d.Logger.Warn("records expired before they were read", zap.String("topic", topic), zap.Int64("offset", int64(from)))
 	}
-	return d.Store.Newest(ctx, topic)
+	b, err = d.Store.Newest(ctx, topic)
+	return b, true, err
 }
 
 func (d *Decider) followOperators(ctx context.Context) error {
 	next := unread
 	return d.follow(ctx, subscription{
-		topic: d.OperatorTopic, wait: configurationPollWait, next: func() plantainrail.Offset { return next },
+		topic: d.OperatorTopic, wait: configurationPollWait, keys: topicKeys{}, next: func() plantainrail.Offset { return next },
 		apply: func(_ plantainrail.Offset, b plantainrail.KeyedBatch) {
 			next = b.Next
 			d.mu.Lock()
--- /dev/null
+++ b/decider/keys.go
@@ -0,0 +1,40 @@
+package decider
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+// topicKeys holds the keys of a topic that exist, with the offsets of their newest records.
+type topicKeys map[string]plantainrail.Offset
+
+// update applies records of the topic.
+func (k topicKeys) update(records []plantainrail.KeyedRecord) {
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			delete(k, r.Key)
+			continue
+		}
+		k[r.Key] = r.Offset
+	}
+}
+
+// deleted returns a deletion for each key that a list of the newest record of every key lacks:
+// its deletion has expired. Next is the topic's end at the time of the list, which does not
+// cover records from there on.
+func (k topicKeys) deleted(newest []plantainrail.KeyedRecord, next plantainrail.Offset) []plantainrail.KeyedRecord {
+	listed := make(map[string]bool, len(newest))
+	for _, r := range newest {
+		listed[r.Key] = true
+	}
+	var out []plantainrail.KeyedRecord
+	for key, offset := range k {
+		if !listed[key] && offset < next {
+			out = append(out, plantainrail.KeyedRecord{Key: key, Offset: next - 1})
+		}
+	}
+	slices.SortFunc(out, func(a, b plantainrail.KeyedRecord) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -213,7 +213,7 @@
 	d.mu.Lock()
 	from := d.progressNext
 	d.mu.Unlock()
-	batch, err := d.read(ctx, progressTopic, from, 0)
+	batch, _, err := d.read(ctx, progressTopic, from, 0)
 	if err != nil {
 		d.Logger.Warn("progress not read at takeover", zap.Int64("offset", int64(from)), zap.Int64("end", int64(end)), zap.Error(err))
 		return clocker.Sleep(ctx, retryDelay)
