--- a/decider/replica.go
+++ b/decider/replica.go
@@ -125,13 +125,36 @@
 	since, silentSince time.Time
 }
 
+// waitForReplicas waits until the claims were read. It returns the context's error if that
+// ends first.
+func (d *Decider) waitForReplicas(ctx context.Context) error {
+	for {
+		d.mu.Lock()
+		read, changed := d.replicasRead, d.stateChanged
+		d.mu.Unlock()
+		if read {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // maintainReplica pings the zone's replica and claims its place if there is none, it does
 // not answer or it is too small, until the context ends. It returns the context's error.
 func (d *Decider) maintainReplica(ctx context.Context) error {
+	// The first check follows the read at once, so that at a start the claim delays alone
+	// determine which entry claims first.
+	if err := d.waitForReplicas(ctx); err != nil {
+		return err
+	}
 	var watch replicaWatch
 	for ctx.Err() == nil {
 		d.mu.Lock()
-		claim, ready := d.replicas[d.Zone], d.replicasRead && !d.stopping
+		claim, ready := d.replicas[d.Zone], !d.stopping
 		d.mu.Unlock()
 		if claim != watch.claim {
 			watch = replicaWatch{claim: claim, since: d.Now()}
