--- a/assembler/fleet_replica_test.go
+++ b/assembler/fleet_replica_test.go
@@ -63,6 +63,31 @@
 	})
 }
 
+// Guards against a small entry that becomes the replica, and with it the owner, because its
+// next ping, by which it learns of a resignation, comes before that of a larger one.
+func TestResignedPlaceGoesToTheLargerEntry(t *testing.T) {
+	const resigning, larger = 2, 5
+	shape := fleetShape{entries: larger, zones: 1, vms: 4, cores: []float64{0.2, 0.2, resigning: 0.8, 0.2, 0.2, larger: 0.8}}
+	runInFleet(t, shape, func(f *fleet) {
+		// The larger entry pings just before the resignation, so its next ping comes last.
+		time.Sleep(480 * time.Millisecond)
+		f.entries = append(f.entries, nil)
+		f.startEntry(larger)
+		time.Sleep(1010 * time.Millisecond)
+		assert.DeepEqual(t, f.replicas(), []int{resigning})
+		drained := make(chan error, 1)
+		go func() { drained <- f.entries[resigning].decider.Drain(f.ctx) }()
+		for begin := time.Now(); time.Since(begin) < 2*time.Second; time.Sleep(10 * time.Millisecond) {
+			for _, i := range f.replicas() {
+				assert.Equal(t, f.coresOf(i), 0.8, "entry %d, %s after the resignation", i, time.Since(begin))
+			}
+		}
+		assert.NilError(t, <-drained)
+		f.entries[resigning].stop()
+		assert.DeepEqual(t, f.replicas(), []int{larger})
+	})
+}
+
 // Load pattern: slow store beside many entries. Guards against jobs that are refused because
 // the appends of many entries queue up at a store that takes 75 ms for each, as on
 // trouble-2 of the large site: the entries of a zone must share appends.
--- a/decider/replica.go
+++ b/decider/replica.go
@@ -51,12 +51,23 @@
 	Resigned bool `cbor:"4,keyasint,omitempty"`
 }
 
-// claimDelay returns how long an entry with the given processors waits before a claim.
-func claimDelay(cores float64) time.Duration {
-	if cores <= 0 {
-		return maxClaimDelay
+// farLarger reports whether an entry with the given processors should be the replica rather
+// than another one. An unknown number of processors is 0.
+func farLarger(cores, other float64) bool { return cores > 0 && cores >= promotionFactor*other }
+
+// claimDelay returns how long an entry with the given processors waits, beside the jitter,
+// before it claims the place of an earlier replica.
+func claimDelay(cores float64, earlier replicaClaim) time.Duration {
+	delay := maxClaimDelay
+	if cores > 0 {
+		delay = min(time.Duration(float64(claimDelayPerCore)/cores), maxClaimDelay)
+	}
+	if earlier.Resigned && farLarger(earlier.Cores, cores) {
+		// Another large entry may learn of the resignation only when its next ping is due.
+		// The earlier replica answers meanwhile.
+		delay += replicaPingInterval + claimJitter
 	}
-	return min(time.Duration(float64(claimDelayPerCore)/cores), maxClaimDelay)
+	return delay
 }
 
 // isReplica reports whether the newest claim of the entry's zone is this process's own.
@@ -214,7 +225,7 @@
 // given one is known after the delay. A failed write is logged; the caller tries again.
 func (d *Decider) claimReplica(ctx context.Context, known replicaClaim) {
 	if known.Name != d.Name {
-		_ = clocker.Sleep(ctx, claimDelay(d.Cores)+rand.N(claimJitter))
+		_ = clocker.Sleep(ctx, claimDelay(d.Cores, known)+rand.N(claimJitter))
 	}
 	d.mu.Lock()
 	superseded := d.replicas[d.Zone] != known || d.stopping
--- a/decider/replica_test.go
+++ b/decider/replica_test.go
@@ -37,6 +37,25 @@
 		d.applyReplicas(plantainrail.KeyedBatch{})
 		readAt := time.Now()
 		waited := (<-store.appended).Sub(readAt)
-		assert.Assert(t, waited >= claimDelay(d.Cores) && waited <= claimDelay(d.Cores)+claimJitter, "claimed after %s", waited)
+		delay := claimDelay(d.Cores, replicaClaim{})
+		assert.Assert(t, waited >= delay && waited <= delay+claimJitter, "claimed after %s", waited)
 	})
 }
+
+// Guards against a small entry that claims a resigned place before a large one, whose next
+// ping may be a whole interval away.
+func TestLargeEntryClaimsResignedPlaceFirst(t *testing.T) {
+	for _, c := range []struct{ earlier, large, small float64 }{
+		{0.8, 0.8, 0.2},
+		{1, 1, 0.5},
+		{1, 0.6, 0.1},
+		{4, 3, 0},
+		{0.06, 0.06, 0.03},
+	} {
+		earlier := replicaClaim{Cores: c.earlier, Resigned: true}
+		latest := replicaPingInterval + claimDelay(c.large, earlier) + claimJitter
+		assert.Assert(t, claimDelay(c.small, earlier) >= latest, "%v: %s and %s", c, claimDelay(c.small, earlier), latest)
+	}
+	unknown := replicaClaim{Resigned: true}
+	assert.Equal(t, claimDelay(0, unknown), maxClaimDelay)
+}
