--- a/assembler/fleet_replica_test.go
+++ b/assembler/fleet_replica_test.go
@@ -88,6 +88,18 @@
 	})
 }
 
+// Guards against entries that replace each other as the replica for ever, because an unknown
+// number of processors counts as twice as many as another unknown one.
+func TestReplicaOfUnknownSizeStays(t *testing.T) {
+	runInFleet(t, fleetShape{entries: 3, zones: 1, vms: 4, cores: []float64{0, 0, 0}}, func(f *fleet) {
+		replica := f.replicas()
+		assert.Equal(t, len(replica), 1)
+		for begin := time.Now(); time.Since(begin) < 10*time.Second; time.Sleep(100 * time.Millisecond) {
+			assert.DeepEqual(t, f.replicas(), replica)
+		}
+	})
+}
+
 // Load pattern: slow store beside many entries. Guards against jobs that are refused because
 // the appends of many entries queue up at a store that takes 75 ms for each, as on
 // trouble-2 of the large site: the entries of a zone must share appends.
--- a/decider/replica.go
+++ b/decider/replica.go
@@ -192,7 +192,7 @@
 	now := d.Now()
 	if d.pingReplica(ctx, c.Address) {
 		w.silentSince = time.Time{}
-		return d.Cores >= promotionFactor*c.Cores && now.Sub(w.since) > promotionDelay
+		return farLarger(d.Cores, c.Cores) && now.Sub(w.since) > promotionDelay
 	}
 	d.mu.Lock()
 	storeReachable := d.Now().Sub(d.configurationReadAt) < maxConfigurationAge
