--- a/decider/replica.go
+++ b/decider/replica.go
@@ -51,12 +51,23 @@
 	Resigned bool `cbor:"4,keyasint,omitempty"`
 }
 
-// claimDelay returns how long an entry with the given processors waits before a claim.
-func claimDelay(cores float64) time.Duration {
-	if cores <= 0 {
-		return maxClaimDelay
+// farLarger reports whether an entry with the given processors should be the replica rather
+// than another one. An unknown number of processors is 0.
+func farLarger(cores, other float64) bool { return cores > 0 && cores >= promotionFactor*other }
+
+// claimDelay returns how long an entry with the given processors waits, beside the jitter,
+// before it claims the place of an earlier replica.
+func claimDelay(cores float64, earlier replicaClaim) time.Duration {
+	delay := maxClaimDelay
+	if cores > 0 {
+		delay = min(time.Duration(float64(claimDelayPerCore)/cores), maxClaimDelay)
+	}
+	if earlier.Resigned && farLarger(earlier.Cores, cores) {
+		// Another large entry may learn of the resignation only when its next ping is due.
+		// The earlier replica answers meanwhile.
+		delay += replicaPingInterval + claimJitter
 	}
-	return min(time.Duration(float64(claimDelayPerCore)/cores), maxClaimDelay)
+	return delay
 }
 
 // isReplica reports whether the newest claim of the entry's zone is this process's own.
@@ -125,13 +136,36 @@
 	since, silentSince time.Time
 }
 
+// waitForReplicas waits until the claims were read. It returns the context's error if that
+// ends first.
+func (d *Decider) waitForReplicas(ctx context.Context) error {
+	for {
+		d.mu.Lock()
+		read, changed := d.replicasRead, d.stateChanged
+		d.mu.Unlock()
+		if read {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // maintainReplica pings the zone's replica and claims its place if there is none, it does
 // not answer or it is too small, until the context ends. It returns the context's error.
 func (d *Decider) maintainReplica(ctx context.Context) error {
+	// The first check follows the read at once, so that at a start the claim delays alone
+	// determine which entry claims first.
+	if err := d.waitForReplicas(ctx); err != nil {
+		return err
+	}
 	var watch replicaWatch
 	for ctx.Err() == nil {
 		d.mu.Lock()
-		claim, ready := d.replicas[d.Zone], d.replicasRead && !d.stopping
+		claim, ready := d.replicas[d.Zone], !d.stopping
 		d.mu.Unlock()
 		if claim != watch.claim {
 			watch = replicaWatch{claim: claim, since: d.Now()}
@@ -158,7 +192,7 @@
 	now := d.Now()
 	if d.pingReplica(ctx, c.Address) {
 		w.silentSince = time.Time{}
-		return d.Cores >= promotionFactor*c.Cores && now.Sub(w.since) > promotionDelay
+		return farLarger(d.Cores, c.Cores) && now.Sub(w.since) > promotionDelay
 	}
 	d.mu.Lock()
 	storeReachable := d.Now().Sub(d.configurationReadAt) < maxConfigurationAge
@@ -191,7 +225,7 @@
 // given one is known after the delay. A failed write is logged; the caller tries again.
 func (d *Decider) claimReplica(ctx context.Context, known replicaClaim) {
 	if known.Name != d.Name {
-		_ = clocker.Sleep(ctx, claimDelay(d.Cores)+rand.N(claimJitter))
+		_ = clocker.Sleep(ctx, claimDelay(d.Cores, known)+rand.N(claimJitter))
 	}
 	d.mu.Lock()
 	superseded := d.replicas[d.Zone] != known || d.stopping
