--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -206,12 +206,14 @@
 	registry, err := f.net.Listen(name)
 	assert.NilError(f.t, err)
 	v := &fleetVM{name: name, registry: registry.(*listener)}
-	// The worker only reports the address "there"; the agent calls it at workerAddress.
+	calls, err := f.net.Listen(name + workerSuffix)
+	assert.NilError(f.t, err)
+	v.workerAddress = calls.Addr().String()
 	v.worker = runner.New(runner.Options{
-		ID: "w-" + name, Service: "desk", Zone: "z", Address: "there", AgentAddress: registry.Addr().String(),
+		ID: "w-" + name, Service: "desk", Zone: "z", Address: v.workerAddress, AgentAddress: registry.Addr().String(),
 		Client: f.client(name + workerSuffix), MaxRuns: fleetMaxRuns,
 	})
-	v.workerAddress = f.serve(name+workerSuffix, v.worker)
+	f.serveOn(f.ctx, calls.(*listener), v.worker)
 	f.vms = append(f.vms, v)
 	f.startAgent(v)
 	f.group.Go(func() error { v.worker.Run(f.ctx); return nil })
@@ -234,7 +236,7 @@
 		},
 		Lease: decider.LeaseDuration, Heartbeats: v.registry,
 		HeartbeatHandler: func(r plantainrail.Registry) http.Handler {
-			return platform.RegistryHandler(v.name, func() string { return "desk" }, r, logger())
+			return platform.RegistryHandler(v.name, v.workerAddress, func() string { return "desk" }, r, logger())
 		},
 		Now: time.Now, Logger: logger().Named(v.name),
 	})
--- a/command/node/agent/agent.go
+++ b/command/node/agent/agent.go
@@ -83,7 +83,7 @@
 		},
 		Lease: decider.LeaseDuration, Heartbeats: heartbeats,
 		HeartbeatHandler: func(r plantainrail.Registry) http.Handler {
-			return platform.RegistryHandler(s.Name, o.pool, r, logger)
+			return platform.RegistryHandler(s.Name, s.WorkerAddress, o.pool, r, logger)
 		},
 		Now: now, Logger: logger,
 	}), drainTimeout, logger)
