--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -79,6 +79,16 @@
 	{"agent cut off for less than its lease", func(f *fleet) { f.blackholeAgent(4 * time.Second) }},
 	{"agent cut off for longer than its lease", func(f *fleet) { f.blackholeAgent(14 * time.Second) }},
 	{"worker restarted under its ID", func(f *fleet) { f.vms[0].worker.Restart() }},
+	{"worker restarted with the time of day set back", func(f *fleet) {
+		f.vms[0].worker.StepClock(-time.Minute)
+		f.vms[0].worker.Restart()
+	}},
+	{"heartbeats of another writer", func(f *fleet) {
+		for _, v := range f.vms {
+			f.sendHeartbeat(v, "w-"+v.name)
+			f.sendHeartbeat(v, "w-unknown")
+		}
+	}},
 	{"worker down for a while", func(f *fleet) {
 		f.vms[0].worker.Crash()
 		time.Sleep(4 * time.Second)
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -243,6 +245,18 @@
 	f.group.Go(func() error { return m.Run(ctx) })
 }
 
+// sendHeartbeat sends the VM's agent a heartbeat of another writer, which claims to be the
+// worker with the ID and to have started in the far future.
+func (f *fleet) sendHeartbeat(v *fleetVM, id string) {
+	body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":"z","state":"ready","born":%d,"sequence":1,"capacity":{"cpu":9000,"memMb":9000}}`,
+		v.workerAddress, int64(math.MaxInt64))
+	client := f.client(v.name + workerSuffix)
+	defer client.CloseIdleConnections()
+	response, err := client.Post("http://"+v.registry.Addr().String()+"/Instances.Heartbeat/"+id, "application/json", strings.NewReader(body))
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, response.Body.Close())
+}
+
 // restartAgent disconnects and stops an agent and starts its new process a second
 // later.
 func (f *fleet) restartAgent(v *fleetVM) {
--- /dev/null
+++ b/minder/incarnation.go
@@ -0,0 +1,102 @@
+package minder
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
+)
+
+const (
+	// confirmationTimeout bounds how long the worker is asked whether it is the
+	// incarnation that a heartbeat names. It is longer than the interval of heartbeats, so
+	// a worker that does not answer yet is asked until its next one.
+	confirmationTimeout = 2 * time.Second
+	// maxConfirmations bounds the heartbeats that are being confirmed at the same time.
+	maxConfirmations = 8
+)
+
+// identity is what a call to the worker shows about a claimed incarnation.
+type identity int
+
+const (
+	identityUnknown identity = iota
+	identityConfirmed
+	identityRefuted
+)
+
+// identify returns what the outcome of a call that was addressed to the claimed
+// incarnation shows. Only the worker itself can tell which incarnation it is: the start
+// times that heartbeats name are in no order if another writer sends one, or if the time
+// of day was set back.
+func identify(current, claimed plantainrail.WorkerIncarnation, reply plantainrail.LeaseReply, err error) identity {
+	var refused *plantainrail.RefusedError
+	switch isRefused := errors.As(err, &refused); {
+	case err == nil && reply.StartedMS == claimed.StartedMS:
+		return identityConfirmed
+	case err == nil && reply.StartedMS != 0:
+		return identityRefuted
+	case isRefused && refused.Reason == plantainrail.RefusedIncarnation:
+		return identityRefuted
+	case err == nil, isRefused && refused.Reason == plantainrail.RefusedEpoch:
+		// The worker goes by the ID, but it is not known when it started.
+		if claimed.ID != current.ID || err == nil && claimed.StartedMS > current.StartedMS {
+			return identityConfirmed
+		}
+	}
+	return identityUnknown
+}
+
+// confirm asks the worker whether it is the incarnation that the heartbeat names, and
+// applies the heartbeat if it is. The calls change nothing on the worker: they neither
+// extend the lease nor acknowledge ends.
+func (m *Minder) confirm(h plantainrail.Heartbeat) {
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.confirmations--
+	}()
+	claimed := h.VM.Incarnation
+	for until := m.Now().Add(confirmationTimeout); m.Now().Before(until); _ = clocker.Sleep(context.Background(), workerRetryDelay/3) {
+		m.mu.Lock()
+		current, epoch := m.vm.Incarnation, m.epoch
+		stopped := m.superseded(current)
+		m.mu.Unlock()
+		if stopped {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		reply, err := m.Worker.RenewLease(ctx, claimed, epoch, plantainrail.LeaseRenewal{})
+		cancel()
+		if m.settle(h, current, identify(current, claimed, reply, err)) {
+			return
+		}
+	}
+	m.Logger.Warn("heartbeat not confirmed", zap.String("worker", claimed.ID), zap.Int64("born", claimed.StartedMS))
+}
+
+// settle applies a heartbeat that the worker has confirmed, and drops one that it has
+// refuted. It returns false if the worker has to be asked again, also because the current
+// incarnation is no longer the one that was current before the call.
+func (m *Minder) settle(h plantainrail.Heartbeat, current plantainrail.WorkerIncarnation, shown identity) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	claimed := h.VM.Incarnation
+	switch {
+	case m.vm.Incarnation == claimed:
+		m.applyHeartbeat(h)
+		return true
+	case m.vm.Incarnation != current || shown == identityUnknown:
+		return false
+	case shown == identityRefuted:
+		m.Logger.Warn("heartbeat refuted", zap.String("worker", claimed.ID), zap.Int64("born", claimed.StartedMS), zap.String("current", current.ID))
+		return true
+	}
+	m.startIncarnation(claimed)
+	m.recordHeartbeat(h, true)
+	return true
+}
--- /dev/null
+++ b/minder/incarnation_test.go
@@ -0,0 +1,157 @@
+package minder
+
+import (
+	"context"
+	"math"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+// fakeWorker answers RenewLease as the given life. Its other calls are not made.
+type fakeWorker struct {
+	plantainrail.Worker
+	mu sync.Mutex
+	life
+}
+
+// life is an incarnation of a fakeWorker. If err is set, every call fails.
+type life struct {
+	id        string
+	startedMS int64
+	err       error
+}
+
+func (w *fakeWorker) set(l life) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.life = l
+}
+
+func (w *fakeWorker) RenewLease(_ context.Context, incarnation plantainrail.WorkerIncarnation, _ int64, _ plantainrail.LeaseRenewal) (plantainrail.LeaseReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.err != nil:
+		return plantainrail.LeaseReply{}, w.err
+	case incarnation.ID != w.id:
+		return plantainrail.LeaseReply{}, &plantainrail.RefusedError{Reason: plantainrail.RefusedIncarnation}
+	}
+	return plantainrail.LeaseReply{StartedMS: w.startedMS}, nil
+}
+
+func heartbeatOf(id string, startedMS, sequence int64, draining bool) plantainrail.Heartbeat {
+	incarnation := plantainrail.WorkerIncarnation{Node: "node", ID: id, StartedMS: startedMS}
+	return plantainrail.Heartbeat{Sequence: sequence, VM: plantainrail.VM{Incarnation: incarnation, Draining: draining}}
+}
+
+// withWorker runs a test of an agent whose worker "w", which started at 1000, has sent its
+// first two heartbeats.
+func withWorker(t *testing.T, test func(t *testing.T, m *Minder, w *fakeWorker)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &fakeWorker{life: life{id: "w", startedMS: 1000}}
+		m := New(Options{Node: "node", Worker: w, Now: time.Now, Logger: zap.NewNop()})
+		for sequence := range int64(2) {
+			m.Heartbeat(heartbeatOf("w", 1000, sequence+1, false))
+			time.Sleep(heartbeatInterval)
+		}
+		assert.Equal(t, knownVM(m).Incarnation.ID, "w")
+		test(t, m, w)
+		time.Sleep(confirmationTimeout)
+	})
+}
+
+// knownVM returns what the agent knows about its worker.
+func knownVM(m *Minder) plantainrail.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.vm
+}
+
+const heartbeatInterval = 1500 * time.Millisecond
+
+// One odd heartbeat took the place of the worker, whose own heartbeats were then passed over
+// as those of an earlier incarnation until the agent restarted; its work was lost.
+func TestHeartbeatOfAnotherWriterDoesNotReplaceTheWorker(t *testing.T) {
+	for name, odd := range map[string]plantainrail.Heartbeat{
+		"start in the far future":           heartbeatOf("w", math.MaxInt64, 1, true),
+		"unknown worker":                    heartbeatOf("x", 2000, 1, true),
+		"unknown worker in the far future":  heartbeatOf("x", math.MaxInt64, math.MaxInt64, true),
+		"earlier incarnation, same ID":      heartbeatOf("w", 900, 70, true),
+		"earlier incarnation, different ID": heartbeatOf("v", 900, 70, true),
+	} {
+		t.Run(name, func(t *testing.T) {
+			withWorker(t, func(t *testing.T, m *Minder, _ *fakeWorker) {
+				m.Heartbeat(odd)
+				synctest.Wait()
+				assert.DeepEqual(t, knownVM(m), heartbeatOf("w", 1000, 2, false).VM)
+				m.Heartbeat(heartbeatOf("w", 1000, 3, true))
+				assert.DeepEqual(t, knownVM(m), heartbeatOf("w", 1000, 3, true).VM)
+			})
+		})
+	}
+}
+
+// A worker that restarted while the time of day was set back was lost: its start seemed to be
+// the earlier one, so its heartbeats and its replies were ignored.
+func TestRestartedWorkerIsFollowedWhateverItsStart(t *testing.T) {
+	for name, restarted := range map[string]life{
+		"same ID, later":        {id: "w", startedMS: 5000},
+		"same ID, earlier":      {id: "w", startedMS: 400},
+		"different ID, later":   {id: "x", startedMS: 5000},
+		"different ID, earlier": {id: "x", startedMS: 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withWorker(t, func(t *testing.T, m *Minder, w *fakeWorker) {
+				w.set(restarted)
+				m.Heartbeat(heartbeatOf(w.id, w.startedMS, 1, false))
+				synctest.Wait()
+				assert.DeepEqual(t, knownVM(m), heartbeatOf(w.id, w.startedMS, 1, false).VM)
+				// A heartbeat of the incarnation before arrives late.
+				m.Heartbeat(heartbeatOf("w", 1000, 3, true))
+				synctest.Wait()
+				assert.DeepEqual(t, knownVM(m), heartbeatOf(w.id, w.startedMS, 1, false).VM)
+			})
+		})
+	}
+	for _, startedMS := range []int64{400, 5000} {
+		withWorker(t, func(t *testing.T, m *Minder, _ *fakeWorker) {
+			m.applyLeaseReply(knownVM(m).Incarnation, plantainrail.LeaseReply{StartedMS: startedMS}, time.Now())
+			assert.Equal(t, knownVM(m).Incarnation.StartedMS, startedMS)
+		})
+	}
+}
+
+// An agent that has restarted knows no epoch. The worker refuses its calls for that reason,
+// but only if they name its ID.
+func TestWorkerIsKnownByItsRefusalOfAnEarlierEpoch(t *testing.T) {
+	none, claimed := plantainrail.WorkerIncarnation{}, heartbeatOf("w", 1000, 1, false).VM.Incarnation
+	refusal := &plantainrail.RefusedError{Reason: plantainrail.RefusedEpoch}
+	assert.Equal(t, identify(none, claimed, plantainrail.LeaseReply{}, refusal), identityConfirmed)
+	assert.Equal(t, identify(claimed, claimed, plantainrail.LeaseReply{}, refusal), identityUnknown)
+}
+
+// A worker that does not answer keeps its runs until its lease expires. It is asked again, so
+// that a restart is not noticed later because of a lost call.
+func TestWorkerIsAskedUntilItAnswers(t *testing.T) {
+	withWorker(t, func(t *testing.T, m *Minder, w *fakeWorker) {
+		for _, err := range []error{errors.New("silent"), &plantainrail.RefusedError{Reason: plantainrail.RefusedUnhealthy}} {
+			before := w.startedMS
+			w.set(life{id: "w", startedMS: before + 1000, err: err})
+			m.Heartbeat(heartbeatOf("w", before+1000, 1, false))
+			time.Sleep(time.Second)
+			assert.Equal(t, knownVM(m).Incarnation.StartedMS, before)
+			w.set(life{id: "w", startedMS: before + 1000})
+			time.Sleep(workerRetryDelay)
+			assert.Equal(t, knownVM(m).Incarnation.StartedMS, before+1000)
+		}
+	})
+}
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -133,13 +133,12 @@
 		return false
 	}
 	if reply.StartedMS != 0 && reply.StartedMS != incarnation.StartedMS {
-		if reply.StartedMS > incarnation.StartedMS {
-			// The worker has restarted with a new incarnation.
-			m.Logger.Info("worker reborn", zap.String("worker", incarnation.ID), zap.Int64("born", reply.StartedMS))
-			incarnation.StartedMS = reply.StartedMS
-			m.startIncarnation(incarnation)
-			m.report(linker.WorkReport{})
-		}
+		// The worker has restarted with a new incarnation. Its start may seem to be the
+		// earlier one, since the time of day may have been set back meanwhile.
+		m.Logger.Info("worker reborn", zap.String("worker", incarnation.ID), zap.Int64("born", reply.StartedMS))
+		incarnation.StartedMS = reply.StartedMS
+		m.startIncarnation(incarnation)
+		m.report(linker.WorkReport{})
 		return false
 	}
 	if m.unreachable {
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -62,6 +62,8 @@
 	// that heartbeat.
 	vm                plantainrail.VM
 	heartbeatSequence int64
+	// confirmations is the number of heartbeats that are being confirmed.
+	confirmations int
 	// unreachable is set after maxRenewLeaseFailures failed RenewLease calls in a row,
 	// until one succeeds.
 	unreachable bool
@@ -200,28 +202,45 @@
 	return errors.New("agent stopped before the owner acknowledged that the worker has ended")
 }
 
-// Heartbeat implements plantainrail.Registry. It ignores heartbeats of earlier
-// incarnations and those with an old sequence number.
+// Heartbeat implements plantainrail.Registry. A heartbeat that names another incarnation
+// than the current one is only a claim, which the worker has to confirm: it may come from
+// another writer, or may have been sent by an earlier incarnation.
 func (m *Minder) Heartbeat(h plantainrail.Heartbeat) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	incarnation, current := h.VM.Incarnation, m.vm.Incarnation
-	if incarnation.StartedMS < current.StartedMS || incarnation == current && h.Sequence <= m.heartbeatSequence {
+	claimed := h.VM.Incarnation
+	switch {
+	case claimed == m.vm.Incarnation:
+		m.applyHeartbeat(h)
+	case m.confirmations < maxConfirmations:
+		m.confirmations++
+		go m.confirm(h)
+	default:
+		m.Logger.Warn("heartbeat not confirmed", zap.String("worker", claimed.ID), zap.Int64("born", claimed.StartedMS))
+	}
+}
+
+// applyHeartbeat records a heartbeat of the current incarnation. It ignores one with an old
+// sequence number. The caller holds the lock.
+func (m *Minder) applyHeartbeat(h plantainrail.Heartbeat) {
+	if incarnation := h.VM.Incarnation; h.Sequence <= m.heartbeatSequence {
 		// The heartbeat is old and therefore ignored.
 		m.Logger.Info("heartbeat of the past passed over", zap.String("worker", incarnation.ID), zap.Int64("born", incarnation.StartedMS), zap.Int64("sequence", h.Sequence))
 		return
 	}
-	m.heartbeatSequence = h.Sequence
-	if incarnation != current {
-		m.startIncarnation(incarnation)
-	}
-	drainingChanged := h.VM.Draining != m.vm.Draining
-	m.vm = h.VM
-	if incarnation != current || drainingChanged {
-		m.Logger.Info("worker seen", zap.String("worker", incarnation.ID), zap.Int64("born", incarnation.StartedMS), zap.Bool("draining", h.VM.Draining))
-		m.report(linker.WorkReport{})
-		m.wakePoller()
+	m.recordHeartbeat(h, h.VM.Draining != m.vm.Draining)
+}
+
+// recordHeartbeat records the worker's description, and reports it to the owner if it has
+// changed. The caller holds the lock.
+func (m *Minder) recordHeartbeat(h plantainrail.Heartbeat, changed bool) {
+	m.heartbeatSequence, m.vm = h.Sequence, h.VM
+	if !changed {
+		return
 	}
+	m.Logger.Info("worker seen", zap.String("worker", h.VM.Incarnation.ID), zap.Int64("born", h.VM.Incarnation.StartedMS), zap.Bool("draining", h.VM.Draining))
+	m.report(linker.WorkReport{})
+	m.wakePoller()
 }
 
 // startIncarnation switches to a new incarnation of the worker and resets the
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -60,9 +60,12 @@
 	// incarnation increases with each restart. Timers of an earlier incarnation
 	// have no effect.
 	incarnation int
-	// startedAt is when the incarnation began; the worker's clock counts from it.
-	startedAt time.Time
-	crashed   bool
+	// startedAt is when the incarnation began; the worker's clock counts from it. born is
+	// the time of day then, in Unix milliseconds, which differs by clockError.
+	startedAt  time.Time
+	born       int64
+	clockError time.Duration
+	crashed    bool
 	// epoch is the highest fencing token of the calls to this incarnation; calls with
 	// a lower one are rejected.
 	epoch int64
@@ -141,6 +144,7 @@
 	}
 	r.incarnation++
 	r.startedAt, r.crashed, r.epoch, r.leased = time.Now(), false, 0, false
+	r.born = r.startedAt.Add(r.clockError).UnixMilli()
 	r.activeRuns, r.staleThrough, r.unackedEnds, r.lastEndNumber, r.state = map[string]*activeRun{}, map[string]int64{}, nil, 0, "ready"
 	r.signalChange()
 }
@@ -154,6 +158,14 @@
 	r.crashed = true
 }
 
+// StepClock sets the time of day forward, or back if the duration is negative. It is told
+// only by the start of later incarnations.
+func (r *Worker) StepClock(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clockError += d
+}
+
 // Drain makes the worker report that it is draining. It still accepts starts.
 func (r *Worker) Drain() {
 	r.mu.Lock()
@@ -205,7 +217,7 @@
 	// Each run counts as one processor: "cpu" is in thousandths of a core.
 	body, err := json.Marshal(map[string]any{
 		"service": r.service, "address": r.address, "zone": r.zone, "state": r.state, "sequence": sequence,
-		"capacity": map[string]int{"cpu": 1000 * r.maxRuns, "memMb": 64_000}, "labels": []string{"a", "r1-1"}, "born": r.startedAt.UnixMilli(),
+		"capacity": map[string]int{"cpu": 1000 * r.maxRuns, "memMb": 64_000}, "labels": []string{"a", "r1-1"}, "born": r.born,
 	})
 	crashed := r.crashed
 	r.mu.Unlock()
@@ -307,7 +319,7 @@
 // reply responds to a call. Every response also holds the worker's clock and the time at
 // which the incarnation began. The caller holds the lock.
 func (r *Worker) reply(w http.ResponseWriter, body map[string]any) {
-	body["clockMs"], body["born"] = r.clockMS(), r.startedAt.UnixMilli()
+	body["clockMs"], body["born"] = r.clockMS(), r.born
 	_ = json.NewEncoder(w).Encode(body)
 }
 
