--- a/minder/incarnation.go
+++ b/minder/incarnation.go
@@ -20,6 +20,44 @@
 	maxConfirmations = 8
 )
 
+const (
+	// maxSequenceGap bounds the gap between the sequence numbers of two heartbeats in a
+	// row. It allows for those that were lost.
+	maxSequenceGap = 1000
+	// resyncDelay is the time after which heartbeats that contradict the known order count.
+	// Those that a suspended agent receives all at once are closer together.
+	resyncDelay = 500 * time.Millisecond
+)
+
+// heartbeatOrder tells which heartbeats of an incarnation count: those in the order of their
+// sequence numbers. If two heartbeats in a row contradict it, their order counts instead,
+// since one of another writer may have been accepted before. The zero value is that of an
+// incarnation without heartbeats.
+type heartbeatOrder struct {
+	// newest is the sequence number of the newest heartbeat that counts.
+	newest int64
+	// passed is that of a heartbeat that was passed over since. From resyncAt on, one that
+	// follows it counts; zero if none was passed over.
+	passed   int64
+	resyncAt time.Time
+}
+
+// accept reports whether the heartbeat with the sequence number counts.
+func (o *heartbeatOrder) accept(sequence int64, now time.Time) bool {
+	// A difference that overflows is negative.
+	follows := func(earlier int64) bool { return sequence-earlier > 0 && sequence-earlier <= maxSequenceGap }
+	contradicted := !o.resyncAt.IsZero() && follows(o.passed)
+	if follows(o.newest) || contradicted && !now.Before(o.resyncAt) {
+		*o = heartbeatOrder{newest: sequence}
+		return true
+	}
+	o.passed = sequence
+	if !contradicted {
+		o.resyncAt = now.Add(resyncDelay)
+	}
+	return false
+}
+
 // identity is what a call to the worker shows about a claimed incarnation.
 type identity int
 
@@ -97,6 +135,7 @@
 		return true
 	}
 	m.startIncarnation(claimed)
+	m.heartbeats = heartbeatOrder{newest: h.Sequence}
 	m.recordHeartbeat(h, true)
 	return true
 }
--- a/minder/incarnation_test.go
+++ b/minder/incarnation_test.go
@@ -155,3 +155,47 @@
 		}
 	})
 }
+
+// After one heartbeat with an enormous sequence number, all genuine ones were passed over,
+// and the agent no longer learned that the worker drains or what its capacity is.
+func TestOrderOfHeartbeatsRecoversFromAnOddNumber(t *testing.T) {
+	type sent struct {
+		sequence int64
+		after    time.Duration
+		counts   bool
+	}
+	for name, heartbeats := range map[string][]sent{
+		"in order, some lost":     {{2, heartbeatInterval, true}, {9, 7 * heartbeatInterval, true}},
+		"late":                    {{5, heartbeatInterval, true}, {3, 0, false}, {6, heartbeatInterval, true}, {4, 0, false}, {7, heartbeatInterval, true}},
+		"late ones, all at once":  {{5, heartbeatInterval, true}, {2, 0, false}, {3, 0, false}, {4, 0, false}, {6, heartbeatInterval, true}},
+		"repeated":                {{2, heartbeatInterval, true}, {2, heartbeatInterval, false}, {2, heartbeatInterval, false}, {3, heartbeatInterval, true}},
+		"an odd one":              {{math.MaxInt64, 1, false}, {2, heartbeatInterval, true}, {3, heartbeatInterval, true}},
+		"an odd one that follows": {{900, 1, true}, {2, heartbeatInterval, false}, {3, heartbeatInterval, true}, {4, heartbeatInterval, true}},
+		"negative":                {{math.MinInt64, 1, false}, {2, heartbeatInterval, true}},
+	} {
+		o, now := heartbeatOrder{newest: 1}, time.Now()
+		for i, h := range heartbeats {
+			now = now.Add(h.after)
+			assert.Equal(t, o.accept(h.sequence, now), h.counts, "%s: heartbeat %d", name, i)
+		}
+	}
+	// The first heartbeat of the incarnation may be an odd one, too.
+	o, now := heartbeatOrder{newest: math.MaxInt64}, time.Now()
+	assert.Assert(t, !o.accept(2, now))
+	assert.Assert(t, o.accept(3, now.Add(heartbeatInterval)))
+}
+
+// See TestOrderOfHeartbeatsRecoversFromAnOddNumber.
+func TestWorkerIsFollowedAfterAnOddSequenceNumber(t *testing.T) {
+	withWorker(t, func(t *testing.T, m *Minder, _ *fakeWorker) {
+		for i, odd := range []int64{math.MaxInt64, 900} {
+			draining := i == 0
+			m.Heartbeat(heartbeatOf("w", 1000, odd, !draining))
+			for next := range int64(3) {
+				time.Sleep(heartbeatInterval)
+				m.Heartbeat(heartbeatOf("w", 1000, 3+next, draining))
+			}
+			assert.Equal(t, knownVM(m).Draining, draining)
+		}
+	})
+}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -58,10 +58,10 @@
 
 	mu sync.Mutex
 	// vm is the worker's description in its newest heartbeat, except that Draining is
-	// also set when the worker deregisters. heartbeatSequence is the sequence number of
-	// that heartbeat.
-	vm                plantainrail.VM
-	heartbeatSequence int64
+	// also set when the worker deregisters. heartbeats tells which heartbeats of the
+	// incarnation count.
+	vm         plantainrail.VM
+	heartbeats heartbeatOrder
 	// confirmations is the number of heartbeats that are being confirmed.
 	confirmations int
 	// unreachable is set after maxRenewLeaseFailures failed RenewLease calls in a row,
@@ -220,11 +220,10 @@
 	}
 }
 
-// applyHeartbeat records a heartbeat of the current incarnation. It ignores one with an old
-// sequence number. The caller holds the lock.
+// applyHeartbeat records a heartbeat of the current incarnation. It ignores one whose
+// sequence number is out of order. The caller holds the lock.
 func (m *Minder) applyHeartbeat(h plantainrail.Heartbeat) {
-	if incarnation := h.VM.Incarnation; h.Sequence <= m.heartbeatSequence {
-		// The heartbeat is old and therefore ignored.
+	if incarnation := h.VM.Incarnation; !m.heartbeats.accept(h.Sequence, m.Now()) {
 		m.Logger.Info("heartbeat of the past passed over", zap.String("worker", incarnation.ID), zap.Int64("born", incarnation.StartedMS), zap.Int64("sequence", h.Sequence))
 		return
 	}
@@ -234,7 +233,7 @@
 // recordHeartbeat records the worker's description, and reports it to the owner if it has
 // changed. The caller holds the lock.
 func (m *Minder) recordHeartbeat(h plantainrail.Heartbeat, changed bool) {
-	m.heartbeatSequence, m.vm = h.Sequence, h.VM
+	m.vm = h.VM
 	if !changed {
 		return
 	}
@@ -255,7 +254,7 @@
 	}
 	m.vm.Incarnation = incarnation
 	m.leaving, m.departed, m.departureAcked = false, false, false
-	m.unreachable, m.ordersComplete, m.acknowledged, m.reported, m.heartbeatSequence = false, false, 0, 0, 0
+	m.unreachable, m.ordersComplete, m.acknowledged, m.reported, m.heartbeats = false, false, 0, 0, heartbeatOrder{}
 	m.ends, m.clock = nil, workerClock{}
 	m.leaseUntil = time.Time{}
 	m.reportedStatus, m.pacing = nil, newPacing()
