--- a/minder/incarnation_test.go
+++ b/minder/incarnation_test.go
@@ -199,3 +199,30 @@
 		}
 	})
 }
+
+// After one deregistration of another writer the first call that the worker refused, or whose
+// connection broke, counted as its end: its runs were placed elsewhere while they ran on, and
+// it got no work until it restarted.
+func TestDeregistrationOfAnotherWriterIsContradicted(t *testing.T) {
+	broken, unhealthy := errors.New("connection reset"), &plantainrail.RefusedError{Reason: plantainrail.RefusedUnhealthy}
+	withWorker(t, func(t *testing.T, m *Minder, _ *fakeWorker) {
+		current := knownVM(m).Incarnation
+		m.Deregistered("w")
+		m.renewLeaseFailed(current, 1, unhealthy)
+		assert.Assert(t, knownVM(m).Draining && !m.departed, "a worker that answers has not ended")
+		m.Heartbeat(heartbeatOf("w", 1000, 3, false))
+		m.renewLeaseFailed(current, 1, broken)
+		assert.Assert(t, !knownVM(m).Draining && !m.departed, "a worker that is ready does not leave")
+
+		m.Deregistered("w")
+		m.renewLeaseFailed(current, 1, broken)
+		assert.Assert(t, m.departed)
+		m.applyLeaseReply(current, plantainrail.LeaseReply{StartedMS: 1000}, time.Now())
+		assert.Assert(t, !m.departed, "a worker that answers again has not ended")
+	})
+	withWorker(t, func(t *testing.T, m *Minder, _ *fakeWorker) {
+		m.Deregistered("w")
+		m.renewLeaseFailed(knownVM(m).Incarnation, 1, &plantainrail.RefusedError{Reason: plantainrail.RefusedIncarnation})
+		assert.Assert(t, m.departed)
+	})
+}
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -95,9 +95,20 @@
 	return m.clock.at(m.leaseUntil)
 }
 
+// showsEnd reports whether a failed call shows that a worker that has deregistered has ended.
+// Such a worker replies until it closes its port. A call that timed out shows nothing, and
+// a worker that refuses a call has not ended, unless it is another one by now.
+func showsEnd(err error) bool {
+	var refused *plantainrail.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Reason == plantainrail.RefusedIncarnation
+	}
+	return !errors.Is(err, context.DeadlineExceeded)
+}
+
 // renewLeaseFailed handles a failed RenewLease call; failures is the number of calls that
-// have failed in a row. If the worker has deregistered and the call did not time out, it
-// reports to the owner that the worker has departed. Otherwise, once failures reaches
+// have failed in a row. If the worker has deregistered and the failure shows that it has
+// ended, it reports to the owner that the worker has departed. Otherwise, once failures reaches
 // maxRenewLeaseFailures, it marks the worker as unreachable and reports it as draining.
 // Each change is reported once. Failed calls to an earlier incarnation are ignored.
 func (m *Minder) renewLeaseFailed(incarnation plantainrail.WorkerIncarnation, failures int, err error) {
@@ -106,9 +117,7 @@
 	if m.vm.Incarnation != incarnation {
 		return
 	}
-	if m.leaving && !m.departed && !errors.Is(err, context.DeadlineExceeded) {
-		// A worker that has deregistered replies until it closes its port. A call that
-		// fails for another reason than a timeout shows that it has ended.
+	if m.leaving && !m.departed && showsEnd(err) {
 		m.departed = true
 		m.Logger.Info("worker departed", zap.String("worker", incarnation.ID))
 		m.report(linker.WorkReport{Departed: true})
@@ -141,9 +150,10 @@
 		m.report(linker.WorkReport{})
 		return false
 	}
-	if m.unreachable {
-		m.unreachable = false
-		// The worker replies again.
+	if m.unreachable || m.departed {
+		m.unreachable, m.departed, m.departureAcked = false, false, false
+		// The worker replies again. If it seemed to have departed, the owner has removed it;
+		// it now registers it again and tells which of its runs are still wanted.
 		m.Logger.Info("worker regained", zap.String("worker", incarnation.ID))
 		m.renew()
 	}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -234,6 +234,10 @@
 // changed. The caller holds the lock.
 func (m *Minder) recordHeartbeat(h plantainrail.Heartbeat, changed bool) {
 	m.vm = h.VM
+	if !h.VM.Draining {
+		// The deregistration came from another writer: a worker drains before its end.
+		m.leaving = false
+	}
 	if !changed {
 		return
 	}
