--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -1,6 +1,7 @@
 package assembler_test
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"net/http"
 	"testing"
@@ -106,6 +107,10 @@
 			f.net.setFault(e.name, stalled)
 		}
 	}},
+	{"odd records of another writer, owner killed", func(f *fleet) {
+		f.putOddRecords()
+		f.killEntry(f.owner(), time.Second)
+	}},
 	{"zone evacuated and restored", func(f *fleet) {
 		f.store.Put("keyed.op", "evacuate/z", []byte("{}"))
 		time.Sleep(3 * time.Second)
@@ -113,6 +118,14 @@
 	}},
 }
 
+// putOddRecords appends records of another writer to the entries' topics.
+func (f *fleet) putOddRecords() {
+	// The steps of the job are a text.
+	f.store.Put("keyed.jobs", "j/odd-steps", []byte("\xa3\x00\x69odd-steps\x01\xa1\x00\x61q\x03\x61s"))
+	f.store.Put("keyed.jobs", "j/nested", bytes.Repeat([]byte("\x81"), 100_000))
+	f.store.Put("keyed.jobs", "", []byte("x"))
+}
+
 // breakStore injects a fault of the store and returns when it is over.
 func (f *fleet) breakStore(fault keeper.Fault, duration time.Duration) {
 	f.store.SetFault(fault)
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -194,9 +194,9 @@
 		}
 	}
 	defer d.mu.Unlock()
-	book, err := d.catalog.Book()
-	if err != nil {
-		return err
+	book, unreadable := d.catalog.Book()
+	for _, err := range unreadable {
+		d.Logger.Error("job left out", zap.Error(err))
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/planner/catalog.go
+++ b/planner/catalog.go
@@ -131,31 +131,38 @@
 }
 
 // Book returns a Book of all jobs, decoded from their records. Of jobs that have ended
-// and have no placed task it holds only the state. It returns an error if a record cannot
-// be decoded.
-func (c *Catalog) Book() (*Book, error) {
+// and have no placed task it holds only the state. Jobs with a record that cannot be decoded
+// are left out: without its progress a job could be run twice. There is an error for each.
+func (c *Catalog) Book() (book *Book, unreadable []error) {
 	b := NewBook()
 	byArrival := func(x, y string) int { return cmp.Compare(c.jobs[x].arrival, c.jobs[y].arrival) }
 	for _, id := range slices.SortedFunc(maps.Keys(c.jobs), byArrival) {
-		j := c.jobs[id]
-		switch {
-		case j.accepted && j.progress.ended():
-			b.addEnded(id, j.progress.State)
-		case j.accepted:
-			if _, err := b.ApplyJob(plantainrail.KeyedRecord{Key: jobKeyPrefix + id, Value: j.submission}); err != nil {
-				return nil, err
-			}
+		if err := c.jobs[id].addTo(b, id); err != nil {
+			delete(b.jobs, id)
+			unreadable = append(unreadable, err)
 		}
-		if len(j.progressRecord) > 0 {
-			if err := b.ApplyProgress(plantainrail.KeyedRecord{Key: id, Value: j.progressRecord}); err != nil {
-				return nil, err
-			}
+	}
+	return b, unreadable
+}
+
+// addTo adds the job to a Book. It returns an error if a record cannot be decoded.
+func (j *catalogJob) addTo(b *Book, id string) error {
+	switch {
+	case j.accepted && j.progress.ended():
+		b.addEnded(id, j.progress.State)
+	case j.accepted:
+		if _, err := b.ApplyJob(plantainrail.KeyedRecord{Key: jobKeyPrefix + id, Value: j.submission}); err != nil {
+			return err
 		}
-		if j.cancelRequested {
-			if _, err := b.ApplyJob(NewCancelRecord(id)); err != nil {
-				return nil, err
-			}
+	}
+	if len(j.progressRecord) > 0 {
+		if err := b.ApplyProgress(plantainrail.KeyedRecord{Key: id, Value: j.progressRecord}); err != nil {
+			return err
 		}
 	}
-	return b, nil
+	if j.cancelRequested {
+		_, err := b.ApplyJob(NewCancelRecord(id))
+		return err
+	}
+	return nil
 }
