--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -120,7 +120,9 @@
 
 // putOddRecords appends records of another writer to the entries' topics.
 func (f *fleet) putOddRecords() {
-	// The steps of the job are a text.
+	// The count of tasks of the first job is negative, and the steps of the second one are a
+	// text.
+	f.store.Put("keyed.jobs", "j/odd-count", []byte("\xa3\x00\x69odd-count\x01\xa1\x00\x61q\x03\x81\xa1\x00\x20"))
 	f.store.Put("keyed.jobs", "j/odd-steps", []byte("\xa3\x00\x69odd-steps\x01\xa1\x00\x61q\x03\x61s"))
 	f.store.Put("keyed.jobs", "j/nested", bytes.Repeat([]byte("\x81"), 100_000))
 	f.store.Put("keyed.jobs", "", []byte("x"))
--- a/planner/book.go
+++ b/planner/book.go
@@ -41,6 +41,19 @@
 	return plantainrail.KeyedRecord{Key: jobKeyPrefix + w.ID, Value: raw}, errors.Wrap(err, "encode job")
 }
 
+// decodeWorkflow decodes the value of a job's record. It returns an error if the value is
+// none that NewJobRecord returns for a valid job with the ID.
+func decodeWorkflow(id string, raw []byte) (plantainrail.Workflow, error) {
+	var w plantainrail.Workflow
+	if err := cbor.Unmarshal(raw, &w); err != nil {
+		return w, errors.Wrapf(err, "decode job %s", id)
+	}
+	if w.ID != id {
+		return w, errors.Errorf("record of job %s holds job %q", id, w.ID)
+	}
+	return w, errors.Wrapf(w.Validate(), "job %s", id)
+}
+
 // NewCancelRecord returns the record that requests the cancellation of a job. Its
 // value is not read.
 func NewCancelRecord(id string) plantainrail.KeyedRecord {
@@ -84,9 +97,9 @@
 	if !ok || b.jobs[id] != nil || len(r.Value) == 0 {
 		return nil, nil
 	}
-	var w plantainrail.Workflow
-	if err := cbor.Unmarshal(r.Value, &w); err != nil {
-		return nil, errors.Wrapf(err, "decode job %s", id)
+	w, err := decodeWorkflow(id, r.Value)
+	if err != nil {
+		return nil, err
 	}
 	b.acceptedCount++
 	j := newJob(w, b.acceptedCount)
--- a/planner/catalog_test.go
+++ b/planner/catalog_test.go
@@ -99,7 +99,8 @@
 	return raw
 }
 
-// One odd record kept every entry from owning the jobs, since each takeover failed at it.
+// One odd record kept every entry from owning the jobs, since each takeover failed at it, or
+// ended the process of the owner and of every one that followed.
 func TestOddRecordsDoNotStopOtherJobs(t *testing.T) {
 	type fields = map[int]any
 	step := fields{0: 1, 1: 1_000}
@@ -109,10 +110,19 @@
 		out[field] = value
 		return out
 	}
+	task := []any{0, 0, 0, 0, ""}
 	for name, c := range map[string]struct{ submission, progress any }{
-		"steps of another type":    {with(3, "steps"), nil},
-		"number too large":         {with(3, []any{fields{0: uint64(math.MaxUint64)}}), nil},
-		"progress of another type": {odd, fields{3: "open"}},
+		"steps of another type":          {with(3, "steps"), nil},
+		"no steps":                       {with(3, []any{}), nil},
+		"negative count":                 {with(3, []any{fields{0: -1}}), nil},
+		"enormous count":                 {with(3, []any{fields{0: math.MaxInt64}}), nil},
+		"number too large":               {with(3, []any{fields{0: uint64(math.MaxUint64)}}), nil},
+		"the ID of another job":          {with(0, "a"), nil},
+		"progress of another type":       {odd, fields{3: "open"}},
+		"progress with more steps":       {odd, fields{3: fields{0: []any{[]any{task}, []any{task}}}}},
+		"progress with fewer tasks":      {odd, fields{3: fields{0: []any{[]any{}}}}},
+		"progress of an occurrence less": {odd, fields{3: fields{-1: []any{[]any{task}}}}},
+		"end of an occurrence too many":  {odd, fields{4: []any{7}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, newVM("vm-0", 64_000))
--- a/planner/job.go
+++ b/planner/job.go
@@ -225,6 +225,27 @@
 	Closed []int                  `cbor:"4,keyasint,omitempty"`
 }
 
+// fits reports whether the progress has the occurrences, steps and tasks of the job.
+func (p progress) fits(w plantainrail.Workflow) bool {
+	exists := func(occurrence int) bool { return occurrence >= 0 && occurrence < w.Occurrences() }
+	for _, k := range p.Closed {
+		if !exists(k) {
+			return false
+		}
+	}
+	for k, steps := range p.Open {
+		if !exists(k) || len(steps) != len(w.Steps) {
+			return false
+		}
+		for s := range steps {
+			if len(steps[s]) != w.Steps[s].Count {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // taskRecord is the stored form of a Task. Incarnation is a position in
 // progress.Incarnations, counted from 1; 0 means that the task is not placed.
 type taskRecord struct {
@@ -274,11 +295,14 @@
 }
 
 // restore replaces the job's progress by one in its stored form. It returns an
-// error if the stored form cannot be decoded.
+// error, and changes nothing, if the stored form cannot be decoded or does not fit the job.
 func (j *Job) restore(raw []byte) error {
 	var p progress
 	if err := cbor.Unmarshal(raw, &p); err != nil {
-		return errors.Wrap(err, "decode progress")
+		return errors.Wrapf(err, "decode progress of job %s", j.ID)
+	}
+	if !p.fits(j.Workflow) {
+		return errors.Errorf("progress of job %s has other occurrences, steps or tasks than the job", j.ID)
 	}
 	j.State, j.Started = p.State, p.Started
 	j.occurrences = map[int]occurrence{}
--- a/work.go
+++ b/work.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // TaskID identifies one task of a workflow.
@@ -141,6 +143,28 @@
 	IntervalMS int64 `cbor:"6,keyasint,omitempty"`
 }
 
+// maxTasksPerStep bounds the tasks of one step.
+const maxTasksPerStep = 100_000
+
+// Validate returns an error that names the first step whose values are out of range. The
+// text is meant for the client.
+func (w Workflow) Validate() error {
+	if len(w.Steps) == 0 {
+		return errors.New("steps must name one step at least")
+	}
+	for i, s := range w.Steps {
+		if s.Count < 1 || s.Count > maxTasksPerStep || s.CPU < 0 || s.Memory < 0 || s.Accelerators < 0 {
+			return errors.Errorf("step %d asks for an amount out of range", i)
+		}
+		for _, dependency := range s.DependsOn {
+			if dependency < 0 || dependency >= i {
+				return errors.Errorf("step %d depends on step %d, which is no earlier one", i, dependency)
+			}
+		}
+	}
+	return nil
+}
+
 // Occurrences returns the number of times that the steps run.
 func (w Workflow) Occurrences() int { return max(w.Repetitions, 1) }
 
