--- a/decider/replica.go
+++ b/decider/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -51,6 +52,19 @@
 	Resigned bool `cbor:"4,keyasint,omitempty"`
 }
 
+// parseReplica decodes a claim. The processors must be a finite amount: claims are compared,
+// and one without a number does not equal itself.
+func parseReplica(r plantainrail.KeyedRecord) (replicaClaim, error) {
+	var c replicaClaim
+	if err := cbor.Unmarshal(r.Value, &c); err != nil {
+		return c, errors.Wrap(err, "decode claim of a replica")
+	}
+	if math.IsNaN(c.Cores) || math.IsInf(c.Cores, 0) || c.Cores < 0 {
+		return c, errors.Errorf("claim of a replica with %g processors", c.Cores)
+	}
+	return c, nil
+}
+
 // claimDelay returns how long an entry with the given processors waits before a claim.
 func claimDelay(cores float64) time.Duration {
 	if cores <= 0 {
@@ -105,8 +119,8 @@
 	defer d.mu.Unlock()
 	d.replicasRead = true
 	for _, r := range b.Records {
-		var c replicaClaim
-		if err := cbor.Unmarshal(r.Value, &c); err != nil {
+		c, err := parseReplica(r)
+		if err != nil {
 			d.Logger.Error("replica unreadable", zap.String("zone", r.Key), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
 			continue
 		}
