--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -126,6 +126,10 @@
 	f.store.Put("keyed.jobs", "j/odd-steps", []byte("\xa3\x00\x69odd-steps\x01\xa1\x00\x61q\x03\x61s"))
 	f.store.Put("keyed.jobs", "j/nested", bytes.Repeat([]byte("\x81"), 100_000))
 	f.store.Put("keyed.jobs", "", []byte("x"))
+	f.store.Put("keyed.members", "e/odd", []byte("10.0.0.1:99999"))
+	f.store.Put("keyed.members", "claim", bytes.Repeat([]byte("\x81"), 100_000))
+	f.store.Put("keyed.members", "x", []byte("\xa3\x00\x61x\x01\x71255.255.255.255:1\x02\x61x"))
+	f.store.Put("keyed.replicas", f.zoneOf(0), []byte("\xa4\x00\x61x\x01\x6a10.0.0.1:1\x02\x61x\x03\xf9\x7e\x00"))
 }
 
 // breakStore injects a fault of the store and returns when it is over.
--- a/decider/claim.go
+++ b/decider/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -47,11 +48,15 @@
 	Epoch int64
 }
 
-// ParseMember decodes a record of the members topic. It returns an error if an
-// ownership claim cannot be decoded.
+// ParseMember decodes a record of the members topic. The result is empty for a record with
+// an unknown key. It returns an error if an address or an ownership claim cannot be decoded.
 func ParseMember(r plantainrail.KeyedRecord) (MemberRecord, error) {
 	if strings.HasPrefix(r.Key, entryPrefix) {
-		return MemberRecord{Address: string(r.Value)}, nil
+		address, err := parseAddress(r.Value)
+		return MemberRecord{Address: address}, err
+	}
+	if r.Key != claimKey {
+		return MemberRecord{}, nil
 	}
 	c, err := parseClaim(r)
 	if err != nil || c.Resigned {
@@ -60,11 +65,23 @@
 	return MemberRecord{Owner: true, Address: c.Address, Epoch: c.Epoch}, nil
 }
 
-// parseClaim decodes an ownership claim or a resignation. The epoch is also set
-// if it returns an error.
+// parseAddress returns the address of an entry, which is an IP address and a port.
+func parseAddress(raw []byte) (string, error) {
+	address, err := netip.ParseAddrPort(string(raw))
+	if err != nil || address.Port() == 0 {
+		return "", errors.Errorf("%.100q is no address of an entry", raw)
+	}
+	return address.String(), nil
+}
+
+// parseClaim decodes an ownership claim or a resignation, which holds no address. The epoch
+// is also set if it returns an error.
 func parseClaim(r plantainrail.KeyedRecord) (claim, error) {
 	c := claim{Epoch: int64(r.Offset) + 1}
 	err := cbor.Unmarshal(r.Value, &c)
+	if err == nil && !c.Resigned {
+		c.Address, err = parseAddress([]byte(c.Address))
+	}
 	return c, errors.Wrap(err, "decode ownership claim")
 }
 
@@ -111,7 +128,12 @@
 	d.membersNext = b.Next
 	for _, r := range b.Records {
 		if name, ok := strings.CutPrefix(r.Key, entryPrefix); ok {
-			d.setEntryAddress(name, string(r.Value))
+			address, err := parseAddress(r.Value)
+			if err != nil {
+				d.Logger.Error("entry unreadable", zap.String("entry", name), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
+				continue
+			}
+			d.setEntryAddress(name, address)
 		}
 		if r.Key != claimKey {
 			continue
--- a/decider/odd_record_test.go
+++ b/decider/odd_record_test.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"bytes"
 	"context"
 	"math"
 	"net"
@@ -67,3 +68,44 @@
 		})
 	}
 }
+
+// A record of another writer with an unknown key was taken for an ownership claim by the
+// agents, which closed their sessions with the owner and called the address in it.
+func TestOddMembersAreLeftOut(t *testing.T) {
+	valid := claim{Name: "a", Address: "10.0.0.1:7720", Nonce: "n"}
+	for name, c := range map[string]struct {
+		key   string
+		value []byte
+		want  MemberRecord
+		err   string
+	}{
+		"entry":                    {"e/a", []byte("10.0.0.1:7720"), MemberRecord{Address: "10.0.0.1:7720"}, ""},
+		"port out of range":        {"e/a", []byte("10.0.0.1:99999"), MemberRecord{}, "no address"},
+		"no port":                  {"e/a", []byte("10.0.0.1"), MemberRecord{}, "no address"},
+		"no address":               {"e/a", nil, MemberRecord{}, "no address"},
+		"a path":                   {"e/a", []byte("10.0.0.1:7720/x"), MemberRecord{}, "no address"},
+		"claim":                    {"claim", encode(t, valid), MemberRecord{Owner: true, Address: "10.0.0.1:7720", Epoch: 5}, ""},
+		"resignation":              {"claim", encode(t, claim{Name: "a", Resigned: true}), MemberRecord{Epoch: 5}, ""},
+		"claim under another key":  {"x", encode(t, valid), MemberRecord{}, ""},
+		"claim under no key":       {"", encode(t, valid), MemberRecord{}, ""},
+		"claim, port out of range": {"claim", encode(t, claim{Name: "a", Address: "10.0.0.1:99999"}), MemberRecord{Epoch: 5}, "no address"},
+		"claim, deeply nested":     {"claim", bytes.Repeat([]byte{0x81}, 100_000), MemberRecord{Epoch: 5}, "nested"},
+		"claim, name is a number":  {"claim", encode(t, map[int]any{0: 1e300}), MemberRecord{Epoch: 5}, "decode"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			record := plantainrail.KeyedRecord{Key: c.key, Value: c.value, Offset: 4}
+			member, err := ParseMember(record)
+			if c.err != "" {
+				assert.ErrorContains(t, err, c.err)
+			} else {
+				assert.NilError(t, err)
+			}
+			assert.Equal(t, member, c.want)
+			var peers []string
+			d := New(Options{Name: "b", Now: time.Now, Logger: zap.NewNop(), SetPeers: func(addresses []string) { peers = addresses }})
+			d.applyMembers(t.Context(), plantainrail.KeyedBatch{Records: []plantainrail.KeyedRecord{record}})
+			assert.Equal(t, d.claim.Address, map[bool]string{true: c.want.Address}[c.want.Owner])
+			assert.Equal(t, len(peers) == 1, c.want.Address != "" && !c.want.Owner)
+		})
+	}
+}
