--- a/decider/follow.go
+++ b/decider/follow.go
@@ -90,6 +90,9 @@
 func (d *Decider) read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
 	if from != unread {
 		batch, err := d.Store.Read(ctx, topic, from, wait)
+		if batch.Malformed > 0 {
+			d.Logger.Error("records unreadable", zap.String("topic", topic), zap.Int64("offset", int64(from)), zap.Int("records", batch.Malformed))
+		}
 		if !errors.Is(err, plantainrail.ErrExpired) {
 			return batch, err
 		}
--- a/minder/session.go
+++ b/minder/session.go
@@ -66,6 +66,9 @@
 			m.Logger.Info("store regained")
 			storeLost = false
 		}
+		if batch.Malformed > 0 {
+			m.Logger.Error("records unreadable", zap.String("topic", m.MembersTopic), zap.Int64("offset", int64(next)), zap.Int("records", batch.Malformed))
+		}
 		next = batch.Next
 		for _, r := range batch.Records {
 			m.applyMember(r)
--- a/store.go
+++ b/store.go
@@ -41,6 +41,8 @@
 	Records []KeyedRecord
 	// Next is the offset from which to continue reading.
 	Next Offset
+	// Malformed is the number of records that were left out since they have no valid key.
+	Malformed int
 }
 
 // Store is the platform's store of topics. After an error other than ErrRejected,
