--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -391,3 +391,20 @@
 	h.now = h.now.Add(3 * time.Second)
 	assert.Equal(t, len(h.tick().Assignments), 1, "a run on probation that has lasted long enough must count as not failed")
 }
+
+// See TestWorkerWithoutCapacityIsFollowed of package platform: such a VM keeps its runs and gets
+// no others until its capacity has grown again.
+func TestVMWithoutCapacityGetsNoTasks(t *testing.T) {
+	vm := newVM("a", 4_000)
+	h := newHarness(t, vm)
+	h.submit("job", plantainrail.Step{Count: 1, CPU: 1_000})
+	assert.Equal(t, len(h.tick().Assignments), 1)
+	vm.Capacity = plantainrail.Resources{}
+	h.report(vm)
+	h.submit("other", plantainrail.Step{Count: 1, CPU: 1_000})
+	plan := h.tick()
+	assert.Equal(t, len(plan.Assignments)+len(plan.Stops), 0)
+	vm.Capacity = plantainrail.Resources{Processors: 4_000, Memory: 10_000}
+	h.report(vm)
+	assert.Equal(t, len(h.tick().Assignments), 1)
+}
