--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -96,6 +96,18 @@
 	Text string `cbor:"5,keyasint,omitempty"`
 }
 
+// decodeMode accepts keys of records that are no valid UTF-8, which other writers may append.
+var decodeMode = mustDecodeMode()
+
+func mustDecodeMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		// The options are constant.
+		panic(err)
+	}
+	return mode
+}
+
 // errorCode identifies an error of the store in a storeResult. errorUnknown means that
 // the call may or may not have taken effect.
 type errorCode int
@@ -269,7 +281,7 @@
 		return storeResult{}, errors.Errorf("entry %s returned status %d: %v", address, response.StatusCode, err)
 	}
 	var result storeResult
-	if err := cbor.Unmarshal(raw, &result); err != nil {
+	if err := decodeMode.Unmarshal(raw, &result); err != nil {
 		return storeResult{}, errors.Wrap(err, "decode result of relayed call")
 	}
 	return result, result.toError()
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,41 @@
+package relayer_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/relayer"
+)
+
+// fakeStore returns a batch, or an error if there is none. It executes no appends.
+type fakeStore struct {
+	plantainrail.Store
+	batch plantainrail.KeyedBatch
+}
+
+func (s *fakeStore) Read(context.Context, string, plantainrail.Offset, time.Duration) (plantainrail.KeyedBatch, error) {
+	if len(s.batch.Records) == 0 {
+		return s.batch, plantainrail.ErrRejected
+	}
+	return s.batch, nil
+}
+
+// An entry that was cut off from the store read no further through others once it came to a
+// record of another writer whose key is no text.
+func TestKeyThatIsNoTextIsRelayed(t *testing.T) {
+	batch := plantainrail.KeyedBatch{Next: 9, Malformed: 1, Records: []plantainrail.KeyedRecord{{Key: "\xff\xfe", Value: []byte("v"), Offset: 7}}}
+	peer := httptest.NewServer(relayer.New(&fakeStore{batch: batch}, nil, zap.NewNop()))
+	defer peer.Close()
+	r := relayer.New(&fakeStore{}, peer.Client(), zap.NewNop())
+	r.SetPeers([]string{strings.TrimPrefix(peer.URL, "http://")})
+	got, err := r.Read(t.Context(), "jobs", 7, 0)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, batch)
+}
