--- a/decider/follow.go
+++ b/decider/follow.go
@@ -88,17 +88,22 @@
 // read returns the records from the offset on, or the newest record of each key if
 // nothing was read yet or those records have expired.
 func (d *Decider) read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
-	if from != unread {
-		batch, err := d.Store.Read(ctx, topic, from, wait)
-		if batch.Malformed > 0 {
-			d.Logger.Error("records unreadable", zap.String("topic", topic), zap.Int64("offset", int64(from)), zap.Int("records", batch.Malformed))
+	var batch plantainrail.KeyedBatch
+	var err error
+	listNewest := from == unread
+	if !listNewest {
+		batch, err = d.Store.Read(ctx, topic, from, wait)
+		if listNewest = errors.Is(err, plantainrail.ErrExpired); listNewest {
+			d.Logger.Warn("records expired before they were read", zap.String("topic", topic), zap.Int64("offset", int64(from)))
 		}
-		if !errors.Is(err, plantainrail.ErrExpired) {
-			return batch, err
-		}
-		d.Logger.Warn("records expired before they were read", zap.String("topic", topic), zap.Int64("offset", int64(from)))
 	}
-	return d.Store.Newest(ctx, topic)
+	if listNewest {
+		batch, err = d.Store.Newest(ctx, topic)
+	}
+	if batch.Malformed > 0 {
+		d.Logger.Error("records unreadable", zap.String("topic", topic), zap.Int64("offset", int64(from)), zap.Int("records", batch.Malformed))
+	}
+	return batch, err
 }
 
 func (d *Decider) followOperators(ctx context.Context) error {
