--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -1,6 +1,7 @@
 package assembler_test
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"net/http"
 	"testing"
@@ -79,6 +80,16 @@
 	{"agent cut off for less than its lease", func(f *fleet) { f.blackholeAgent(4 * time.Second) }},
 	{"agent cut off for longer than its lease", func(f *fleet) { f.blackholeAgent(14 * time.Second) }},
 	{"worker restarted under its ID", func(f *fleet) { f.vms[0].worker.Restart() }},
+	{"worker restarted with the time of day set back", func(f *fleet) {
+		f.vms[0].worker.StepClock(-time.Minute)
+		f.vms[0].worker.Restart()
+	}},
+	{"heartbeats of another writer", func(f *fleet) {
+		for _, v := range f.vms {
+			f.sendHeartbeat(v, "w-"+v.name)
+			f.sendHeartbeat(v, "w-unknown")
+		}
+	}},
 	{"worker down for a while", func(f *fleet) {
 		f.vms[0].worker.Crash()
 		time.Sleep(4 * time.Second)
@@ -96,6 +107,10 @@
 			f.net.setFault(e.name, stalled)
 		}
 	}},
+	{"odd records of another writer, owner killed", func(f *fleet) {
+		f.putOddRecords()
+		f.killEntry(f.owner(), time.Second)
+	}},
 	{"zone evacuated and restored", func(f *fleet) {
 		f.store.Put("keyed.op", "evacuate/z", []byte("{}"))
 		time.Sleep(3 * time.Second)
@@ -108,6 +123,20 @@
 	}},
 }
 
+// putOddRecords appends records of another writer to the entries' topics.
+func (f *fleet) putOddRecords() {
+	// The count of tasks of the first job is negative, and the steps of the second one are a
+	// text.
+	f.store.Put("keyed.jobs", "j/odd-count", []byte("\xa3\x00\x69odd-count\x01\xa1\x00\x61q\x03\x81\xa1\x00\x20"))
+	f.store.Put("keyed.jobs", "j/odd-steps", []byte("\xa3\x00\x69odd-steps\x01\xa1\x00\x61q\x03\x61s"))
+	f.store.Put("keyed.jobs", "j/nested", bytes.Repeat([]byte("\x81"), 100_000))
+	f.store.Put("keyed.jobs", "", []byte("x"))
+	f.store.Put("keyed.members", "e/odd", []byte("10.0.0.1:99999"))
+	f.store.Put("keyed.members", "claim", bytes.Repeat([]byte("\x81"), 100_000))
+	f.store.Put("keyed.members", "x", []byte("\xa3\x00\x61x\x01\x71255.255.255.255:1\x02\x61x"))
+	f.store.Put("keyed.replicas", f.zoneOf(0), []byte("\xa4\x00\x61x\x01\x6a10.0.0.1:1\x02\x61x\x03\xf9\x7e\x00"))
+}
+
 // breakStore injects a fault of the store and returns when it is over.
 func (f *fleet) breakStore(fault keeper.Fault, duration time.Duration) {
 	f.store.SetFault(fault)
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -206,12 +208,14 @@
 	registry, err := f.net.Listen(name)
 	assert.NilError(f.t, err)
 	v := &fleetVM{name: name, registry: registry.(*listener)}
-	// The worker only reports the address "there"; the agent calls it at workerAddress.
+	calls, err := f.net.Listen(name + workerSuffix)
+	assert.NilError(f.t, err)
+	v.workerAddress = calls.Addr().String()
 	v.worker = runner.New(runner.Options{
-		ID: "w-" + name, Service: "desk", Zone: "z", Address: "there", AgentAddress: registry.Addr().String(),
+		ID: "w-" + name, Service: "desk", Zone: "z", Address: v.workerAddress, AgentAddress: registry.Addr().String(),
 		Client: f.client(name + workerSuffix), MaxRuns: fleetMaxRuns,
 	})
-	v.workerAddress = f.serve(name+workerSuffix, v.worker)
+	f.serveOn(f.ctx, calls.(*listener), v.worker)
 	f.vms = append(f.vms, v)
 	f.startAgent(v)
 	f.group.Go(func() error { v.worker.Run(f.ctx); return nil })
@@ -234,13 +238,25 @@
 		},
 		Lease: decider.LeaseDuration, Heartbeats: v.registry,
 		HeartbeatHandler: func(r plantainrail.Registry) http.Handler {
-			return platform.RegistryHandler(v.name, func() string { return "desk" }, r, logger())
+			return platform.RegistryHandler(v.name, v.workerAddress, func() string { return "desk" }, r, logger())
 		},
 		Now: time.Now, Logger: logger().Named(v.name),
 	})
 	f.group.Go(func() error { return m.Run(ctx) })
 }
 
+// sendHeartbeat sends the VM's agent a heartbeat of another writer, which claims to be the
+// worker with the ID and to have started in the far future.
+func (f *fleet) sendHeartbeat(v *fleetVM, id string) {
+	body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":"z","state":"ready","born":%d,"sequence":1,"capacity":{"cpu":9000,"memMb":9000}}`,
+		v.workerAddress, int64(math.MaxInt64))
+	client := f.client(v.name + workerSuffix)
+	defer client.CloseIdleConnections()
+	response, err := client.Post("http://"+v.registry.Addr().String()+"/Instances.Heartbeat/"+id, "application/json", strings.NewReader(body))
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, response.Body.Close())
+}
+
 // restartAgent disconnects and stops an agent and starts its new process a second
 // later.
 func (f *fleet) restartAgent(v *fleetVM) {
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -98,15 +98,20 @@
 // nothing was read yet or those records have expired. In the second case complete is set,
 // and a key without a record does not exist.
 func (d *Decider) read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (b plantainrail.KeyedBatch, complete bool, err error) {
-	if from != unread {
+	complete = from == unread
+	if !complete {
 		b, err = d.Store.Read(ctx, topic, from, wait)
-		if !errors.Is(err, plantainrail.ErrExpired) {
-			return b, false, err
+		if complete = errors.Is(err, plantainrail.ErrExpired); complete {
+			d.Logger.Warn("records expired before they were read", zap.String("topic", topic), zap.Int64("offset", int64(from)))
 		}
-		d.Logger.Warn("records expired before they were read", zap.String("topic", topic), zap.Int64("offset", int64(from)))
 	}
-	b, err = d.Store.Newest(ctx, topic)
-	return b, true, err
+	if complete {
+		b, err = d.Store.Newest(ctx, topic)
+	}
+	if b.Malformed > 0 {
+		d.Logger.Error("records unreadable", zap.String("topic", topic), zap.Int64("offset", int64(from)), zap.Int("records", b.Malformed))
+	}
+	return b, complete, err
 }
 
 func (d *Decider) followOperators(ctx context.Context) error {
