--- a/minder/lease.go
+++ b/minder/lease.go
@@ -133,8 +133,8 @@
 // applyLeaseReply records the worker's reply to a RenewLease call that was sent at
 // the given time. It reports whether there are run ends that the owner has not
 // acknowledged. If the reply shows that the worker has restarted, the new incarnation
-// becomes the current one and the rest of the reply is ignored. A reply of an earlier
-// incarnation is ignored, too. In both cases the result is false.
+// becomes the current one and the rest of the reply is ignored. The reply to a call that was
+// meant for an earlier incarnation is ignored, too. In both cases the result is false.
 func (m *Minder) applyLeaseReply(incarnation plantainrail.WorkerIncarnation, reply plantainrail.LeaseReply, sent time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
