--- a/assembler/fleet_replica_test.go
+++ b/assembler/fleet_replica_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -130,6 +131,10 @@
 	})
 }
 
+// followDelay is how much later than the owner a replica may report a state, as package
+// decider defines it.
+const followDelay = 60 * time.Millisecond
+
 // A replica that is gone, whatever way it went, must be replaced, and its zone's entries
 // must answer meanwhile and afterwards.
 func TestReplicaIsReplaced(t *testing.T) {
@@ -147,6 +152,9 @@
 			runInFleet(t, widerFleet, func(f *fleet) {
 				f.submit(1, "300", jobSteps)
 				f.waitForState(1, "completed", 10*time.Second)
+				// By then the other replica has read the state too.
+				time.Sleep(followDelay)
+				synctest.Wait()
 				lost := f.replicas()[0]
 				c.lose(f, lost)
 				client := f.client("client")
