--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -86,6 +86,15 @@
 	}},
 	{"worker lost", func(f *fleet) { f.vms[0].worker.Crash() }},
 	{"worker draining", func(f *fleet) { f.vms[0].worker.Drain() }},
+	{"capacity shrinks and grows again", func(f *fleet) {
+		for _, v := range f.vms[1:] {
+			v.worker.SetMaxRuns(1)
+		}
+		time.Sleep(6 * time.Second)
+		for _, v := range f.vms[1:] {
+			v.worker.SetMaxRuns(fleetMaxRuns)
+		}
+	}},
 	{"starts delayed", func(f *fleet) {
 		f.vms[0].worker.DelayStarts(3 * time.Second)
 		time.Sleep(4 * time.Second)
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -63,13 +63,16 @@
 	entries, zones, vms int
 	// cores are the processors of the entries; a missing one stands for one core.
 	cores []float64
+	// unguarded means that the workers accept starts beyond their capacity.
+	unguarded bool
 }
 
 var (
 	// smallFleet has one entry in each zone, so that every entry is a replica. In
-	// widerFleet most entries ask the replica of their zone.
+	// widerFleet most entries ask the replica of their zone, and the workers leave it to
+	// the owner to keep within their capacity.
 	smallFleet  = fleetShape{name: "an entry a zone", entries: 3, zones: 3, vms: 4}
-	widerFleet  = fleetShape{name: "three entries a zone", entries: 6, zones: 2, vms: 4}
+	widerFleet  = fleetShape{name: "three entries a zone", entries: 6, zones: 2, vms: 4, unguarded: true}
 	fleetShapes = []fleetShape{smallFleet, widerFleet}
 )
 
@@ -209,7 +212,7 @@
 	// The worker only reports the address "there"; the agent calls it at workerAddress.
 	v.worker = runner.New(runner.Options{
 		ID: "w-" + name, Service: "desk", Zone: "z", Address: "there", AgentAddress: registry.Addr().String(),
-		Client: f.client(name + workerSuffix), MaxRuns: fleetMaxRuns,
+		Client: f.client(name + workerSuffix), MaxRuns: fleetMaxRuns, Unguarded: f.shape.unguarded,
 	})
 	v.workerAddress = f.serve(name+workerSuffix, v.worker)
 	f.vms = append(f.vms, v)
@@ -366,12 +369,14 @@
 }
 
 // checkRuns fails the test if a task had two runs at the same time, or a new run
-// after one that was done and whose end was acknowledged.
+// after one that was done and whose end was acknowledged, or if a start brought a worker
+// over its capacity.
 func (f *fleet) checkRuns() {
 	f.t.Helper()
 	var histories [][]runner.Span
 	for _, v := range f.vms {
 		histories = append(histories, v.worker.History())
+		assert.DeepEqual(f.t, v.worker.Overloads(), []string(nil))
 	}
 	assert.DeepEqual(f.t, runner.Violations(histories...), []string(nil))
 }
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,9 @@
 	// stopDuration is the time from the first call that stops a run to the end of
 	// the run.
 	stopDuration = 300 * time.Millisecond
+	// shrinkGrace is how long starts may still use the capacity from before it shrank:
+	// until the next heartbeat, and 3 s for the news to take effect.
+	shrinkGrace = heartbeatInterval + 3*time.Second
 )
 
 // Span describes one run in the history.
@@ -53,10 +57,16 @@
 	// agentAddress is the address of the agent that receives the heartbeats.
 	agentAddress string
 	client       *http.Client
-	// maxRuns is the maximum number of concurrent runs.
-	maxRuns int
+	// unguarded means that starts beyond maxRuns are accepted.
+	unguarded bool
 
 	mu sync.Mutex
+	// maxRuns is the capacity: the maximum number of concurrent runs. earlierMaxRuns
+	// holds its earlier values.
+	maxRuns        int
+	earlierMaxRuns []earlierMaxRuns
+	// overloads describes the starts that brought the worker over its capacity.
+	overloads []string
 	// incarnation increases with each restart. Timers of an earlier incarnation
 	// have no effect.
 	incarnation int
@@ -90,6 +100,12 @@
 	startDelay time.Duration
 }
 
+// earlierMaxRuns is an earlier value of maxRuns, which was valid until the given time.
+type earlierMaxRuns struct {
+	maxRuns int
+	until   time.Time
+}
+
 // activeRun is a run that has not ended.
 type activeRun struct {
 	*Span
@@ -115,14 +131,16 @@
 	// sent to AgentAddress.
 	ID, Service, Zone, Address, AgentAddress string
 	Client                                   *http.Client
-	// MaxRuns is the maximum number of concurrent runs.
-	MaxRuns int
+	// MaxRuns is the maximum number of concurrent runs. An unguarded worker accepts
+	// starts beyond it; see Overloads.
+	MaxRuns   int
+	Unguarded bool
 }
 
 // New returns a worker in its first incarnation.
 func New(o Options) *Worker {
 	r := &Worker{
-		id: o.ID, service: o.Service, zone: o.Zone, address: o.Address, agentAddress: o.AgentAddress, client: o.Client, maxRuns: o.MaxRuns,
+		id: o.ID, service: o.Service, zone: o.Zone, address: o.Address, agentAddress: o.AgentAddress, client: o.Client, maxRuns: o.MaxRuns, unguarded: o.Unguarded,
 		changed: make(chan struct{}),
 	}
 	// Restart begins the first incarnation.
@@ -169,6 +187,36 @@
 	r.startDelay = delay
 }
 
+// SetMaxRuns changes the capacity, which the next heartbeat shows. Active runs go on.
+func (r *Worker) SetMaxRuns(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.earlierMaxRuns = append(r.earlierMaxRuns, earlierMaxRuns{r.maxRuns, time.Now()})
+	r.maxRuns = n
+}
+
+// Overloads describes the starts that brought the worker over its capacity. Runs that are
+// being stopped count, and a smaller capacity counts once it is older than shrinkGrace.
+func (r *Worker) Overloads() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.overloads)
+}
+
+// checkOverload records a start that brings the worker over its capacity. The caller
+// holds the lock.
+func (r *Worker) checkOverload(s *activeRun) {
+	allowed := r.maxRuns
+	for _, e := range r.earlierMaxRuns {
+		if time.Since(e.until) < shrinkGrace {
+			allowed = max(allowed, e.maxRuns)
+		}
+	}
+	if n := len(r.activeRuns); n > allowed {
+		r.overloads = append(r.overloads, fmt.Sprintf("%s: run %d of %s is one of %d on a worker for %d", r.id, s.Run, s.Task, n, allowed))
+	}
+}
+
 // History returns a copy of all runs so far, those of earlier incarnations
 // included.
 func (r *Worker) History() []Span {
@@ -360,7 +408,7 @@
 
 // startRun extends the lease and starts a run. It returns an empty string, or the reason
 // of a rejection: "old" for a stale run number, "late" without a valid lease, and "room"
-// if maxRuns runs are active. Starting an active run again only extends the lease.
+// if maxRuns runs are active on a worker that is not unguarded. Starting an active run again only extends the lease.
 // Starting a newer run does not end an active earlier run of the same task: the earlier
 // run then never ends in the history, which Violations reports. The caller holds the
 // lock.
@@ -374,13 +422,14 @@
 		return "old"
 	case !r.leased || !time.Now().Before(r.leaseEnd):
 		return "late"
-	case len(r.activeRuns) >= r.maxRuns:
+	case len(r.activeRuns) >= r.maxRuns && !r.unguarded:
 		return "room"
 	}
 	r.staleThrough[c.Task] = c.Run - 1
 	s := &activeRun{Span: &Span{Task: c.Task, Run: c.Run, Start: time.Now()}}
 	r.history = append(r.history, s.Span)
 	r.activeRuns[c.Task] = s
+	r.checkOverload(s)
 	// A run without a duration ends after 24 h, which no test reaches.
 	duration, outcome := 24*time.Hour, "done"
 	if c.Spec == "fail" {
