--- a/decider/session.go
+++ b/decider/session.go
@@ -26,6 +26,8 @@
 	session *linker.Session
 	// incarnation is that of the agent's worker; zero before the first report.
 	incarnation plantainrail.WorkerIncarnation
+	// capacity is the worker's capacity in the newest report.
+	capacity plantainrail.Resources
 	// ackedThrough is the number up to which run ends were acknowledged to the agent
 	// as stored.
 	ackedThrough int64
@@ -135,6 +137,11 @@
 		o.planner.ApplyPredecessorEnds(r.VM.Incarnation, r.Ended, now)
 		o.registerAgent(a, r.VM)
 	}
+	if r.VM.Capacity != a.capacity {
+		o.decider.Logger.Info("VM resized", zap.String("node", a.incarnation.Node), zap.String("worker", a.incarnation.ID),
+			zap.Any("before", a.capacity), zap.Any("capacity", r.VM.Capacity))
+		a.capacity = r.VM.Capacity
+	}
 	// Only an owner whose write was confirmed recently may renew leases, since another
 	// entry may own the jobs by now.
 	renewalGranted := r.Sequence > 0 && now.Sub(o.confirmedWriteAt) < renewalWindow
@@ -183,11 +190,11 @@
 	if earlier := o.agents[vm.Incarnation]; earlier != nil {
 		earlier.session.Close()
 	}
-	a.incarnation, a.ackedThrough = vm.Incarnation, 0
+	a.incarnation, a.capacity, a.ackedThrough = vm.Incarnation, vm.Capacity, 0
 	o.agents[vm.Incarnation] = a
 	o.planner.UpdateWorker(vm, o.decider.Now())
 	o.decider.Logger.Info("VM seen", zap.String("node", vm.Incarnation.Node), zap.String("worker", vm.Incarnation.ID), zap.Int64("born", vm.Incarnation.StartedMS),
-		zap.String("service", vm.Pool), zap.Strings("labels", vm.Labels), zap.Bool("draining", vm.Draining))
+		zap.String("service", vm.Pool), zap.Strings("labels", vm.Labels), zap.Any("capacity", vm.Capacity), zap.Bool("draining", vm.Draining))
 	starts, stops := o.planner.DesiredRuns(vm.Incarnation)
 	_ = a.session.Send(linker.Frame{Orders: &linker.WorkOrders{
 		Epoch: o.epoch, Incarnation: vm.Incarnation, Complete: true, Starts: starts, Stops: stops,
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -215,10 +215,14 @@
 	if incarnation != current {
 		m.startIncarnation(incarnation)
 	}
+	if incarnation == current && h.VM.Capacity != m.vm.Capacity {
+		m.Logger.Info("worker resized", zap.String("worker", incarnation.ID), zap.Any("before", m.vm.Capacity), zap.Any("capacity", h.VM.Capacity))
+	}
 	drainingChanged := h.VM.Draining != m.vm.Draining
 	m.vm = h.VM
 	if incarnation != current || drainingChanged {
-		m.Logger.Info("worker seen", zap.String("worker", incarnation.ID), zap.Int64("born", incarnation.StartedMS), zap.Bool("draining", h.VM.Draining))
+		m.Logger.Info("worker seen", zap.String("worker", incarnation.ID), zap.Int64("born", incarnation.StartedMS),
+			zap.Any("capacity", h.VM.Capacity), zap.Bool("draining", h.VM.Draining))
 		m.report(linker.WorkReport{})
 		m.wakePoller()
 	}
