--- /dev/null
+++ b/assembler/fleet_capacity_test.go
@@ -0,0 +1,76 @@
+package assembler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail/standin/runner"
+)
+
+// maxStartDelay is how long a task that could run may have to wait.
+const maxStartDelay = 3 * time.Second
+
+// capacityShapes are fleets whose workers guard their capacity and whose workers do not.
+var capacityShapes = []fleetShape{
+	{name: "guarded", entries: 3, zones: 3, vms: 8},
+	{name: "unguarded", entries: 3, zones: 3, vms: 8, unguarded: true},
+}
+
+// oneTask describes a job of one task, and taskPerVM one of long-running tasks on
+// different VMs.
+var oneTask = []map[string]any{{"count": 1, "cpu": 1000, "estimateMs": 500}}
+
+func taskPerVM(count int) []map[string]any {
+	return []map[string]any{{"count": count, "cpu": 1000, "longRunning": true, "antiAffinity": 1}}
+}
+
+// setMaxRuns sets the capacity of some VMs.
+func setMaxRuns(vms []*fleetVM, n int) {
+	for _, v := range vms {
+		v.worker.SetMaxRuns(n)
+	}
+}
+
+// firstStart returns when job n first started a run; zero if it has not.
+func (f *fleet) firstStart(n int) time.Time {
+	var first time.Time
+	for _, v := range f.vms {
+		for _, s := range v.worker.History() {
+			if runner.JobID(s.Task) == jobID(n) && (first.IsZero() || s.Start.Before(first)) {
+				first = s.Start
+			}
+		}
+	}
+	return first
+}
+
+// Guards against tasks that wait for seconds after a refusal although other VMs are free:
+// the capacity of each half of the workers shrinks in turn to what runs there, while the
+// other half is nearly free.
+func TestTasksStartWhileCapacityChanges(t *testing.T) {
+	for _, shape := range capacityShapes {
+		t.Run(shape.name, func(t *testing.T) {
+			runInFleet(t, shape, func(f *fleet) {
+				f.submit(1000, "", taskPerVM(len(f.vms)))
+				time.Sleep(2 * time.Second)
+				accepted := []time.Time{}
+				for begin := time.Now(); time.Since(begin) < time.Minute; {
+					half := len(accepted) / 16 % 2
+					setMaxRuns(f.vms[half*4:half*4+4], 1)
+					setMaxRuns(f.vms[4-half*4:8-half*4], fleetMaxRuns)
+					f.submit(len(accepted), "500", oneTask)
+					accepted = append(accepted, time.Now())
+					time.Sleep(300 * time.Millisecond)
+				}
+				time.Sleep(20 * time.Second)
+				for n, at := range accepted {
+					delay := f.firstStart(n).Sub(at)
+					assert.Check(t, delay >= 0 && delay <= maxStartDelay, "job %d started after %s", n, delay)
+				}
+				f.checkRuns()
+			})
+		})
+	}
+}
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -212,12 +212,14 @@
 }
 
 // startRun sends a start to the worker and repeats it until the worker accepts or
-// refuses it or the run is to be stopped. It cancels the start if the worker refuses it,
-// the VM is draining or the given time has passed. The time limit also bounds the wait
-// for a lease renewal: a start must not be sent after the owner has declared the worker
-// lost.
+// refuses it or the run is to be stopped. It refuses the run if the worker does so, the VM
+// is draining or the given time has passed. The time limit also bounds the wait for a
+// lease renewal: a start must not be sent after the owner has declared the worker lost.
 func (m *Minder) startRun(incarnation plantainrail.WorkerIncarnation, r *run, until time.Time) {
 	ref := r.order.Ref
+	// unanswered is set if the worker may still execute an earlier try. A run that was
+	// ordered again may have been tried by a previous process of this agent.
+	unanswered := r.reordered
 	for {
 		m.mu.Lock()
 		if m.superseded(incarnation) || m.orderedRuns[ref] != r || m.stopping[ref] {
@@ -228,10 +230,10 @@
 		m.mu.Unlock()
 		switch {
 		case draining:
-			m.cancelStart(incarnation, r, plantainrail.RefusedDraining)
+			m.refuseStart(incarnation, r, plantainrail.RefusedDraining, unanswered)
 			return
 		case m.Now().After(until):
-			m.cancelStart(incarnation, r, plantainrail.RefusedNoResponse)
+			m.refuseStart(incarnation, r, plantainrail.RefusedNoResponse, unanswered)
 			return
 		case deadline == 0:
 			// The start waits for a lease renewal.
@@ -249,14 +251,29 @@
 			m.mu.Unlock()
 			return
 		case errors.As(err, &refused):
-			m.cancelStart(incarnation, r, refused.Reason)
+			m.refuseStart(incarnation, r, refused.Reason, unanswered)
 			return
 		}
+		unanswered = true
 		m.Logger.Warn("start not answered", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Error(err))
 		_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
 	}
 }
 
+// refuseStart reports to the owner that a run was not started. It first cancels the start
+// if the worker may still execute an earlier try, and for those reasons after which the
+// owner may place the next run on the VM at once.
+func (m *Minder) refuseStart(incarnation plantainrail.WorkerIncarnation, r *run, reason plantainrail.RefusalReason, unanswered bool) {
+	switch reason {
+	case plantainrail.RefusedCapacity, plantainrail.RefusedUnhealthy, plantainrail.RefusedDraining, plantainrail.RefusedNoResponse:
+		if !unanswered {
+			m.reportRefusal(incarnation, r, reason)
+			return
+		}
+	}
+	m.cancelStart(incarnation, r, reason)
+}
+
 // cancelStart prevents a run from starting and reports the refusal to the owner. It
 // stops the run even if the worker has refused the start: the worker may execute an
 // earlier try seconds later, even one that a previous process of this agent sent.
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -125,6 +125,8 @@
 // reference.
 type run struct {
 	order plantainrail.RunOrder
+	// reordered is set for a run of a complete list, which may have been ordered before.
+	reordered bool
 }
 
 // workerClock relates the worker's clock to the agent's.
--- a/minder/session.go
+++ b/minder/session.go
@@ -269,7 +269,7 @@
 		m.replaceOrderedRuns(o.Starts)
 	} else {
 		for _, order := range o.Starts {
-			m.addOrderedRun(order)
+			m.addOrderedRun(&run{order: order})
 		}
 	}
 	for _, ref := range o.Stops {
@@ -294,7 +294,7 @@
 	}
 	m.ordersComplete = true
 	for _, order := range orders {
-		m.addOrderedRun(order)
+		m.addOrderedRun(&run{order: order, reordered: true})
 	}
 	// The owner may have removed the worker and registered it again. In that case it
 	// needs another report of all ends that it has not acknowledged.
@@ -307,13 +307,13 @@
 // addOrderedRun records a run that the owner wants, and starts it unless it is running.
 // It ignores a run that is recorded already or whose end the owner has not acknowledged.
 // The caller holds the lock.
-func (m *Minder) addOrderedRun(order plantainrail.RunOrder) {
-	if m.orderedRuns[order.Ref] != nil || m.hasUnackedEnd(order.Ref) {
+func (m *Minder) addOrderedRun(r *run) {
+	ref := r.order.Ref
+	if m.orderedRuns[ref] != nil || m.hasUnackedEnd(ref) {
 		return
 	}
-	r := &run{order: order}
-	m.orderedRuns[order.Ref] = r
-	if _, listed := m.running[order.Ref]; listed {
+	m.orderedRuns[ref] = r
+	if _, listed := m.running[ref]; listed {
 		return
 	}
 	m.start(r)
