--- a/assembler/fleet_capacity_test.go
+++ b/assembler/fleet_capacity_test.go
@@ -1,6 +1,7 @@
 package assembler_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -74,3 +75,29 @@
 		})
 	}
 }
+
+// Guards against tasks that wait after the capacity has grown again: all workers shrink to
+// what runs there, refuse starts, and grow, again and again, while no run ends by itself.
+func TestTasksStartOnceCapacityGrows(t *testing.T) {
+	runInFleet(t, smallFleet, func(f *fleet) {
+		f.submit(1000, "", taskPerVM(len(f.vms)))
+		time.Sleep(2 * time.Second)
+		for cycle := range 10 {
+			setMaxRuns(f.vms, 1)
+			for n := range 6 {
+				f.submit(10*cycle+n, "60000", oneTask)
+				time.Sleep(500 * time.Millisecond)
+			}
+			grown := time.Now()
+			setMaxRuns(f.vms, fleetMaxRuns)
+			time.Sleep(12 * time.Second)
+			for n := range 6 {
+				start := f.firstStart(10*cycle + n)
+				assert.Check(t, !start.IsZero() && start.Sub(grown) <= maxStartDelay, "cycle %d: job %d started %s after the capacity grew", cycle, n, start.Sub(grown))
+				status, _ := f.call(http.MethodDelete, 10*cycle+n, nil)
+				assert.Equal(t, status, http.StatusOK)
+			}
+		}
+		f.checkRuns()
+	})
+}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -391,3 +391,42 @@
 	h.now = h.now.Add(3 * time.Second)
 	assert.Equal(t, len(h.tick().Assignments), 1, "a run on probation that has lasted long enough must count as not failed")
 }
+
+// Guards against a VM that stays out of use because it has refused runs for want of room:
+// its capacity shrinks and grows again while none of its runs ends.
+func TestRoomRefusalsDoNotEscalate(t *testing.T) {
+	h := newHarness(t, newVM("a", 4000))
+	h.submit("job", plantainrail.Step{Count: 1, CPU: 1000})
+	for range 6 {
+		placed := h.tick().Assignments
+		assert.Equal(t, len(placed), 1, "a VM with room must get the task")
+		h.planner.ApplyRefusal(placed[0].Incarnation, placed[0].Order.Ref, plantainrail.RefusedCapacity, h.now)
+		assert.Equal(t, len(h.tick().Assignments), 0, "a VM that has just refused a run for want of room must be paused")
+		h.report(newVM("a", 500))
+		assert.Equal(t, len(h.tick().Assignments), 0, "the VM has no room")
+		// The interval of the heartbeats.
+		h.now = h.now.Add(1500 * time.Millisecond)
+		h.report(newVM("a", 4000))
+	}
+}
+
+// Guards against a VM that stays paused after a refusal for want of room although its agent
+// has reported another capacity or a run on it has ended.
+func TestRoomRefusalHoldsUntilRoomChanges(t *testing.T) {
+	for name, change := range map[string]func(h *harness, first planner.Assignment){
+		"another capacity": func(h *harness, _ planner.Assignment) { h.report(newVM("a", 3000)) },
+		"a run has ended":  func(h *harness, first planner.Assignment) { h.reportEnd(first, 1, plantainrail.RunDone) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newVM("a", 4000))
+			h.submit("first", plantainrail.Step{Count: 1, CPU: 1000})
+			first := h.tick().Assignments
+			h.submit("second", plantainrail.Step{Count: 1, CPU: 1000})
+			second := h.tick().Assignments
+			h.planner.ApplyRefusal(second[0].Incarnation, second[0].Order.Ref, plantainrail.RefusedCapacity, h.now)
+			assert.Equal(t, len(h.tick().Assignments), 0)
+			change(h, first[0])
+			assert.Equal(t, len(h.tick().Assignments), 1)
+		})
+	}
+}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -12,6 +12,9 @@
 	// runs. It doubles with each further pause up to maxPause.
 	initialPause = 500 * time.Millisecond
 	maxPause     = 8 * time.Second
+	// roomPause is how long a VM gets no tasks after its worker has refused one for want of
+	// room. It is the interval of the heartbeats, which show the worker's capacity.
+	roomPause = 1500 * time.Millisecond
 	// maxFillerShare bounds the share of a VM's processors that all its fillers
 	// together request.
 	maxFillerShare = 0.8
@@ -84,6 +87,10 @@
 	// pauseDoublings is how many times initialPause is doubled for the next
 	// pause.
 	pauseDoublings int
+	// noRoomUntil is when the VM may get tasks again after a refusal for want of room, as
+	// long as its capacity is still noRoomCapacity and none of its runs has ended.
+	noRoomUntil    time.Time
+	noRoomCapacity plantainrail.Resources
 	// probation is set after repeated failures until the next successful run. The
 	// VM then gets no further run until its newest one has ended or lasted for
 	// probationRunTime. probationSince is the time of the newest of these
@@ -123,7 +130,7 @@
 	step := run.step()
 	delete(v.runs, run.ref())
 	v.orderedRuns = slices.DeleteFunc(v.orderedRuns, func(r *placedRun) bool { return r == run })
-	v.headrooms = nil
+	v.headrooms, v.noRoomUntil = nil, time.Time{}
 	v.reserved = v.reserved.Sub(step.Reservation())
 	if step.Filler {
 		v.fillerMillicores -= step.CPU
@@ -149,11 +156,15 @@
 }
 
 // pauseAfterRefusal pauses the VM if the reason for refusing a run lies in the VM
-// and not in the run.
+// and not in the run. A refusal for want of room is no sign of a failing worker: its
+// capacity has shrunk and its agent has not reported that yet, or a run that the owner
+// does not know takes the room.
 func (v *vm) pauseAfterRefusal(reason plantainrail.RefusalReason, now time.Time) {
 	switch reason {
-	case plantainrail.RefusedUnhealthy, plantainrail.RefusedNoResponse, plantainrail.RefusedCapacity:
+	case plantainrail.RefusedUnhealthy, plantainrail.RefusedNoResponse:
 		v.startPause(now)
+	case plantainrail.RefusedCapacity:
+		v.noRoomUntil, v.noRoomCapacity = now.Add(roomPause), v.Capacity
 	}
 }
 
@@ -181,6 +192,8 @@
 	obstaclePool Obstacle = "service"
 	// The VM is paused after refused or failed runs.
 	obstaclePaused Obstacle = "paused"
+	// The VM has just refused a run for want of room.
+	obstacleNoRoom Obstacle = "refused"
 	// The VM is on probation and its newest run has not lasted for
 	// probationRunTime.
 	obstacleProbation Obstacle = "trial"
@@ -214,6 +227,8 @@
 		return obstaclePool
 	case now.Before(v.pausedUntil):
 		return obstaclePaused
+	case now.Before(v.noRoomUntil) && v.Capacity == v.noRoomCapacity:
+		return obstacleNoRoom
 	case v.probation && v.probationRunActive(now):
 		return obstacleProbation
 	case step.VMLabel != "" && !slices.Contains(v.Labels, step.VMLabel):
