--- a/assembler/fleet_capacity_test.go
+++ b/assembler/fleet_capacity_test.go
@@ -101,3 +101,24 @@
 		f.checkRuns()
 	})
 }
+
+// Guards against a changed capacity that waits for the next renewal of the lease: the owner
+// must use grown workers as soon as a heartbeat shows them.
+func TestChangedCapacityIsReportedAtOnce(t *testing.T) {
+	// maxDelay is the interval of the heartbeats and a little time for the calls.
+	const maxDelay = 1600 * time.Millisecond
+	runInFleet(t, smallFleet, func(f *fleet) {
+		f.submit(1000, "", taskPerVM(len(f.vms)))
+		for n := range 12 {
+			setMaxRuns(f.vms, 1)
+			// The phase of the renewals differs in each round.
+			time.Sleep(5*time.Second + time.Duration(n)*130*time.Millisecond)
+			f.submit(n, "500", oneTask)
+			setMaxRuns(f.vms, fleetMaxRuns)
+			grown := time.Now()
+			time.Sleep(5 * time.Second)
+			delay := f.firstStart(n).Sub(grown)
+			assert.Check(t, delay >= 0 && delay <= maxDelay, "job %d started %s after the capacity grew", n, delay)
+		}
+	})
+}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -11,6 +11,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -207,7 +208,8 @@
 func (m *Minder) Heartbeat(h plantainrail.Heartbeat) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	incarnation, current := h.VM.Incarnation, m.vm.Incarnation
+	before, incarnation := m.vm, h.VM.Incarnation
+	current := before.Incarnation
 	if incarnation.StartedMS < current.StartedMS || incarnation == current && h.Sequence <= m.heartbeatSequence {
 		// The heartbeat is old and therefore ignored.
 		m.Logger.Info("heartbeat of the past passed over", zap.String("worker", incarnation.ID), zap.Int64("born", incarnation.StartedMS), zap.Int64("sequence", h.Sequence))
@@ -217,17 +219,20 @@
 	if incarnation != current {
 		m.startIncarnation(incarnation)
 	}
-	if incarnation == current && h.VM.Capacity != m.vm.Capacity {
-		m.Logger.Info("worker resized", zap.String("worker", incarnation.ID), zap.Any("before", m.vm.Capacity), zap.Any("capacity", h.VM.Capacity))
-	}
-	drainingChanged := h.VM.Draining != m.vm.Draining
 	m.vm = h.VM
-	if incarnation != current || drainingChanged {
+	if incarnation == current && h.VM.Capacity != before.Capacity {
+		m.Logger.Info("worker resized", zap.String("worker", incarnation.ID), zap.Any("before", before.Capacity), zap.Any("capacity", h.VM.Capacity))
+	}
+	if incarnation != current || h.VM.Draining != before.Draining {
 		m.Logger.Info("worker seen", zap.String("worker", incarnation.ID), zap.Int64("born", incarnation.StartedMS),
 			zap.Any("capacity", h.VM.Capacity), zap.Bool("draining", h.VM.Draining))
-		m.report(linker.WorkReport{})
 		m.wakePoller()
 	}
+	if !reflect.DeepEqual(h.VM, before) {
+		// The owner places tasks by this description and must not learn of a change only
+		// with the next renewal.
+		m.report(linker.WorkReport{})
+	}
 }
 
 // startIncarnation switches to a new incarnation of the worker and resets the
