--- a/assembler/fleet_capacity_test.go
+++ b/assembler/fleet_capacity_test.go
@@ -122,3 +122,20 @@
 		}
 	})
 }
+
+// Guards against tasks that wait because a start without an answer is given up slowly: a
+// worker answers no start, and the task must start on another VM.
+func TestUnansweredStartsAreGivenUpInTime(t *testing.T) {
+	runInFleet(t, smallFleet, func(f *fleet) {
+		f.vms[0].worker.DelayStarts(20 * time.Second)
+		for n := range 20 {
+			f.submit(n, "500", oneTask)
+			accepted := time.Now()
+			// The VM's pause ends, and the phase of the long polls differs in each round.
+			time.Sleep(12*time.Second + time.Duration(n)*130*time.Millisecond)
+			delay := f.firstStart(n).Sub(accepted)
+			assert.Check(t, delay >= 0 && delay <= maxStartDelay, "job %d started after %s", n, delay)
+		}
+		f.checkRuns()
+	})
+}
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -42,6 +42,8 @@
 		epoch := m.epoch
 		renewal := plantainrail.LeaseRenewal{AckedThrough: m.acknowledged, DeadlineMS: m.leaseDeadline(), Wait: renewLeaseWait}
 		switch {
+		case m.listingWanted:
+			renewal.Wait = 0
 		case len(m.ends) > 0:
 			// While there are unacknowledged ends, the wait of at most
 			// acknowledgmentWait after each call replaces the long poll.
@@ -51,29 +53,50 @@
 			// runs is complete, it is not known whether there are fillers.
 			renewal.Wait = paceInterval
 		}
-		m.mu.Unlock()
 		if incarnation.IsZero() {
+			m.mu.Unlock()
 			m.waitForChange(ctx, renewLeaseWait)
 			continue
 		}
-		sent := m.Now()
 		callCtx, cancel := context.WithTimeout(ctx, renewal.Wait+renewLeaseTimeoutMargin)
+		m.polls++
+		poll := m.polls
+		m.listingWanted, m.endPoll = false, cancel
+		m.mu.Unlock()
 		reply, err := m.Worker.RenewLease(callCtx, incarnation, epoch, renewal)
+		ended := errors.Is(callCtx.Err(), context.Canceled)
 		cancel()
-		if err != nil {
+		switch {
+		case err != nil && ended:
+			// wantListing has ended the call.
+			continue
+		case err != nil:
 			failures++
 			m.renewLeaseFailed(incarnation, failures, err)
 			_ = clocker.Sleep(ctx, workerRetryDelay)
 			continue
 		}
 		failures = 0
-		if m.applyLeaseReply(incarnation, reply, sent) {
+		if m.applyLeaseReply(incarnation, reply, poll) {
 			m.waitForChange(ctx, acknowledgmentWait)
 		}
 	}
 	return ctx.Err()
 }
 
+// wantListing makes the worker list its runs soon: it ends the present RenewLease call, and
+// the next one does not wait for a run end. It returns the number of the present call, so
+// that the replies to calls with higher numbers are known to be newer. The caller holds the
+// lock.
+func (m *Minder) wantListing() uint64 {
+	m.listingWanted = true
+	if m.endPoll != nil {
+		m.endPoll()
+	}
+	m.wakePoller()
+	return m.polls
+}
+
 // waitForChange waits for a value on m.changed, but at most for maxWait.
 func (m *Minder) waitForChange(ctx context.Context, maxWait time.Duration) {
 	timer := time.NewTimer(maxWait)
@@ -121,12 +144,12 @@
 	m.report(linker.WorkReport{})
 }
 
-// applyLeaseReply records the worker's reply to a RenewLease call that was sent at
-// the given time. It reports whether there are run ends that the owner has not
+// applyLeaseReply records the worker's reply to the RenewLease call with the given
+// number. It reports whether there are run ends that the owner has not
 // acknowledged. If the reply shows that the worker has restarted, the new incarnation
 // becomes the current one and the rest of the reply is ignored. A reply of an earlier
 // incarnation is ignored, too. In both cases the result is false.
-func (m *Minder) applyLeaseReply(incarnation plantainrail.WorkerIncarnation, reply plantainrail.LeaseReply, sent time.Time) bool {
+func (m *Minder) applyLeaseReply(incarnation plantainrail.WorkerIncarnation, reply plantainrail.LeaseReply, poll uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.vm.Incarnation != incarnation {
@@ -153,7 +176,7 @@
 	for _, status := range reply.Running {
 		m.running[status.Ref] = status
 	}
-	m.listedAt = sent
+	m.listedPoll = poll
 	m.applyEnds(reply.Ended)
 	m.reconcile()
 	m.updatePace()
@@ -296,11 +319,16 @@
 // since a run that did start is listed in that reply. It reports nothing if the run is
 // no longer among the ordered runs by then.
 func (m *Minder) refuseAfterListing(incarnation plantainrail.WorkerIncarnation, r *run, reason plantainrail.RefusalReason) {
-	since := m.Now()
+	m.mu.Lock()
+	since := m.polls
+	if _, listed := m.running[r.order.Ref]; !listed {
+		m.wantListing()
+	}
+	m.mu.Unlock()
 	for {
 		m.mu.Lock()
 		obsolete := m.superseded(incarnation) || m.orderedRuns[r.order.Ref] != r
-		listed := m.listedAt.After(since)
+		listed := m.listedPoll > since
 		m.mu.Unlock()
 		switch {
 		case obsolete:
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -97,10 +97,14 @@
 	reported int64
 	// leaseUntil is when the lease granted by the owner's last renewal ends.
 	leaseUntil time.Time
-	// listedAt is the send time of the last RenewLease call that the worker has replied to.
-	listedAt time.Time
-	clock    workerClock
-	pacing   pacing
+	// polls counts the RenewLease calls; listedPoll is the last one that the worker has
+	// replied to. endPoll ends the present one early.
+	polls, listedPoll uint64
+	endPoll           context.CancelFunc
+	// listingWanted is set while the next RenewLease call must not wait for a run end.
+	listingWanted bool
+	clock         workerClock
+	pacing        pacing
 	// session is the current session with the owner; nil if there is none.
 	session *linker.Session
 	// renewalSequence is the sequence number of the last renewal request.
@@ -275,10 +279,12 @@
 		m.mu.Unlock()
 		m.stopRun(incarnation, ref)
 	}
-	since := m.Now()
+	m.mu.Lock()
+	since := m.wantListing()
+	m.mu.Unlock()
 	for {
 		m.mu.Lock()
-		if m.superseded(incarnation) || m.listedAt.After(since) && len(m.running) == 0 {
+		if m.superseded(incarnation) || m.listedPoll > since && len(m.running) == 0 {
 			// The lock stays held after the loop.
 			break
 		}
