--- a/assembler/fleet_capacity_test.go
+++ b/assembler/fleet_capacity_test.go
@@ -1,12 +1,14 @@
 package assembler_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainrail/plantainrail/standin/keeper"
 	"github.com/plantainrail/plantainrail/standin/runner"
 )
 
@@ -139,3 +141,57 @@
 		f.checkRuns()
 	})
 }
+
+// Guards against starts that bring a worker over its capacity because they were planned
+// before it shrank and are carried out long after that.
+func TestLateStartsKeepWithinShrunkCapacity(t *testing.T) {
+	// outage is longer than a shrunk capacity may be ignored.
+	const outage = 6 * time.Second
+	for _, c := range []struct {
+		name   string
+		inject func(f *fleet)
+	}{
+		{"store hangs", func(f *fleet) {
+			f.store.SetFault(keeper.Unresponsive)
+			time.Sleep(500 * time.Millisecond)
+			setMaxRuns(f.vms, 1)
+			time.Sleep(outage)
+			f.store.SetFault(keeper.Healthy)
+		}},
+		{"owner killed", func(f *fleet) {
+			setMaxRuns(f.vms, 1)
+			f.killEntry(f.owner(), outage)
+		}},
+		{"agents cut off from their workers", func(f *fleet) {
+			setMaxRuns(f.vms, 1)
+			for _, v := range f.vms {
+				f.net.setFault(linkName(v.name+workerSuffix, v.name), blackholed)
+			}
+			time.Sleep(outage)
+			for _, v := range f.vms {
+				f.net.setFault(linkName(v.name+workerSuffix, v.name), healthy)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runInFleet(t, capacityShapes[1], func(f *fleet) {
+				f.submit(1000, "", taskPerVM(len(f.vms)))
+				// The second steps become ready during the fault.
+				steps := []map[string]any{
+					{"count": 1, "cpu": 1000, "estimateMs": 800},
+					{"count": 6, "cpu": 1000, "estimateMs": 800, "dependsOn": []int{0}},
+				}
+				for n := range 6 {
+					f.submit(n, fmt.Sprint(700+1500*n), steps)
+				}
+				c.inject(f)
+				time.Sleep(10 * time.Second)
+				setMaxRuns(f.vms, fleetMaxRuns)
+				for n := range 6 {
+					f.waitForState(n, "completed", time.Minute)
+				}
+				f.checkRuns()
+			})
+		})
+	}
+}
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -226,18 +226,28 @@
 // then, the start is cancelled.
 const startTimeout = 1500 * time.Millisecond
 
+const (
+	// maxHeartbeatAge is how old the newest heartbeat may be when a run is started: two of
+	// its intervals. The capacity that it shows may have changed since.
+	maxHeartbeatAge = 3 * time.Second
+	// roomWait is how long a start waits for room, since the end of a run that the owner
+	// knows from elsewhere may not be listed yet.
+	roomWait = 300 * time.Millisecond
+)
+
 // callTimeout bounds one call that starts, stops or paces a run.
 const callTimeout = 300 * time.Millisecond
 
 // start starts a run on the worker in the background. The caller holds the lock.
 func (m *Minder) start(r *run) {
-	go m.startRun(m.vm.Incarnation, r, m.Now().Add(startTimeout))
+	go m.startRun(m.vm.Incarnation, r, r.orderedAt.Add(startTimeout))
 }
 
 // startRun sends a start to the worker and repeats it until the worker accepts or
-// refuses it or the run is to be stopped. It refuses the run if the worker does so, the VM
-// is draining or the given time has passed. The time limit also bounds the wait for a
-// lease renewal: a start must not be sent after the owner has declared the worker lost.
+// refuses it or the run is to be stopped. It refuses the run if the worker does so, the
+// worker's capacity is too small, the VM is draining or the given time has passed. The time
+// limit also bounds the wait for a lease renewal: a start must not be sent after the owner
+// has declared the worker lost.
 func (m *Minder) startRun(incarnation plantainrail.WorkerIncarnation, r *run, until time.Time) {
 	ref := r.order.Ref
 	// unanswered is set if the worker may still execute an earlier try. A run that was
@@ -249,17 +259,29 @@
 			m.mu.Unlock()
 			return
 		}
+		if _, listed := m.running[ref]; listed {
+			// An earlier try was executed.
+			m.mu.Unlock()
+			return
+		}
 		epoch, deadline, draining := m.epoch, m.leaseDeadline(), m.vm.Draining
+		now := m.Now()
+		capacityKnown := now.Sub(m.heartbeatAt) <= maxHeartbeatAge
+		fits := m.fits(r)
+		mayRun := r.reordered && m.listedPoll <= r.orderedPoll
 		m.mu.Unlock()
 		switch {
 		case draining:
 			m.refuseStart(incarnation, r, plantainrail.RefusedDraining, unanswered)
 			return
-		case m.Now().After(until):
+		case now.After(until):
 			m.refuseStart(incarnation, r, plantainrail.RefusedNoResponse, unanswered)
 			return
-		case deadline == 0:
-			// The start waits for a lease renewal.
+		case !fits && now.After(r.orderedAt.Add(roomWait)) && capacityKnown && !mayRun:
+			m.refuseStart(incarnation, r, plantainrail.RefusedCapacity, unanswered)
+			return
+		case !fits, !capacityKnown, deadline == 0:
+			// The start waits for room, a heartbeat or a lease renewal.
 			_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
 			continue
 		}
@@ -283,6 +305,27 @@
 	}
 }
 
+// fits reports whether the worker has room for a run, according to its newest heartbeat,
+// beside all others that may be running. If so, the run holds that room from then on. Runs
+// that were not ordered hold an unknown room until they are stopped. The caller holds the
+// lock.
+func (m *Minder) fits(r *run) bool {
+	for ref := range m.running {
+		if m.orderedRuns[ref] == nil {
+			return false
+		}
+	}
+	needed := r.order.Reservation
+	for _, other := range m.orderedRuns {
+		if other != r && other.holdsRoom {
+			needed = needed.Add(other.order.Reservation)
+		}
+	}
+	fits := needed.Fits(m.vm.Capacity)
+	r.holdsRoom = r.holdsRoom || fits
+	return fits
+}
+
 // refuseStart reports to the owner that a run was not started. It first cancels the start
 // if the worker may still execute an earlier try, and for those reasons after which the
 // owner may place the next run on the VM at once.
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -60,9 +60,10 @@
 	mu sync.Mutex
 	// vm is the worker's description in its newest heartbeat, except that Draining is
 	// also set when the worker deregisters. heartbeatSequence is the sequence number of
-	// that heartbeat.
+	// that heartbeat, and heartbeatAt is when it arrived.
 	vm                plantainrail.VM
 	heartbeatSequence int64
+	heartbeatAt       time.Time
 	// unreachable is set after maxRenewLeaseFailures failed RenewLease calls in a row,
 	// until one succeeds.
 	unreachable bool
@@ -130,8 +131,14 @@
 // reference.
 type run struct {
 	order plantainrail.RunOrder
+	// orderedAt is when the order arrived, and orderedPoll the number of the RenewLease call
+	// at that time.
+	orderedAt   time.Time
+	orderedPoll uint64
 	// reordered is set for a run of a complete list, which may have been ordered before.
 	reordered bool
+	// holdsRoom is set once the run counts against the worker's capacity.
+	holdsRoom bool
 }
 
 // workerClock relates the worker's clock to the agent's.
@@ -219,11 +226,10 @@
 		m.Logger.Info("heartbeat of the past passed over", zap.String("worker", incarnation.ID), zap.Int64("born", incarnation.StartedMS), zap.Int64("sequence", h.Sequence))
 		return
 	}
-	m.heartbeatSequence = h.Sequence
 	if incarnation != current {
 		m.startIncarnation(incarnation)
 	}
-	m.vm = h.VM
+	m.vm, m.heartbeatSequence, m.heartbeatAt = h.VM, h.Sequence, m.Now()
 	if incarnation == current && h.VM.Capacity != before.Capacity {
 		m.Logger.Info("worker resized", zap.String("worker", incarnation.ID), zap.Any("before", before.Capacity), zap.Any("capacity", h.VM.Capacity))
 	}
--- a/minder/session.go
+++ b/minder/session.go
@@ -294,7 +294,7 @@
 	}
 	m.ordersComplete = true
 	for _, order := range orders {
-		m.addOrderedRun(&run{order: order, reordered: true})
+		m.addOrderedRun(&run{order: order, reordered: true, holdsRoom: true})
 	}
 	// The owner may have removed the worker and registered it again. In that case it
 	// needs another report of all ends that it has not acknowledged.
@@ -312,10 +312,16 @@
 	if m.orderedRuns[ref] != nil || m.hasUnackedEnd(ref) {
 		return
 	}
+	r.orderedAt, r.orderedPoll = m.Now(), m.polls
 	m.orderedRuns[ref] = r
 	if _, listed := m.running[ref]; listed {
+		r.holdsRoom = true
 		return
 	}
+	if r.reordered {
+		// Whether it runs may decide whether the worker has room for it.
+		m.wantListing()
+	}
 	m.start(r)
 }
 
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -55,6 +55,7 @@
 	step := r.step()
 	order := plantainrail.RunOrder{
 		Ref: r.ref(), Spec: r.job.Spec, Checkpoint: r.task.Checkpoint, Filler: step.Filler, TailObjective: step.TailObjective,
+		Reservation: step.Reservation(),
 	}
 	if step.Filler {
 		order.Image = step.Image
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -149,7 +149,7 @@
 }
 
 // Restart restarts the worker: it ends all runs and begins a new incarnation
-// with the same ID.
+// with the same ID, which has had its present capacity from the beginning.
 func (r *Worker) Restart() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -158,6 +158,7 @@
 		s.End, s.Outcome = time.Now(), "gone"
 	}
 	r.incarnation++
+	r.earlierMaxRuns = nil
 	r.startedAt, r.crashed, r.epoch, r.leased = time.Now(), false, 0, false
 	r.activeRuns, r.staleThrough, r.unackedEnds, r.lastEndNumber, r.state = map[string]*activeRun{}, map[string]int64{}, nil, 0, "ready"
 	r.signalChange()
--- a/work.go
+++ b/work.go
@@ -235,6 +235,8 @@
 	TailObjective int  `cbor:"4,keyasint,omitempty"`
 	// Image is that of the step; it is set only for fillers.
 	Image string `cbor:"5,keyasint,omitempty"`
+	// Reservation is what the run takes of the worker's capacity.
+	Reservation Resources `cbor:"6,keyasint"`
 }
 
 // Worker runs tasks on one VM. Each call carries the worker incarnation that it is
