--- a/assembler/fleet_capacity_test.go
+++ b/assembler/fleet_capacity_test.go
@@ -172,6 +172,13 @@
 				f.net.setFault(linkName(v.name+workerSuffix, v.name), healthy)
 			}
 		}},
+		{"workers restart smaller", func(f *fleet) {
+			for _, v := range f.vms {
+				v.worker.SetMaxRuns(1)
+				v.worker.Restart()
+				time.Sleep(outage / time.Duration(len(f.vms)))
+			}
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runInFleet(t, capacityShapes[1], func(f *fleet) {
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -129,6 +129,7 @@
 	if m.vm.Incarnation != incarnation {
 		return
 	}
+	m.pollFailed = true
 	if m.leaving && !m.departed && !errors.Is(err, context.DeadlineExceeded) {
 		// A worker that has deregistered replies until it closes its port. A call that
 		// fails for another reason than a timeout shows that it has ended.
@@ -165,6 +166,7 @@
 		}
 		return false
 	}
+	m.pollFailed = false
 	if m.unreachable {
 		m.unreachable = false
 		// The worker replies again.
@@ -230,9 +232,9 @@
 	// maxHeartbeatAge is how old the newest heartbeat may be when a run is started: two of
 	// its intervals. The capacity that it shows may have changed since.
 	maxHeartbeatAge = 3 * time.Second
-	// roomWait is how long a start waits for room, since the end of a run that the owner
-	// knows from elsewhere may not be listed yet.
-	roomWait = 300 * time.Millisecond
+	// settleTime is how long a start waits for room or for the next RenewLease call after a
+	// failed one. The end of a run that the owner knows from elsewhere may not be listed yet.
+	settleTime = 2 * workerRetryDelay
 )
 
 // callTimeout bounds one call that starts, stops or paces a run.
@@ -264,24 +266,14 @@
 			m.mu.Unlock()
 			return
 		}
-		epoch, deadline, draining := m.epoch, m.leaseDeadline(), m.vm.Draining
-		now := m.Now()
-		capacityKnown := now.Sub(m.heartbeatAt) <= maxHeartbeatAge
-		fits := m.fits(r)
-		mayRun := r.reordered && m.listedPoll <= r.orderedPoll
+		epoch, deadline := m.epoch, m.leaseDeadline()
+		reason, wait := m.startObstacle(r, until, unanswered)
 		m.mu.Unlock()
 		switch {
-		case draining:
-			m.refuseStart(incarnation, r, plantainrail.RefusedDraining, unanswered)
+		case reason != "":
+			m.refuseStart(incarnation, r, reason, unanswered)
 			return
-		case now.After(until):
-			m.refuseStart(incarnation, r, plantainrail.RefusedNoResponse, unanswered)
-			return
-		case !fits && now.After(r.orderedAt.Add(roomWait)) && capacityKnown && !mayRun:
-			m.refuseStart(incarnation, r, plantainrail.RefusedCapacity, unanswered)
-			return
-		case !fits, !capacityKnown, deadline == 0:
-			// The start waits for room, a heartbeat or a lease renewal.
+		case wait:
 			_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
 			continue
 		}
@@ -305,6 +297,29 @@
 	}
 }
 
+// startObstacle returns the reason for which a run must be refused now, if any, or reports
+// whether its start has to wait. The caller holds the lock.
+func (m *Minder) startObstacle(r *run, until time.Time, unanswered bool) (reason plantainrail.RefusalReason, wait bool) {
+	now := m.Now()
+	settled := now.After(r.orderedAt.Add(settleTime))
+	capacityKnown := now.Sub(m.heartbeatAt) <= maxHeartbeatAge
+	// A run that was ordered before may be running until a newer list shows that it is not.
+	mayRun := r.reordered && m.listedPoll <= r.orderedPoll
+	fits := m.fits(r)
+	switch {
+	case m.vm.Draining:
+		return plantainrail.RefusedDraining, false
+	case now.After(until):
+		return plantainrail.RefusedNoResponse, false
+	case m.pollFailed && settled && !unanswered:
+		return plantainrail.RefusedUnhealthy, false
+	case !fits && settled && capacityKnown && !mayRun:
+		return plantainrail.RefusedCapacity, false
+	}
+	// Without a deadline, the start waits for a renewal of the lease.
+	return "", m.pollFailed || !capacityKnown || !fits || m.leaseDeadline() == 0
+}
+
 // fits reports whether the worker has room for a run, according to its newest heartbeat,
 // beside all others that may be running. If so, the run holds that room from then on. Runs
 // that were not ordered hold an unknown room until they are stopped. The caller holds the
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -60,7 +60,8 @@
 	mu sync.Mutex
 	// vm is the worker's description in its newest heartbeat, except that Draining is
 	// also set when the worker deregisters. heartbeatSequence is the sequence number of
-	// that heartbeat, and heartbeatAt is when it arrived.
+	// that heartbeat, and heartbeatAt is when it arrived; zero if the incarnation has sent
+	// none yet, so that the description is that of an earlier one.
 	vm                plantainrail.VM
 	heartbeatSequence int64
 	heartbeatAt       time.Time
@@ -102,6 +103,9 @@
 	// replied to. endPoll ends the present one early.
 	polls, listedPoll uint64
 	endPoll           context.CancelFunc
+	// pollFailed is set while the newest RenewLease call has failed. The worker may have
+	// restarted.
+	pollFailed bool
 	// listingWanted is set while the next RenewLease call must not wait for a run end.
 	listingWanted bool
 	clock         workerClock
@@ -229,6 +233,7 @@
 	if incarnation != current {
 		m.startIncarnation(incarnation)
 	}
+	undescribed := m.heartbeatAt.IsZero()
 	m.vm, m.heartbeatSequence, m.heartbeatAt = h.VM, h.Sequence, m.Now()
 	if incarnation == current && h.VM.Capacity != before.Capacity {
 		m.Logger.Info("worker resized", zap.String("worker", incarnation.ID), zap.Any("before", before.Capacity), zap.Any("capacity", h.VM.Capacity))
@@ -238,7 +243,7 @@
 			zap.Any("capacity", h.VM.Capacity), zap.Bool("draining", h.VM.Draining))
 		m.wakePoller()
 	}
-	if !reflect.DeepEqual(h.VM, before) {
+	if undescribed || !reflect.DeepEqual(h.VM, before) {
 		// The owner places tasks by this description and must not learn of a change only
 		// with the next renewal.
 		m.report(linker.WorkReport{})
@@ -257,9 +262,9 @@
 	}
 	m.vm.Incarnation = incarnation
 	m.leaving, m.departed, m.departureAcked = false, false, false
-	m.unreachable, m.ordersComplete, m.acknowledged, m.reported, m.heartbeatSequence = false, false, 0, 0, 0
+	m.pollFailed, m.unreachable, m.ordersComplete, m.acknowledged, m.reported, m.heartbeatSequence = false, false, false, 0, 0, 0
 	m.ends, m.clock = nil, workerClock{}
-	m.leaseUntil = time.Time{}
+	m.leaseUntil, m.heartbeatAt = time.Time{}, time.Time{}
 	m.reportedStatus, m.pacing = nil, newPacing()
 	clear(m.orderedRuns)
 	clear(m.stopping)
@@ -355,8 +360,9 @@
 		return
 	}
 	r.VM = m.vm
-	// An unreachable worker is reported as draining, so that it gets no new runs.
-	r.VM.Draining = r.VM.Draining || m.unreachable
+	// An unreachable worker, or one of unknown capacity, is reported as draining, so that it
+	// gets no new runs.
+	r.VM.Draining = r.VM.Draining || m.unreachable || m.heartbeatAt.IsZero()
 	r.VM.FillersPaused = m.pacing.pacer.Pace() != pacer.FullPace
 	// Send fails only if the session has ended. The next session begins with the
 	// unacknowledged ends and the owner's complete list of the runs that it wants.
