--- a/planner/planner.go
+++ b/planner/planner.go
@@ -314,14 +314,17 @@
 
 // ApplyRefusal requeues a run whose start a worker or its agent has refused: the
 // run was not started and never will be. If the reason lies in the VM and not in
-// the run, ApplyRefusal also pauses the VM.
+// the run, ApplyRefusal also pauses the VM, unless the run was being stopped.
 func (p *Planner) ApplyRefusal(incarnation plantainrail.WorkerIncarnation, ref plantainrail.RunRef, reason plantainrail.RefusalReason, now time.Time) {
 	v := p.vms[incarnation]
 	if v == nil || v.runs[ref] == nil {
 		return
 	}
-	p.requeue(v, v.runs[ref])
-	v.pauseAfterRefusal(reason, now)
+	run := v.runs[ref]
+	p.requeue(v, run)
+	if !run.stopping {
+		v.pauseAfterRefusal(reason, now)
+	}
 }
 
 // MarkStored records that an assignment is in the store. From then on DesiredRuns
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -430,3 +430,16 @@
 		})
 	}
 }
+
+// Guards against a VM that is paused because a run was stopped before it had started, which
+// its agent reports as refused.
+func TestStoppedRunsDoNotPauseTheVM(t *testing.T) {
+	h := newHarness(t, newVM("a", 4000))
+	h.submit("cancelled", plantainrail.Step{Count: 1, CPU: 1000})
+	placed := h.tick().Assignments
+	h.applyJob(planner.NewCancelRecord("cancelled"))
+	assert.Equal(t, len(h.tick().Stops), 1)
+	h.planner.ApplyRefusal(placed[0].Incarnation, placed[0].Order.Ref, plantainrail.RefusedNoResponse, h.now)
+	h.submit("next", plantainrail.Step{Count: 1, CPU: 1000})
+	assert.Equal(t, len(h.tick().Assignments), 1)
+}
