--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -443,3 +443,24 @@
 	h.submit("next", plantainrail.Step{Count: 1, CPU: 1000})
 	assert.Equal(t, len(h.tick().Assignments), 1)
 }
+
+// Guards against pauses that get longer with every refusal of a day because no run on the
+// VM ends by itself.
+func TestPausesGrowOnlyWhileRefusalsLast(t *testing.T) {
+	h := newHarness(t, newVM("a", 4000))
+	h.submit("job", plantainrail.Step{Count: 1, CPU: 1000, Lasting: true})
+	for range 6 {
+		placed := h.tick().Assignments
+		assert.Equal(t, len(placed), 1, "the VM must take the task again soon after it has refused a run")
+		h.planner.ApplyRefusal(placed[0].Incarnation, placed[0].Order.Ref, plantainrail.RefusedNoResponse, h.now)
+		assert.Equal(t, len(h.tick().Assignments), 0, "the VM must be paused")
+		h.now = h.now.Add(500 * time.Millisecond)
+		running := h.tick().Assignments
+		assert.Equal(t, len(running), 1, "the pause must have ended")
+		for range 20 {
+			h.now = h.now.Add(3 * time.Second)
+			h.report(newVM("a", 4000))
+		}
+		h.reportEnd(running[0], running[0].Order.Ref.Run, plantainrail.RunStopped)
+	}
+}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -169,11 +169,15 @@
 	}
 }
 
-// startPause pauses the VM, unless it is paused already.
+// startPause pauses the VM, unless it is paused already. If the last pause ended more than
+// maxPause ago, the worker had recovered, and the pauses begin with initialPause again.
 func (v *vm) startPause(now time.Time) {
 	if now.Before(v.pausedUntil) {
 		return
 	}
+	if now.Sub(v.pausedUntil) > maxPause {
+		v.pauseDoublings = 0
+	}
 	v.pausedUntil = now.Add(min(initialPause<<v.pauseDoublings, maxPause))
 	// Four doublings reach maxPause, so any bound of at least four gives the same
 	// pauses. The bound keeps the shift from overflowing.
