--- a/minder/incarnation.go
+++ b/minder/incarnation.go
@@ -136,8 +136,6 @@
 	}
 	m.startIncarnation(claimed)
 	m.heartbeats = heartbeatOrder{newest: h.Sequence}
-	m.recordHeartbeat(h, true)
-	// Starts on a new incarnation wait for its first lease.
-	m.renew()
+	m.recordHeartbeat(h)
 	return true
 }
--- a/minder/incarnation_test.go
+++ b/minder/incarnation_test.go
@@ -124,7 +124,7 @@
 	}
 	for _, startedMS := range []int64{400, 5000} {
 		withWorker(t, func(t *testing.T, m *Minder, _ *fakeWorker) {
-			m.applyLeaseReply(knownVM(m).Incarnation, plantainrail.LeaseReply{StartedMS: startedMS}, time.Now())
+			m.applyLeaseReply(knownVM(m).Incarnation, plantainrail.LeaseReply{StartedMS: startedMS}, 1)
 			assert.Equal(t, knownVM(m).Incarnation.StartedMS, startedMS)
 		})
 	}
@@ -217,7 +217,7 @@
 		m.Deregistered("w")
 		m.renewLeaseFailed(current, 1, broken)
 		assert.Assert(t, m.departed)
-		m.applyLeaseReply(current, plantainrail.LeaseReply{StartedMS: 1000}, time.Now())
+		m.applyLeaseReply(current, plantainrail.LeaseReply{StartedMS: 1000}, 1)
 		assert.Assert(t, !m.departed, "a worker that answers again has not ended")
 	})
 	withWorker(t, func(t *testing.T, m *Minder, _ *fakeWorker) {
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -42,6 +42,8 @@
 		epoch := m.epoch
 		renewal := plantainrail.LeaseRenewal{AckedThrough: m.acknowledged, DeadlineMS: m.leaseDeadline(), Wait: renewLeaseWait}
 		switch {
+		case m.listingWanted:
+			renewal.Wait = 0
 		case len(m.ends) > 0:
 			// The wait of at most acknowledgmentWait after each call replaces the long poll.
 			renewal.Wait = 0
@@ -53,29 +55,50 @@
 			// runs is complete, it is not known whether there are fillers.
 			renewal.Wait = paceInterval
 		}
-		m.mu.Unlock()
 		if incarnation.IsZero() {
+			m.mu.Unlock()
 			m.waitForChange(ctx, renewLeaseWait)
 			continue
 		}
-		sent := m.Now()
 		callCtx, cancel := context.WithTimeout(ctx, renewal.Wait+renewLeaseTimeoutMargin)
+		m.polls++
+		poll := m.polls
+		m.listingWanted, m.endPoll = false, cancel
+		m.mu.Unlock()
 		reply, err := m.Worker.RenewLease(callCtx, incarnation, epoch, renewal)
+		ended := errors.Is(callCtx.Err(), context.Canceled)
 		cancel()
-		if err != nil {
+		switch {
+		case err != nil && ended:
+			// wantListing has ended the call.
+			continue
+		case err != nil:
 			failures++
 			m.renewLeaseFailed(incarnation, failures, err)
 			_ = clocker.Sleep(ctx, workerRetryDelay)
 			continue
 		}
 		failures = 0
-		if m.applyLeaseReply(incarnation, reply, sent) {
+		if m.applyLeaseReply(incarnation, reply, poll) {
 			m.waitForChange(ctx, acknowledgmentWait)
 		}
 	}
 	return ctx.Err()
 }
 
+// wantListing makes the worker list its runs soon: it ends the present RenewLease call, and
+// the next one does not wait for a run end. It returns the number of the present call, so
+// that the replies to calls with higher numbers are known to be newer. The caller holds the
+// lock.
+func (m *Minder) wantListing() uint64 {
+	m.listingWanted = true
+	if m.endPoll != nil {
+		m.endPoll()
+	}
+	m.wakePoller()
+	return m.polls
+}
+
 // waitForChange waits for a value on m.changed, but at most for maxWait.
 func (m *Minder) waitForChange(ctx context.Context, maxWait time.Duration) {
 	timer := time.NewTimer(maxWait)
@@ -119,6 +142,7 @@
 	if m.vm.Incarnation != incarnation {
 		return
 	}
+	m.pollFailed = true
 	if brokenOff(err) {
 		m.crashes = m.crashes.withBreak(m.Now())
 	}
@@ -135,12 +159,12 @@
 	m.report(linker.WorkReport{})
 }
 
-// applyLeaseReply records the worker's reply to a RenewLease call that was sent at
-// the given time. It reports whether there are run ends that the owner has not
+// applyLeaseReply records the worker's reply to the RenewLease call with the given
+// number. It reports whether there are run ends that the owner has not
 // acknowledged. If the reply shows that the worker has restarted, the new incarnation
 // becomes the current one and the rest of the reply is ignored. The reply to a call that was
 // meant for an earlier incarnation is ignored, too. In both cases the result is false.
-func (m *Minder) applyLeaseReply(incarnation plantainrail.WorkerIncarnation, reply plantainrail.LeaseReply, sent time.Time) bool {
+func (m *Minder) applyLeaseReply(incarnation plantainrail.WorkerIncarnation, reply plantainrail.LeaseReply, poll uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.vm.Incarnation != incarnation {
@@ -155,6 +179,7 @@
 		m.renew()
 		return false
 	}
+	m.pollFailed = false
 	if m.unreachable || m.departed {
 		m.unreachable, m.departed, m.departureAcked = false, false, false
 		// The worker replies again. If it seemed to have departed, the owner has removed it;
@@ -168,7 +193,7 @@
 	for _, status := range reply.Running {
 		m.running[status.Ref] = status
 	}
-	m.listedAt = sent
+	m.listedPoll = poll
 	m.applyEnds(reply.Ended)
 	m.reconcile()
 	m.updatePace()
@@ -218,6 +243,15 @@
 // then, the start is cancelled.
 const startTimeout = 1500 * time.Millisecond
 
+const (
+	// maxHeartbeatAge is how old the newest heartbeat may be when a run is started: two of
+	// its intervals. The capacity that it shows may have changed since.
+	maxHeartbeatAge = 3 * time.Second
+	// settleTime is how long a start waits for room or for the next RenewLease call after a
+	// failed one. The end of a run that the owner knows from elsewhere may not be listed yet.
+	settleTime = 2 * workerRetryDelay
+)
+
 // callTimeout bounds one call that starts, stops or paces a run.
 const callTimeout = 300 * time.Millisecond
 
@@ -231,38 +265,52 @@
 			// Starts just before must be told apart from this one.
 			_ = clocker.Sleep(context.Background(), batchTime)
 		}
-		reason, refused := m.startRun(incarnation, r, m.Now().Add(startTimeout))
-		if r.order.Alone && !refused {
+		refusal := m.startRun(incarnation, r, m.Now().Add(startTimeout))
+		if r.order.Alone && refusal == nil {
 			_ = clocker.Sleep(context.Background(), aloneTime)
 		}
 		release()
-		if refused {
-			m.cancelStart(incarnation, r, reason)
+		if refusal != nil {
+			m.refuseStart(incarnation, r, *refusal)
 		}
 	}()
 }
 
+// startRefusal tells why a run is not started. Unanswered is set if the worker may still
+// execute an earlier try.
+type startRefusal struct {
+	reason     plantainrail.RefusalReason
+	unanswered bool
+}
+
 // startRun sends a start to the worker and repeats it until the worker accepts or
-// refuses it or the run is to be stopped. It reports a refusal also if the VM is draining
-// or the given time has passed. The time limit also bounds the wait for a lease renewal: a
-// start must not be sent after the owner has declared the worker lost.
-func (m *Minder) startRun(incarnation plantainrail.WorkerIncarnation, r *run, until time.Time) (reason plantainrail.RefusalReason, refused bool) {
+// refuses it or the run is to be stopped. It returns a refusal if the worker refuses the
+// run, the worker's capacity is too small, the VM is draining or the given time has passed,
+// and otherwise nil. The time limit also bounds the wait for a lease renewal: a start must
+// not be sent after the owner has declared the worker lost.
+func (m *Minder) startRun(incarnation plantainrail.WorkerIncarnation, r *run, until time.Time) *startRefusal {
 	ref := r.order.Ref
+	// unanswered is set if the worker may still execute an earlier try. A run that was
+	// ordered again may have been tried by a previous process of this agent.
+	unanswered := r.reordered
 	for {
 		m.mu.Lock()
 		if m.superseded(incarnation) || m.orderedRuns[ref] != r || m.stopping[ref] {
 			m.mu.Unlock()
-			return "", false
+			return nil
 		}
-		epoch, deadline, draining := m.epoch, m.leaseDeadline(), m.vm.Draining
+		if _, listed := m.running[ref]; listed {
+			// An earlier try was executed.
+			m.mu.Unlock()
+			return nil
+		}
+		epoch, deadline := m.epoch, m.leaseDeadline()
+		reason, wait := m.startObstacle(r, until, unanswered)
 		m.mu.Unlock()
 		switch {
-		case draining:
-			return plantainrail.RefusedDraining, true
-		case m.Now().After(until):
-			return plantainrail.RefusedNoResponse, true
-		case deadline == 0:
-			// The start waits for a lease renewal.
+		case reason != "":
+			return &startRefusal{reason, unanswered}
+		case wait:
 			_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
 			continue
 		}
@@ -276,15 +324,74 @@
 			m.mu.Lock()
 			m.applyPace(r)
 			m.mu.Unlock()
-			return "", false
+			return nil
 		case errors.As(err, &refusal):
-			return refusal.Reason, true
+			return &startRefusal{refusal.Reason, unanswered}
 		}
+		unanswered = true
 		m.Logger.Warn("start not answered", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Error(err))
 		_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
 	}
 }
 
+// startObstacle returns the reason for which a run must be refused now, if any, or reports
+// whether its start has to wait. The caller holds the lock.
+func (m *Minder) startObstacle(r *run, until time.Time, unanswered bool) (reason plantainrail.RefusalReason, wait bool) {
+	now := m.Now()
+	settled := now.After(r.orderedAt.Add(settleTime))
+	capacityKnown := now.Sub(m.heartbeatAt) <= maxHeartbeatAge
+	// A run that was ordered before may be running until a newer list shows that it is not.
+	mayRun := r.reordered && m.listedPoll <= r.orderedPoll
+	fits := m.fits(r)
+	switch {
+	case m.vm.Draining:
+		return plantainrail.RefusedDraining, false
+	case now.After(until):
+		return plantainrail.RefusedNoResponse, false
+	case m.pollFailed && settled && !unanswered:
+		return plantainrail.RefusedUnhealthy, false
+	case !fits && settled && capacityKnown && !mayRun:
+		return plantainrail.RefusedCapacity, false
+	}
+	// Without a deadline, the start waits for a renewal of the lease.
+	return "", m.pollFailed || !capacityKnown || !fits || m.leaseDeadline() == 0
+}
+
+// fits reports whether the worker has room for a run, according to its newest heartbeat,
+// beside all others that may be running. If so, the run holds that room from then on. Runs
+// that were not ordered hold an unknown room until they are stopped. The caller holds the
+// lock.
+func (m *Minder) fits(r *run) bool {
+	for ref := range m.running {
+		if m.orderedRuns[ref] == nil {
+			return false
+		}
+	}
+	needed := r.order.Reservation
+	for _, other := range m.orderedRuns {
+		if other != r && other.holdsRoom {
+			needed = needed.Add(other.order.Reservation)
+		}
+	}
+	fits := needed.Fits(m.vm.Capacity)
+	r.holdsRoom = r.holdsRoom || fits
+	return fits
+}
+
+// refuseStart reports to the owner that a run was not started. It first cancels the start
+// if the worker may still execute an earlier try, and for those reasons after which the
+// owner may place the next run on the VM at once.
+func (m *Minder) refuseStart(incarnation plantainrail.WorkerIncarnation, r *run, refusal startRefusal) {
+	switch refusal.reason {
+	case plantainrail.RefusedCapacity, plantainrail.RefusedUnhealthy, plantainrail.RefusedDraining, plantainrail.RefusedNoResponse:
+		if !refusal.unanswered {
+			m.reportRefusal(incarnation, r, refusal.reason)
+			return
+		}
+	}
+	m.cancelStart(incarnation, r, refusal.reason)
+}
+
 // cancelStart prevents a run from starting and reports the refusal to the owner. It
 // stops the run even if the worker has refused the start: the worker may execute an
 // earlier try seconds later, even one that a previous process of this agent sent.
@@ -307,11 +414,16 @@
 // since a run that did start is listed in that reply. It reports nothing if the run is
 // no longer among the ordered runs by then.
 func (m *Minder) refuseAfterListing(incarnation plantainrail.WorkerIncarnation, r *run, reason plantainrail.RefusalReason) {
-	since := m.Now()
+	m.mu.Lock()
+	since := m.polls
+	if _, listed := m.running[r.order.Ref]; !listed {
+		m.wantListing()
+	}
+	m.mu.Unlock()
 	for {
 		m.mu.Lock()
 		obsolete := m.superseded(incarnation) || m.orderedRuns[r.order.Ref] != r
-		listed := m.listedAt.After(since)
+		listed := m.listedPoll > since
 		m.mu.Unlock()
 		switch {
 		case obsolete:
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -11,6 +11,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -58,10 +59,12 @@
 
 	mu sync.Mutex
 	// vm is the worker's description in its newest heartbeat, except that Draining is
-	// also set when the worker deregisters. heartbeats tells which heartbeats of the
-	// incarnation count.
-	vm         plantainrail.VM
-	heartbeats heartbeatOrder
+	// also set when the worker deregisters. heartbeatAt is when that heartbeat arrived; zero
+	// if the incarnation has sent none yet, so that the description is that of an earlier
+	// one. heartbeats tells which heartbeats of the incarnation count.
+	vm          plantainrail.VM
+	heartbeatAt time.Time
+	heartbeats  heartbeatOrder
 	// confirmations is the number of heartbeats that are being confirmed.
 	confirmations int
 	// unreachable is set after maxRenewLeaseFailures failed RenewLease calls in a row,
@@ -100,11 +103,18 @@
 	reported int64
 	// leaseUntil is when the lease granted by the owner's last renewal ends.
 	leaseUntil time.Time
-	// listedAt is the send time of the last RenewLease call that the worker has replied to.
-	listedAt time.Time
-	clock    workerClock
-	starts   startSlots
-	pacing   pacing
+	// polls counts the RenewLease calls; listedPoll is the last one that the worker has
+	// replied to. endPoll ends the present one early.
+	polls, listedPoll uint64
+	endPoll           context.CancelFunc
+	// pollFailed is set while the newest RenewLease call has failed. The worker may have
+	// restarted.
+	pollFailed bool
+	// listingWanted is set while the next RenewLease call must not wait for a run end.
+	listingWanted bool
+	clock         workerClock
+	starts        startSlots
+	pacing        pacing
 	// session is the current session with the owner; nil if there is none.
 	session *linker.Session
 	// renewalSequence is the sequence number of the last renewal request.
@@ -130,6 +140,14 @@
 // reference.
 type run struct {
 	order plantainrail.RunOrder
+	// orderedAt is when the order arrived, and orderedPoll the number of the RenewLease call
+	// at that time.
+	orderedAt   time.Time
+	orderedPoll uint64
+	// reordered is set for a run of a complete list, which may have been ordered before.
+	reordered bool
+	// holdsRoom is set once the run counts against the worker's capacity.
+	holdsRoom bool
 }
 
 // workerClock relates the worker's clock to the agent's.
@@ -230,23 +248,35 @@
 		m.Logger.Info("heartbeat of the past passed over", zap.String("worker", incarnation.ID), zap.Int64("born", incarnation.StartedMS), zap.Int64("sequence", h.Sequence))
 		return
 	}
-	m.recordHeartbeat(h, h.VM.Draining != m.vm.Draining)
+	m.recordHeartbeat(h)
 }
 
 // recordHeartbeat records the worker's description, and reports it to the owner if it has
 // changed. The caller holds the lock.
-func (m *Minder) recordHeartbeat(h plantainrail.Heartbeat, changed bool) {
-	m.vm = h.VM
+func (m *Minder) recordHeartbeat(h plantainrail.Heartbeat) {
+	before, incarnation, first := m.vm, h.VM.Incarnation, m.heartbeatAt.IsZero()
+	m.vm, m.heartbeatAt = h.VM, m.Now()
 	if !h.VM.Draining {
 		// The deregistration came from another writer: a worker drains before its end.
 		m.leaving = false
 	}
-	if !changed {
-		return
+	if !first && h.VM.Capacity != before.Capacity {
+		m.Logger.Info("worker resized", zap.String("worker", incarnation.ID), zap.Any("before", before.Capacity), zap.Any("capacity", h.VM.Capacity))
+	}
+	if first || h.VM.Draining != before.Draining {
+		m.Logger.Info("worker seen", zap.String("worker", incarnation.ID), zap.Int64("born", incarnation.StartedMS),
+			zap.Any("capacity", h.VM.Capacity), zap.Bool("draining", h.VM.Draining))
+		m.wakePoller()
+	}
+	switch {
+	case first:
+		// Starts on a new incarnation wait for its first lease.
+		m.renew()
+	case !reflect.DeepEqual(h.VM, before):
+		// The owner places tasks by this description and must not learn of a change only
+		// with the next renewal.
+		m.report(linker.WorkReport{})
 	}
-	m.Logger.Info("worker seen", zap.String("worker", h.VM.Incarnation.ID), zap.Int64("born", h.VM.Incarnation.StartedMS), zap.Bool("draining", h.VM.Draining))
-	m.report(linker.WorkReport{})
-	m.wakePoller()
 }
 
 // startIncarnation switches to a new incarnation of the worker and resets the
@@ -262,9 +292,9 @@
 	m.vm.Incarnation = incarnation
 	m.leaving, m.departed, m.departureAcked = false, false, false
 	m.crashes = m.crashes.withNewIncarnation()
-	m.unreachable, m.ordersComplete, m.acknowledged, m.reported, m.heartbeats = false, false, 0, 0, heartbeatOrder{}
+	m.pollFailed, m.unreachable, m.ordersComplete, m.acknowledged, m.reported, m.heartbeats = false, false, false, 0, 0, heartbeatOrder{}
 	m.ends, m.clock = nil, workerClock{}
-	m.leaseUntil = time.Time{}
+	m.leaseUntil, m.heartbeatAt = time.Time{}, time.Time{}
 	m.reportedStatus, m.pacing = nil, newPacing()
 	clear(m.orderedRuns)
 	clear(m.stopping)
@@ -290,10 +320,12 @@
 		m.mu.Unlock()
 		m.stopRun(incarnation, ref)
 	}
-	since := m.Now()
+	m.mu.Lock()
+	since := m.wantListing()
+	m.mu.Unlock()
 	for {
 		m.mu.Lock()
-		if m.superseded(incarnation) || m.listedAt.After(since) && len(m.running) == 0 {
+		if m.superseded(incarnation) || m.listedPoll > since && len(m.running) == 0 {
 			// The lock stays held after the loop.
 			break
 		}
@@ -358,8 +390,9 @@
 		return
 	}
 	r.VM = m.vm
-	// An unreachable worker is reported as draining, so that it gets no new runs.
-	r.VM.Draining = r.VM.Draining || m.unreachable
+	// An unreachable worker, or one of unknown capacity, is reported as draining, so that it
+	// gets no new runs.
+	r.VM.Draining = r.VM.Draining || m.unreachable || m.heartbeatAt.IsZero()
 	r.VM.StartedLast = m.crashes.startedLast(m.unreachable, m.ordersComplete)
 	r.VM.FillersPaused = m.pacing.pacer.Pace() != pacer.FullPace
 	// Send fails only if the session has ended. The next session begins with the
--- a/work.go
+++ b/work.go
@@ -265,6 +265,8 @@
 	// Alone means that no other run is started together with this one, since workers have
 	// crashed under its task.
 	Alone bool `cbor:"6,keyasint,omitempty"`
+	// Reservation is what the run takes of the worker's capacity.
+	Reservation Resources `cbor:"7,keyasint"`
 }
 
 // Worker runs tasks on one VM. Each call carries the worker incarnation that it is
