--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -140,8 +140,8 @@
 // New returns a worker in its first incarnation.
 func New(o Options) *Worker {
 	r := &Worker{
-		id: o.ID, service: o.Service, zone: o.Zone, address: o.Address, agentAddress: o.AgentAddress, client: o.Client, maxRuns: o.MaxRuns, unguarded: o.Unguarded,
-		changed: make(chan struct{}),
+		id: o.ID, service: o.Service, zone: o.Zone, address: o.Address, agentAddress: o.AgentAddress, client: o.Client,
+		maxRuns: o.MaxRuns, unguarded: o.Unguarded, changed: make(chan struct{}),
 	}
 	// Restart begins the first incarnation.
 	r.Restart()
@@ -409,10 +409,10 @@
 
 // startRun extends the lease and starts a run. It returns an empty string, or the reason
 // of a rejection: "old" for a stale run number, "late" without a valid lease, and "room"
-// if maxRuns runs are active on a worker that is not unguarded. Starting an active run again only extends the lease.
-// Starting a newer run does not end an active earlier run of the same task: the earlier
-// run then never ends in the history, which Violations reports. The caller holds the
-// lock.
+// if maxRuns runs are active and the worker guards its capacity. Starting an active run
+// again only extends the lease. Starting a newer run does not end an active earlier run of
+// the same task: the earlier run then never ends in the history, which Violations reports.
+// The caller holds the lock.
 func (r *Worker) startRun(c callBody) (reason string) {
 	r.extendLease(c.Deadline)
 	if s := r.activeRuns[c.Task]; s != nil && s.Run == c.Run {
