--- a/planner/place.go
+++ b/planner/place.go
@@ -244,23 +244,52 @@
 // Among equal VMs it returns the first in the order of their nodes' names. While the
 // job's fillers may wait, choose also records whether they do.
 func (r *rating) choose(t *Task) *vm {
-	var best *vm
+	var best, avoided *vm
 	bestScore := unsuitable
 	for i, score := range r.scores {
-		if v := r.planner.ordered[i]; score > bestScore && !r.planner.failedOn(t, v) {
+		switch v := r.planner.ordered[i]; {
+		case score == unsuitable:
+		case t.avoids(v):
+			avoided = v
+		case score > bestScore:
 			best, bestScore = v, score
 		}
 	}
+	if best == nil && avoided != nil && !r.mayTakeLater(t) {
+		best = avoided
+	}
 	if r.shape.mayWait {
 		r.ready.job.trackFillerWait(best == nil, r.now)
 	}
 	return best
 }
 
-// failedOn reports whether a task that has failed, or under which a worker has crashed, must
-// avoid the VM, because its newest run was on the same node.
-func (p *Planner) failedOn(t *Task, v *vm) bool {
-	return (t.Failures > 0 || t.suspect()) && v.Incarnation.Node == t.Incarnation.Node && len(p.vms) > 1
+// avoidanceWait bounds how long a task waits for the end of another VM's pause, so that it
+// need not run where it has failed. It is below the three seconds after which a job with
+// nothing running counts as starved.
+const avoidanceWait = 2 * time.Second
+
+// mayTakeLater reports whether a VM that the task does not avoid lacks nothing but room or
+// headroom, or is paused for a short time, so that it is worth waiting for.
+func (r *rating) mayTakeLater(t *Task) bool {
+	return slices.ContainsFunc(r.planner.ordered, func(v *vm) bool {
+		if t.avoids(v) {
+			return false
+		}
+		switch r.planner.stepObstacle(v, r.shape.pool, r.ready, r.now) {
+		case "", obstacleResources, obstacleNoRoom, obstacleThrottled, obstacleFillers, obstacleProbation:
+			return true
+		case obstaclePaused:
+			return v.pausedUntil.Sub(r.now) < avoidanceWait
+		}
+		return false
+	})
+}
+
+// avoids reports whether a task that has failed, or under which a worker has crashed, avoids
+// the VM, because its newest run was on the same node.
+func (t *Task) avoids(v *vm) bool {
+	return (t.Failures > 0 || t.suspect()) && v.Incarnation.Node == t.Incarnation.Node
 }
 
 // stepObstacle returns why the VM cannot take any task of the step, or an empty
@@ -306,7 +335,7 @@
 	first := &tasks[slices.IndexFunc(tasks, func(t Task) bool { return t.Phase == Waiting })]
 	for _, v := range p.ordered {
 		o := p.stepObstacle(v, p.vmPool(ready.job), ready, now)
-		if o == "" && p.failedOn(first, v) {
+		if o == "" && first.avoids(v) {
 			o = obstacleFailed
 		}
 		if o == "" && ready.definition().Filler {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -500,3 +500,37 @@
 		h.reportEnd(running[0], running[0].Order.Ref.Run, plantainrail.RunStopped)
 	}
 }
+
+// Guards against a task that waits for ever (LOST) because it avoids the node on which it failed,
+// although no other VM can take it whatever room it has.
+func TestFailedTaskRunsOnTheOnlySuitableNode(t *testing.T) {
+	unsuitable := map[string]func(vm *plantainrail.VM){
+		"label":    func(vm *plantainrail.VM) { vm.Labels = nil },
+		"pool":     func(vm *plantainrail.VM) { vm.Pool = "other" },
+		"draining": func(vm *plantainrail.VM) { vm.Draining = true },
+	}
+	for name, change := range unsuitable {
+		other := newVM("b", 4000)
+		change(&other)
+		h := newHarness(t, newVM("a", 4000), other)
+		h.submit("job", plantainrail.Step{Count: 1, CPU: 1000, VMLabel: "r1-1"})
+		first := h.tick().Assignments
+		assert.Equal(t, len(first), 1, name)
+		h.reportEnd(first[0], 1, plantainrail.RunFailed)
+		again := h.tick().Assignments
+		assert.Equal(t, len(again), 1, name)
+		assert.Equal(t, again[0].Incarnation.Node, "a", name)
+	}
+}
+
+// A task that has failed waits for room on another node.
+func TestFailedTaskAvoidsItsNode(t *testing.T) {
+	h := newHarness(t, newVM("a", 4000), newVM("b", 500))
+	h.submit("job", plantainrail.Step{Count: 1, CPU: 1000})
+	h.reportEnd(h.tick().Assignments[0], 1, plantainrail.RunFailed)
+	assert.Equal(t, len(h.tick().Assignments), 0)
+	h.report(newVM("b", 4000))
+	again := h.tick().Assignments
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Incarnation.Node, "b")
+}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -210,8 +210,8 @@
 	obstacleZone Obstacle = "zone"
 	// The VM holds as many tasks of the step as it may.
 	obstaclePerVM Obstacle = "spread"
-	// The task has failed before, its newest run was on the VM's node, and there
-	// are other VMs.
+	// The task has failed before, its newest run was on the VM's node, and another VM may
+	// take it later.
 	obstacleFailed Obstacle = "failed"
 	// Fillers are paused on the VM to protect its services.
 	obstacleThrottled Obstacle = "strained"
