--- a/planner/catalog_test.go
+++ b/planner/catalog_test.go
@@ -111,6 +111,7 @@
 		return out
 	}
 	task := []any{0, 0, 0, 0, ""}
+	open := fields{0: []any{[]any{task}}}
 	for name, c := range map[string]struct{ submission, progress any }{
 		"steps of another type":          {with(3, "steps"), nil},
 		"no steps":                       {with(3, []any{}), nil},
@@ -123,6 +124,11 @@
 		"progress with fewer tasks":      {odd, fields{3: fields{0: []any{[]any{}}}}},
 		"progress of an occurrence less": {odd, fields{3: fields{-1: []any{[]any{task}}}}},
 		"end of an occurrence too many":  {odd, fields{4: []any{7}}},
+		"crash of an occurrence less":    {odd, fields{3: open, 5: []any{[]any{-1, 0, 0, 1}}}},
+		"crash of a step less":           {odd, fields{3: open, 5: []any{[]any{0, -1, 0, 1}}}},
+		"crash of a task less":           {odd, fields{3: open, 5: []any{[]any{0, 0, -1, 1}}}},
+		"crash of a task too many":       {odd, fields{3: open, 5: []any{[]any{0, 0, 1, 1}}}},
+		"negative number of crashes":     {odd, fields{3: open, 5: []any{[]any{0, 0, 0, -1}}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, newVM("vm-0", 64_000))
--- a/planner/job.go
+++ b/planner/job.go
@@ -250,6 +250,11 @@
 			}
 		}
 	}
+	for _, c := range p.Crashes {
+		if !exists(c.Occurrence) || c.Step < 0 || c.Step >= len(w.Steps) || c.Index < 0 || c.Index >= w.Steps[c.Step].Count || c.Crashes < 0 {
+			return false
+		}
+	}
 	return true
 }
 
