--- a/planner/place.go
+++ b/planner/place.go
@@ -269,11 +269,12 @@
 // nothing running counts as starved.
 const avoidanceWait = 2 * time.Second
 
-// mayTakeLater reports whether a VM that the task does not avoid lacks nothing but room or
-// headroom, or is paused for a short time, so that it is worth waiting for.
+// mayTakeLater reports whether a VM that the task does not avoid and that is large enough for it
+// lacks nothing but room or headroom, or is paused for a short time, so that it is worth waiting
+// for.
 func (r *rating) mayTakeLater(t *Task) bool {
 	return slices.ContainsFunc(r.planner.ordered, func(v *vm) bool {
-		if t.avoids(v) {
+		if t.avoids(v) || r.planner.config.Out[v.Zone] || !r.ready.definition().Reservation().Fits(v.Capacity) {
 			return false
 		}
 		switch r.planner.stepObstacle(v, r.shape.pool, r.ready, r.now) {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -508,6 +508,7 @@
 		"label":    func(vm *plantainrail.VM) { vm.Labels = nil },
 		"pool":     func(vm *plantainrail.VM) { vm.Pool = "other" },
 		"draining": func(vm *plantainrail.VM) { vm.Draining = true },
+		"size":     func(vm *plantainrail.VM) { vm.Capacity.Processors = 500 },
 	}
 	for name, change := range unsuitable {
 		other := newVM("b", 4000)
@@ -525,11 +526,14 @@
 
 // A task that has failed waits for room on another node.
 func TestFailedTaskAvoidsItsNode(t *testing.T) {
-	h := newHarness(t, newVM("a", 4000), newVM("b", 500))
+	h := newHarness(t, newVM("b", 1000))
+	h.submit("busy", plantainrail.Step{Count: 1, CPU: 1000})
+	busy := h.tick().Assignments[0]
+	h.report(newVM("a", 4000))
 	h.submit("job", plantainrail.Step{Count: 1, CPU: 1000})
 	h.reportEnd(h.tick().Assignments[0], 1, plantainrail.RunFailed)
 	assert.Equal(t, len(h.tick().Assignments), 0)
-	h.report(newVM("b", 4000))
+	h.reportEnd(busy, 1, plantainrail.RunDone)
 	again := h.tick().Assignments
 	assert.Equal(t, len(again), 1)
 	assert.Equal(t, again[0].Incarnation.Node, "b")
