--- a/planner/avoid_test.go
+++ b/planner/avoid_test.go
@@ -22,3 +22,16 @@
 	h.reportEnd(h.tick().Assignments[0], 1, plantainrail.RunFailed)
 	assert.Equal(t, len(h.tick().Assignments), 1)
 }
+
+// Guards against tasks that wait beside a free VM (LOST) because another task of their step has
+// failed there and the other VMs are full.
+func TestFailedTaskDoesNotHoldUpItsStep(t *testing.T) {
+	h := newHarness(t, newVM("vm-0", 1000), newVM("vm-1", 1000))
+	h.submit("job", plantainrail.Step{Count: 3, CPU: 1000})
+	runs := h.tick().Assignments
+	assert.Equal(t, len(runs), 2)
+	h.reportEnd(runs[0], 1, plantainrail.RunFailed)
+	next := h.tick().Assignments
+	assert.Equal(t, len(next), 1)
+	assert.Equal(t, next[0].Order.Ref.Task.Index, 2)
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -97,8 +97,8 @@
 	return s
 }
 
-// placeStep assigns waiting tasks of a step until one finds no VM, since the step's
-// other tasks request the same resources.
+// placeStep assigns waiting tasks of a step until one that avoids no VM finds none, since the
+// step's other tasks request the same resources.
 func (p *Planner) placeStep(ready readyStep, now time.Time) []Assignment {
 	taskShape := p.shapeOf(ready, now)
 	if p.unplaceable[taskShape] {
@@ -117,10 +117,14 @@
 		}
 		v := r.choose(t)
 		if v == nil {
-			if ready.definition().MaxPerVM == 0 && t.Failures == 0 && !t.suspect() {
+			p.recordUnplaced(ready, now)
+			if t.Failures > 0 || t.suspect() {
+				// The step's other tasks do not avoid the VM that this one avoids.
+				continue
+			}
+			if ready.definition().MaxPerVM == 0 {
 				p.unplaceable[taskShape] = true
 			}
-			p.recordUnplaced(ready, now)
 			break
 		}
 		out = append(out, p.assign(v, ready.job, ready.taskID(index), t, t.Run+1, now))
