--- a/minder/crash.go
+++ b/minder/crash.go
@@ -45,45 +45,63 @@
 // startRecord is a start that the worker has received, or may have received.
 type startRecord struct {
 	ref plantainrail.RunRef
-	at  time.Time
+	// sentAt is when the call was sent, and at when it ended.
+	sentAt, at time.Time
 }
 
 // crashWatch tells which runs had just begun when the worker broke off its calls.
 type crashWatch struct {
 	// recent are the starts of the last breakDelay.
 	recent []startRecord
-	// broken is set from the first call that the worker breaks off until it answers again.
-	broken bool
+	// brokenAt is the time of the first call that the worker has broken off since it last
+	// answered; zero if there is none.
+	brokenAt time.Time
 	// suspects are the runs that had just begun then. predecessorSuspects are those of the
 	// incarnation before.
 	suspects, predecessorSuspects []plantainrail.RunRef
 }
 
-// withStart returns the watch after a start.
-func (c crashWatch) withStart(ref plantainrail.RunRef, now time.Time) crashWatch {
+// withStart returns the watch after a start. It may have been under way at the break.
+func (c crashWatch) withStart(ref plantainrail.RunRef, sentAt, now time.Time) crashWatch {
 	kept := slices.DeleteFunc(slices.Clone(c.recent), func(s startRecord) bool { return now.Sub(s.at) > breakDelay })
-	c.recent = append(kept, startRecord{ref, now})
+	c.recent = append(kept, startRecord{ref, sentAt, now})
+	if !c.brokenAt.IsZero() && !sentAt.After(c.brokenAt) {
+		c.suspects = c.newestBefore(c.brokenAt)
+	}
 	return c
 }
 
 // withBreak returns the watch after a call that the worker has broken off. The newest starts
 // are suspects if the call is the first such one.
 func (c crashWatch) withBreak(now time.Time) crashWatch {
-	if c.broken {
-		return c
+	if c.brokenAt.IsZero() {
+		c.brokenAt, c.suspects = now, c.newestBefore(now)
 	}
-	c.broken, c.suspects = true, nil
-	for _, s := range c.recent {
-		if now.Sub(s.at) <= breakDelay && c.recent[len(c.recent)-1].at.Sub(s.at) <= batchTime {
-			c.suspects = append(c.suspects, s.ref)
+	return c
+}
+
+// newestBefore returns the runs whose starts were sent last before the break.
+func (c crashWatch) newestBefore(brokenAt time.Time) []plantainrail.RunRef {
+	var refs []plantainrail.RunRef
+	var newest time.Time
+	for _, s := range slices.Backward(c.recent) {
+		if s.sentAt.After(brokenAt) || brokenAt.Sub(s.at) > breakDelay {
+			continue
+		}
+		if newest.IsZero() {
+			newest = s.at
+		}
+		if newest.Sub(s.at) <= batchTime {
+			refs = append(refs, s.ref)
 		}
 	}
-	return c
+	slices.Reverse(refs)
+	return refs
 }
 
 // withAnswer returns the watch after an answer of the worker.
 func (c crashWatch) withAnswer() crashWatch {
-	c.broken, c.suspects = false, nil
+	c.brokenAt, c.suspects = time.Time{}, nil
 	return c
 }
 
@@ -104,15 +122,16 @@
 	return nil
 }
 
-// noteStart records a call that starts a run, which ended with the error or nil.
-func (m *Minder) noteStart(incarnation plantainrail.WorkerIncarnation, ref plantainrail.RunRef, err error) {
+// noteStart records a call that starts a run, which was sent at the given time and ended with
+// the error or nil.
+func (m *Minder) noteStart(incarnation plantainrail.WorkerIncarnation, ref plantainrail.RunRef, sentAt time.Time, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.superseded(incarnation) {
 		return
 	}
 	if err == nil || brokenOff(err) && !dialFailed(err) {
-		m.crashes = m.crashes.withStart(ref, m.Now())
+		m.crashes = m.crashes.withStart(ref, sentAt, m.Now())
 	}
 	if brokenOff(err) {
 		m.crashes = m.crashes.withBreak(m.Now())
--- a/minder/crash_test.go
+++ b/minder/crash_test.go
@@ -1,6 +1,7 @@
 package minder
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -15,7 +16,10 @@
 	early, first, second := refForJob("early"), refForJob("first"), refForJob("second")
 	now := time.Unix(1_700_000_000, 0)
 	after := func(d time.Duration) time.Time { return now.Add(d) }
-	started := crashWatch{}.withStart(early, now).withStart(first, after(100*time.Millisecond)).withStart(second, after(110*time.Millisecond))
+	started := crashWatch{}
+	for i, at := range []time.Time{now, after(100 * time.Millisecond), after(110 * time.Millisecond)} {
+		started = started.withStart([]plantainrail.RunRef{early, first, second}[i], at, at)
+	}
 	for _, c := range []struct {
 		name  string
 		watch crashWatch
@@ -31,3 +35,26 @@
 		assert.Equal(t, len(c.watch.withNewIncarnation().startedLast(false, true)), 0, c.name)
 	}
 }
+
+// Guards against a crash that counts against the runs which began before its cause (BUDGET), since
+// the answer to the cause's start was lost, or processed after the crash was noticed.
+func TestCrashNamesTheStartUnderWay(t *testing.T) {
+	for name, startError := range map[string]error{"answered": nil, "broken off": io.ErrUnexpectedEOF} {
+		t.Run(name, func(t *testing.T) {
+			withWorker(t, func(t *testing.T, m *Minder, _ *fakeWorker) {
+				current := knownVM(m).Incarnation
+				m.noteStart(current, refForJob("sound"), m.Now(), nil)
+				time.Sleep(aloneTime)
+				sentAt := m.Now()
+				time.Sleep(time.Millisecond)
+				m.renewLeaseFailed(current, 1, io.ErrUnexpectedEOF)
+				m.noteStart(current, refForJob("cause"), sentAt, startError)
+				time.Sleep(time.Millisecond)
+				// The worker has crashed before this one is sent.
+				m.noteStart(current, refForJob("later"), m.Now(), io.ErrUnexpectedEOF)
+				m.renewLeaseFailed(current, 2, io.ErrUnexpectedEOF)
+				assert.DeepEqual(t, m.crashes.startedLast(true, true), []plantainrail.RunRef{refForJob("cause")})
+			})
+		})
+	}
+}
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -315,9 +315,10 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		sentAt := m.Now()
 		err := m.Worker.Start(ctx, incarnation, epoch, r.order, deadline)
 		cancel()
-		m.noteStart(incarnation, ref, err)
+		m.noteStart(incarnation, ref, sentAt, err)
 		var refusal *plantainrail.RefusedError
 		switch {
 		case err == nil:
