--- a/assembler/fleet_capacity_test.go
+++ b/assembler/fleet_capacity_test.go
@@ -104,6 +104,31 @@
 	})
 }
 
+// Guards against tasks that wait for the next heartbeat (LOST) where the platform's workers send
+// them less or more often: a capacity counts as known between two heartbeats.
+func TestTasksStartBetweenHeartbeats(t *testing.T) {
+	for _, interval := range []time.Duration{500 * time.Millisecond, 10 * time.Second} {
+		shape := smallFleet
+		shape.heartbeatInterval = interval
+		t.Run(interval.String(), func(t *testing.T) {
+			runInFleet(t, shape, func(f *fleet) {
+				accepted := make([]time.Time, 60)
+				for n := range accepted {
+					f.submit(n, "500", oneTask)
+					accepted[n] = time.Now()
+					time.Sleep(410 * time.Millisecond)
+				}
+				time.Sleep(2 * interval)
+				for n, at := range accepted {
+					delay := f.firstStart(n).Sub(at)
+					assert.Check(t, delay >= 0 && delay <= maxStartDelay, "job %d started after %s", n, delay)
+				}
+				f.checkRuns()
+			})
+		})
+	}
+}
+
 // Guards against a changed capacity that waits for the next renewal of the lease: the owner
 // must use grown workers as soon as a heartbeat shows them.
 func TestChangedCapacityIsReportedAtOnce(t *testing.T) {
--- a/command/node/agent/agent.go
+++ b/command/node/agent/agent.go
@@ -85,7 +85,7 @@
 		HeartbeatHandler: func(r plantainrail.Registry) http.Handler {
 			return platform.RegistryHandler(s.Name, s.WorkerAddress, o.pool, r, logger)
 		},
-		Now: now, Logger: logger,
+		HeartbeatInterval: s.HeartbeatInterval, Now: now, Logger: logger,
 	}), drainTimeout, logger)
 }
 
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -244,9 +244,9 @@
 const startTimeout = 1500 * time.Millisecond
 
 const (
-	// maxHeartbeatAge is how old the newest heartbeat may be when a run is started: two of
-	// its intervals. The capacity that it shows may have changed since.
-	maxHeartbeatAge = 3 * time.Second
+	// heartbeatDelay is how long after the interval of the heartbeats the newest one still
+	// counts when a run is started. The capacity that it shows may have changed since.
+	heartbeatDelay = 1500 * time.Millisecond
 	// settleTime is how long a start waits for room or for the next RenewLease call after a
 	// failed one. The end of a run that the owner knows from elsewhere may not be listed yet.
 	settleTime = 2 * workerRetryDelay
@@ -340,7 +340,7 @@
 func (m *Minder) startObstacle(r *run, until time.Time, unanswered bool) (reason plantainrail.RefusalReason, wait bool) {
 	now := m.Now()
 	settled := now.After(r.orderedAt.Add(settleTime))
-	capacityKnown := now.Sub(m.heartbeatAt) <= maxHeartbeatAge
+	capacityKnown := now.Sub(m.heartbeatAt) <= m.HeartbeatInterval+heartbeatDelay
 	// A run that was ordered before may be running until a newer list shows that it is not.
 	mayRun := r.reordered && m.listedPoll <= r.orderedPoll
 	fits := m.fits(r)
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -48,6 +48,8 @@
 	// the registry.
 	Heartbeats       net.Listener
 	HeartbeatHandler func(plantainrail.Registry) http.Handler
+	// HeartbeatInterval is the approximate time between two heartbeats.
+	HeartbeatInterval time.Duration
 	// Now returns the time of a clock that keeps running while the VM is suspended.
 	Now    func() time.Time
 	Logger *zap.Logger
