--- a/minder/lease.go
+++ b/minder/lease.go
@@ -360,11 +360,11 @@
 
 // fits reports whether the worker has room for a run, according to its newest heartbeat,
 // beside all others that may be running. If so, the run holds that room from then on. Runs
-// that were not ordered hold an unknown room until they are stopped. The caller holds the
-// lock.
+// that were not ordered to start hold an unknown room until they are stopped. The caller holds
+// the lock.
 func (m *Minder) fits(r *run) bool {
 	for ref := range m.running {
-		if m.orderedRuns[ref] == nil {
+		if other := m.orderedRuns[ref]; other == nil || other.sizeUnknown {
 			return false
 		}
 	}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -150,6 +150,8 @@
 	reordered bool
 	// holdsRoom is set once the run counts against the worker's capacity.
 	holdsRoom bool
+	// sizeUnknown is set for a run that the owner has only ordered to stop.
+	sizeUnknown bool
 }
 
 // workerClock relates the worker's clock to the agent's.
--- a/minder/session.go
+++ b/minder/session.go
@@ -337,7 +337,7 @@
 		return
 	}
 	if m.orderedRuns[ref] == nil {
-		m.orderedRuns[ref] = &run{order: plantainrail.RunOrder{Ref: ref}}
+		m.orderedRuns[ref] = &run{order: plantainrail.RunOrder{Ref: ref}, sizeUnknown: true}
 	}
 	m.stop(ref, "ordered")
 }
