--- a/minder/lease.go
+++ b/minder/lease.go
@@ -261,12 +261,15 @@
 	incarnation := m.vm.Incarnation
 	go func() {
 		release := m.starts.acquire(r)
-		if r.order.Alone {
+		if r.order.Alone && m.wants(incarnation, r) {
 			// Starts just before must be told apart from this one.
 			_ = clocker.Sleep(context.Background(), batchTime)
 		}
-		refusal := m.startRun(incarnation, r, m.Now().Add(startTimeout))
-		if r.order.Alone && refusal == nil {
+		// A start that had to wait for its turn is tried, but does not hold up the next ones
+		// for as long.
+		until := later(r.orderedAt.Add(startTimeout), m.Now().Add(workerRetryDelay))
+		refusal := m.startRun(incarnation, r, until)
+		if r.order.Alone && refusal == nil && m.wants(incarnation, r) {
 			_ = clocker.Sleep(context.Background(), aloneTime)
 		}
 		release()
@@ -276,6 +279,21 @@
 	}()
 }
 
+// wants reports whether a run is still to be started on the incarnation of the worker.
+func (m *Minder) wants(incarnation plantainrail.WorkerIncarnation, r *run) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.superseded(incarnation) && m.orderedRuns[r.order.Ref] == r && !m.stopping[r.order.Ref]
+}
+
+// later returns the later one of two instants.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // startRefusal tells why a run is not started. Unanswered is set if the worker may still
 // execute an earlier try.
 type startRefusal struct {
