--- a/planner/avoid_test.go
+++ b/planner/avoid_test.go
@@ -35,3 +35,25 @@
 	assert.Equal(t, len(next), 1)
 	assert.Equal(t, next[0].Order.Ref.Task.Index, 2)
 }
+
+// Guards against a task that waits (LOST) beside the free VM whose worker has crashed when its
+// run had just begun, while the other VMs are busy: a suspect only prefers other VMs. A task that
+// has failed waits for another VM.
+func TestSuspectDoesNotWaitForBusyVMs(t *testing.T) {
+	only, other := newVM("vm-0", 4000), newVM("vm-1", 1000)
+	h := newHarness(t, only)
+	h.submit("suspect", plantainrail.Step{Count: 1, CPU: 1000})
+	h.submit("failed", plantainrail.Step{Count: 1, CPU: 1000})
+	runs := h.tick().Assignments
+	assert.Equal(t, len(runs), 2)
+	h.report(other)
+	h.submit("busy", plantainrail.Step{Count: 1, CPU: 1000, Lasting: true})
+	assert.Equal(t, h.tick().Assignments[0].Incarnation, other.Incarnation)
+	h.reportEnd(runs[1], 1, plantainrail.RunFailed)
+	only.Incarnation.StartedMS++
+	only.StartedLast = []plantainrail.RunRef{runs[0].Order.Ref}
+	h.report(only)
+	next := h.tick().Assignments
+	assert.Equal(t, len(next), 1)
+	assert.Equal(t, next[0].Order.Ref.Task.Job, "suspect")
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -259,7 +259,8 @@
 			best, bestScore = v, score
 		}
 	}
-	if best == nil && avoided != nil && !r.mayTakeLater(t) {
+	// A suspect only prefers other VMs, since no node is known to fail.
+	if best == nil && avoided != nil && (t.Failures == 0 || !r.mayTakeLater(t)) {
 		best = avoided
 	}
 	if r.shape.mayWait {
