--- a/minder/incarnation.go
+++ b/minder/incarnation.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// confirmationTimeout bounds how long the worker is asked whether it is the
-	// incarnation that a heartbeat names. It is longer than the interval of heartbeats, so
-	// a worker that does not answer yet is asked until its next one.
-	confirmationTimeout = 2 * time.Second
+	// confirmationDelay is how long after the interval of the heartbeats the worker is asked
+	// whether it is the incarnation that one names. So a worker that does not answer yet is
+	// asked until its next heartbeat.
+	confirmationDelay = 500 * time.Millisecond
 	// maxConfirmations bounds the heartbeats that are being confirmed at the same time.
 	maxConfirmations = 8
 )
@@ -99,7 +99,7 @@
 		m.confirmations--
 	}()
 	claimed := h.VM.Incarnation
-	for until := m.Now().Add(confirmationTimeout); m.Now().Before(until); _ = clocker.Sleep(context.Background(), workerRetryDelay/3) {
+	for until := m.Now().Add(m.HeartbeatInterval + confirmationDelay); m.Now().Before(until); _ = clocker.Sleep(context.Background(), workerRetryDelay/3) {
 		m.mu.Lock()
 		current, epoch := m.vm.Incarnation, m.epoch
 		stopped := m.superseded(current)
--- a/minder/incarnation_test.go
+++ b/minder/incarnation_test.go
@@ -58,14 +58,14 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := &fakeWorker{life: life{id: "w", startedMS: 1000}}
-		m := New(Options{Node: "node", Worker: w, Now: time.Now, Logger: zap.NewNop()})
+		m := New(Options{Node: "node", Worker: w, HeartbeatInterval: heartbeatInterval, Now: time.Now, Logger: zap.NewNop()})
 		for sequence := range int64(2) {
 			m.Heartbeat(heartbeatOf("w", 1000, sequence+1, false))
 			time.Sleep(heartbeatInterval)
 		}
 		assert.Equal(t, knownVM(m).Incarnation.ID, "w")
 		test(t, m, w)
-		time.Sleep(confirmationTimeout)
+		time.Sleep(heartbeatInterval + confirmationDelay)
 	})
 }
 
@@ -226,3 +226,17 @@
 		assert.Assert(t, m.departed)
 	})
 }
+
+// A worker that restarted and answered only after the time for its confirmation was not followed
+// until its next heartbeat, where these are rare.
+func TestRestartedWorkerIsAskedUntilItsNextHeartbeat(t *testing.T) {
+	withWorker(t, func(t *testing.T, m *Minder, w *fakeWorker) {
+		m.HeartbeatInterval = 4 * heartbeatInterval
+		w.set(life{id: "x", startedMS: 5000, err: errors.New("silent")})
+		m.Heartbeat(heartbeatOf("x", 5000, 1, false))
+		time.Sleep(2 * heartbeatInterval)
+		w.set(life{id: "x", startedMS: 5000})
+		time.Sleep(workerRetryDelay)
+		assert.Equal(t, knownVM(m).Incarnation.ID, "x")
+	})
+}
--- a/minder/start_test.go
+++ b/minder/start_test.go
@@ -64,7 +64,7 @@
 	withWorker(t, func(t *testing.T, m *Minder, w *fakeWorker) {
 		worker := &startingWorker{fakeWorker: w}
 		m.mu.Lock()
-		m.Worker, m.HeartbeatInterval = worker, heartbeatInterval
+		m.Worker = worker
 		m.clock, m.leaseUntil = workerClock{reading: 1, readAt: m.Now()}, m.Now().Add(time.Minute)
 		m.mu.Unlock()
 		last := orderStarts(m, 30)
