--- a/minder/lease.go
+++ b/minder/lease.go
@@ -244,9 +244,9 @@
 const startTimeout = 1500 * time.Millisecond
 
 const (
-	// maxHeartbeatAge is how old the newest heartbeat may be when a run is started: two of
-	// its intervals. The capacity that it shows may have changed since.
-	maxHeartbeatAge = 3 * time.Second
+	// heartbeatDelay is how long after the interval of the heartbeats the newest one still
+	// counts when a run is started. The capacity that it shows may have changed since.
+	heartbeatDelay = 1500 * time.Millisecond
 	// settleTime is how long a start waits for room or for the next RenewLease call after a
 	// failed one. The end of a run that the owner knows from elsewhere may not be listed yet.
 	settleTime = 2 * workerRetryDelay
@@ -261,12 +261,15 @@
 	incarnation := m.vm.Incarnation
 	go func() {
 		release := m.starts.acquire(r)
-		if r.order.Alone {
+		if r.order.Alone && m.wants(incarnation, r) {
 			// Starts just before must be told apart from this one.
 			_ = clocker.Sleep(context.Background(), batchTime)
 		}
-		refusal := m.startRun(incarnation, r, m.Now().Add(startTimeout))
-		if r.order.Alone && refusal == nil {
+		// A start that had to wait for its turn is tried, but does not hold up the next ones
+		// for as long.
+		until := later(r.orderedAt.Add(startTimeout), m.Now().Add(workerRetryDelay))
+		refusal := m.startRun(incarnation, r, until)
+		if r.order.Alone && refusal == nil && m.wants(incarnation, r) {
 			_ = clocker.Sleep(context.Background(), aloneTime)
 		}
 		release()
@@ -276,6 +279,21 @@
 	}()
 }
 
+// wants reports whether a run is still to be started on the incarnation of the worker.
+func (m *Minder) wants(incarnation plantainrail.WorkerIncarnation, r *run) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.superseded(incarnation) && m.orderedRuns[r.order.Ref] == r && !m.stopping[r.order.Ref]
+}
+
+// later returns the later one of two instants.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // startRefusal tells why a run is not started. Unanswered is set if the worker may still
 // execute an earlier try.
 type startRefusal struct {
@@ -315,9 +333,10 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		sentAt := m.Now()
 		err := m.Worker.Start(ctx, incarnation, epoch, r.order, deadline)
 		cancel()
-		m.noteStart(incarnation, ref, err)
+		m.noteStart(incarnation, ref, sentAt, err)
 		var refusal *plantainrail.RefusedError
 		switch {
 		case err == nil:
@@ -339,7 +358,7 @@
 func (m *Minder) startObstacle(r *run, until time.Time, unanswered bool) (reason plantainrail.RefusalReason, wait bool) {
 	now := m.Now()
 	settled := now.After(r.orderedAt.Add(settleTime))
-	capacityKnown := now.Sub(m.heartbeatAt) <= maxHeartbeatAge
+	capacityKnown := now.Sub(m.heartbeatAt) <= m.HeartbeatInterval+heartbeatDelay
 	// A run that was ordered before may be running until a newer list shows that it is not.
 	mayRun := r.reordered && m.listedPoll <= r.orderedPoll
 	fits := m.fits(r)
@@ -359,11 +378,11 @@
 
 // fits reports whether the worker has room for a run, according to its newest heartbeat,
 // beside all others that may be running. If so, the run holds that room from then on. Runs
-// that were not ordered hold an unknown room until they are stopped. The caller holds the
-// lock.
+// that were not ordered to start hold an unknown room until they are stopped. The caller holds
+// the lock.
 func (m *Minder) fits(r *run) bool {
 	for ref := range m.running {
-		if m.orderedRuns[ref] == nil {
+		if other := m.orderedRuns[ref]; other == nil || other.sizeUnknown {
 			return false
 		}
 	}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -48,6 +48,8 @@
 	// the registry.
 	Heartbeats       net.Listener
 	HeartbeatHandler func(plantainrail.Registry) http.Handler
+	// HeartbeatInterval is the approximate time between two heartbeats.
+	HeartbeatInterval time.Duration
 	// Now returns the time of a clock that keeps running while the VM is suspended.
 	Now    func() time.Time
 	Logger *zap.Logger
@@ -148,6 +150,8 @@
 	reordered bool
 	// holdsRoom is set once the run counts against the worker's capacity.
 	holdsRoom bool
+	// sizeUnknown is set for a run that the owner has only ordered to stop.
+	sizeUnknown bool
 }
 
 // workerClock relates the worker's clock to the agent's.
--- a/planner/place.go
+++ b/planner/place.go
@@ -97,8 +97,8 @@
 	return s
 }
 
-// placeStep assigns waiting tasks of a step until one finds no VM, since the step's
-// other tasks request the same resources.
+// placeStep assigns waiting tasks of a step until one that avoids no VM finds none, since the
+// step's other tasks request the same resources.
 func (p *Planner) placeStep(ready readyStep, now time.Time) []Assignment {
 	taskShape := p.shapeOf(ready, now)
 	if p.unplaceable[taskShape] {
@@ -117,10 +117,14 @@
 		}
 		v := r.choose(t)
 		if v == nil {
-			if ready.definition().MaxPerVM == 0 && t.Failures == 0 && !t.suspect() {
+			p.recordUnplaced(ready, now)
+			if t.Failures > 0 || t.suspect() {
+				// The step's other tasks do not avoid the VM that this one avoids.
+				continue
+			}
+			if ready.definition().MaxPerVM == 0 {
 				p.unplaceable[taskShape] = true
 			}
-			p.recordUnplaced(ready, now)
 			break
 		}
 		out = append(out, p.assign(v, ready.job, ready.taskID(index), t, t.Run+1, now))
@@ -255,7 +259,8 @@
 			best, bestScore = v, score
 		}
 	}
-	if best == nil && avoided != nil && !r.mayTakeLater(t) {
+	// A suspect only prefers other VMs, since no node is known to fail.
+	if best == nil && avoided != nil && (t.Failures == 0 || !r.mayTakeLater(t)) {
 		best = avoided
 	}
 	if r.shape.mayWait {
@@ -269,11 +274,12 @@
 // nothing running counts as starved.
 const avoidanceWait = 2 * time.Second
 
-// mayTakeLater reports whether a VM that the task does not avoid lacks nothing but room or
-// headroom, or is paused for a short time, so that it is worth waiting for.
+// mayTakeLater reports whether a VM that the task does not avoid and that is large enough for it
+// lacks nothing but room or headroom, or is paused for a short time, so that it is worth waiting
+// for.
 func (r *rating) mayTakeLater(t *Task) bool {
 	return slices.ContainsFunc(r.planner.ordered, func(v *vm) bool {
-		if t.avoids(v) {
+		if t.avoids(v) || r.planner.config.Out[v.Zone] || !r.ready.definition().Reservation().Fits(v.Capacity) {
 			return false
 		}
 		switch r.planner.stepObstacle(v, r.shape.pool, r.ready, r.now) {
