--- a/minder/lease.go
+++ b/minder/lease.go
@@ -358,7 +358,7 @@
 func (m *Minder) startObstacle(r *run, until time.Time, unanswered bool) (reason plantainrail.RefusalReason, wait bool) {
 	now := m.Now()
 	settled := now.After(r.orderedAt.Add(settleTime))
-	capacityKnown := now.Sub(m.heartbeatAt) <= m.HeartbeatInterval+heartbeatDelay
+	capacityKnown := m.capacityKnown()
 	// A run that was ordered before may be running until a newer list shows that it is not.
 	mayRun := r.reordered && m.listedPoll <= r.orderedPoll
 	fits := m.fits(r)
@@ -376,6 +376,12 @@
 	return "", m.pollFailed || !capacityKnown || !fits || m.leaseDeadline() == 0
 }
 
+// capacityKnown reports whether the current incarnation has sent a heartbeat recently. The caller
+// holds the lock.
+func (m *Minder) capacityKnown() bool {
+	return m.Now().Sub(m.heartbeatAt) <= m.HeartbeatInterval+heartbeatDelay
+}
+
 // fits reports whether the worker has room for a run, according to its newest heartbeat,
 // beside all others that may be running. If so, the run holds that room from then on. Runs
 // that were not ordered to start hold an unknown room until they are stopped. The caller holds
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -258,7 +258,7 @@
 // recordHeartbeat records the worker's description, and reports it to the owner if it has
 // changed. The caller holds the lock.
 func (m *Minder) recordHeartbeat(h plantainrail.Heartbeat) {
-	before, incarnation, first := m.vm, h.VM.Incarnation, m.heartbeatAt.IsZero()
+	before, incarnation, first, known := m.vm, h.VM.Incarnation, m.heartbeatAt.IsZero(), m.capacityKnown()
 	m.vm, m.heartbeatAt = h.VM, m.Now()
 	if !h.VM.Draining {
 		// The deregistration came from another writer: a worker drains before its end.
@@ -276,7 +276,7 @@
 	case first:
 		// Starts on a new incarnation wait for its first lease.
 		m.renew()
-	case !reflect.DeepEqual(h.VM, before):
+	case !known || !reflect.DeepEqual(h.VM, before):
 		// The owner places tasks by this description and must not learn of a change only
 		// with the next renewal.
 		m.report(linker.WorkReport{})
@@ -396,7 +396,7 @@
 	r.VM = m.vm
 	// An unreachable worker, or one of unknown capacity, is reported as draining, so that it
 	// gets no new runs.
-	r.VM.Draining = r.VM.Draining || m.unreachable || m.heartbeatAt.IsZero()
+	r.VM.Draining = r.VM.Draining || m.unreachable || !m.capacityKnown()
 	r.VM.StartedLast = m.crashes.startedLast(m.unreachable, m.ordersComplete)
 	r.VM.FillersPaused = m.pacing.pacer.Pace() != pacer.FullPace
 	// Send fails only if the session has ended. The next session begins with the
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -81,6 +81,8 @@
 	born       int64
 	clockError time.Duration
 	crashed    bool
+	// muted is set while no heartbeats are sent.
+	muted bool
 	// epoch is the highest fencing token of the calls to this incarnation; calls with
 	// a lower one are rejected.
 	epoch int64
@@ -218,6 +220,13 @@
 	r.state = "draining"
 }
 
+// Mute makes the worker send no heartbeats, or send them again. It still answers calls.
+func (r *Worker) Mute(muted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.muted = muted
+}
+
 // DelayStarts sets a delay after which calls that start runs are executed. These calls
 // get no response. 0 turns this off.
 func (r *Worker) DelayStarts(delay time.Duration) {
@@ -296,9 +305,9 @@
 		"service": r.service, "address": r.address, "zone": r.zone, "state": r.state, "sequence": sequence,
 		"capacity": map[string]int{"cpu": 1000 * r.maxRuns, "memMb": 64_000}, "labels": []string{"a", "r1-1"}, "born": r.born,
 	})
-	crashed := r.crashed
+	silent := r.crashed || r.muted
 	r.mu.Unlock()
-	if err != nil || crashed {
+	if err != nil || silent {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
