--- a/minder/session.go
+++ b/minder/session.go
@@ -209,7 +209,7 @@
 	return ctx.Err()
 }
 
-// renew asks the owner for a renewal of the lease and reports the runs whose
+// renew asks the owner for a renewal of the lease and reports the runs that are new or whose
 // checkpoint has changed since the last request of this session. It does nothing without
 // a session or if the worker is unreachable or has departed. The caller holds the lock.
 func (m *Minder) renew() {
@@ -226,7 +226,7 @@
 	var changed []plantainrail.RunStatus
 	for ref, status := range m.running {
 		current[ref] = status
-		if status.Checkpoint != m.reportedStatus[ref].Checkpoint {
+		if reported, known := m.reportedStatus[ref]; !known || status.Checkpoint != reported.Checkpoint {
 			changed = append(changed, status)
 		}
 	}
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -59,6 +59,7 @@
 		}
 		run.task.Crashes++
 		run.job.crashed = true
+		p.markStarted(run.job)
 		if run.task.Crashes >= maxCrashes && !run.job.State.Final() {
 			failed = run.job
 		}
--- a/planner/interference_test.go
+++ b/planner/interference_test.go
@@ -112,6 +112,8 @@
 	assert.Equal(m.t, len(plan.Stops), 0, "placement must not stop runs")
 	for _, a := range plan.Assignments {
 		m.assignments = append(m.assignments, fmt.Sprint(a.Order.Ref.Task, " on ", a.Incarnation.Node))
+		// The agent lists the run.
+		m.planner.RecordCheckpoints(a.Incarnation, []plantainrail.RunStatus{{Ref: a.Order.Ref}})
 		step := m.planner.Book.Job(a.Order.Ref.Task.Job).Steps[a.Order.Ref.Task.Step]
 		vm := m.vms[a.Incarnation]
 		run := modelRun{ref: a.Order.Ref, image: step.Image, cores: float64(step.CPU) / 1000}
--- a/planner/job.go
+++ b/planner/job.go
@@ -97,7 +97,7 @@
 	State State
 	// CancelRequested is set once a client's cancel is in the store.
 	CancelRequested bool
-	// Started is set once any task has been placed.
+	// Started is set once a run of any task is known to have begun.
 	Started bool
 	// occurrences holds, by number, the occurrences that have begun; those that
 	// have ended are empty. Occurrences() counts all, also those to come.
@@ -121,7 +121,7 @@
 }
 
 // PublicState returns the state that is reported to clients: a job counts as
-// cancelled as soon as this is requested, and as running once a task was placed.
+// cancelled as soon as this is requested, and as running once a task has begun.
 func (j *Job) PublicState() State { return publicState(j.State, j.CancelRequested, j.Started) }
 
 func publicState(state State, cancelRequested, started bool) State {
--- a/planner/place.go
+++ b/planner/place.go
@@ -149,7 +149,6 @@
 			checkpoint = t.Checkpoint
 		}
 	}
-	started := ready.job.Started
 	savedTasks := slices.Clone(tasks)
 	var out []Assignment
 	r := p.rate(ready, p.shapeOf(ready, now), now)
@@ -165,7 +164,6 @@
 			}
 			copy(tasks, savedTasks)
 			ready.job.occurrences[ready.occurrence][ready.step] = newStepTasks(tasks)
-			ready.job.Started = started
 			return nil
 		}
 		t.Checkpoint = checkpoint
@@ -180,7 +178,6 @@
 func (p *Planner) assign(v *vm, j *Job, id plantainrail.TaskID, t *Task, run int64, now time.Time) Assignment {
 	j.setPhase(id, Placed)
 	t.Run, t.Incarnation = run, v.Incarnation
-	j.Started = true
 	p.markChanged(j)
 	v.addRun(j, id, t, false)
 	placed := v.runs[plantainrail.RunRef{Task: id, Run: run}]
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -297,8 +297,8 @@
 	}
 }
 
-// RecordCheckpoints records the checkpoints of the runs that a worker lists. They
-// are stored with the job's next change.
+// RecordCheckpoints records the checkpoints of the runs that a worker lists, which have begun.
+// The checkpoints are stored with the job's next change.
 func (p *Planner) RecordCheckpoints(incarnation plantainrail.WorkerIncarnation, running []plantainrail.RunStatus) {
 	v := p.vms[incarnation]
 	if v == nil {
@@ -309,6 +309,7 @@
 		if run == nil {
 			continue
 		}
+		p.markStarted(run.job)
 		if status.Checkpoint != "" {
 			run.task.Checkpoint = status.Checkpoint
 		}
@@ -394,6 +395,7 @@
 // without a failure.
 func (p *Planner) handleRunEnd(v *vm, run *placedRun, end plantainrail.RunEnd, now time.Time) {
 	j, t, step := run.job, run.task, run.step()
+	p.markStarted(j)
 	if end.Checkpoint != "" {
 		t.Checkpoint = end.Checkpoint
 	}
@@ -502,6 +504,14 @@
 
 func (p *Planner) markChanged(j *Job) { p.changed[j.ID] = j }
 
+// markStarted records that a run of the job has begun.
+func (p *Planner) markStarted(j *Job) {
+	if !j.Started {
+		j.Started = true
+		p.markChanged(j)
+	}
+}
+
 // deactivateIfIdle removes a job from the active ones once it is in a final
 // state and none of its tasks is placed.
 func (p *Planner) deactivateIfIdle(j *Job) {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -250,6 +250,7 @@
 	again := h.tick().Assignments
 	assert.Equal(t, len(again), 1)
 	assert.Equal(t, again[0].Incarnation, restarted.Incarnation)
+	h.planner.RecordCheckpoints(restarted.Incarnation, []plantainrail.RunStatus{{Ref: again[0].Order.Ref}})
 	h.reportEnd(run, 1, plantainrail.RunDone)
 	assert.Equal(t, h.state("job"), planner.Running, "an end from the earlier incarnation must be ignored")
 }
@@ -538,3 +539,43 @@
 	assert.Equal(t, len(again), 1)
 	assert.Equal(t, again[0].Incarnation.Node, "b")
 }
+
+// Guards against jobs that no longer count as pending (MIXED) although none of their tasks has
+// begun: their runs were refused, or lost with a worker before they began.
+func TestJobIsPendingUntilATaskHasBegun(t *testing.T) {
+	vm := newVM("a", 4000)
+	for _, c := range []struct {
+		name string
+		lose func(h *harness, first planner.Assignment)
+		want planner.State
+	}{
+		{"refused", func(h *harness, first planner.Assignment) {
+			h.planner.ApplyRefusal(first.Incarnation, first.Order.Ref, plantainrail.RefusedUnhealthy, h.now)
+		}, planner.Queued},
+		{"lost before it began", func(h *harness, first planner.Assignment) { h.planner.RemoveWorker(first.Incarnation, h.now) }, planner.Queued},
+		{"lost just after it began", func(h *harness, first planner.Assignment) {
+			reborn := vm
+			reborn.Incarnation.StartedMS++
+			reborn.StartedLast = []plantainrail.RunRef{first.Order.Ref}
+			reborn.Draining = true
+			h.report(reborn)
+		}, planner.Running},
+		{"lost while it ran", func(h *harness, first planner.Assignment) {
+			h.planner.RecordCheckpoints(first.Incarnation, []plantainrail.RunStatus{{Ref: first.Order.Ref}})
+			h.planner.RemoveWorker(first.Incarnation, h.now)
+		}, planner.Running},
+		{"lapsed", func(h *harness, first planner.Assignment) {
+			h.reportEnd(first, 1, plantainrail.RunLeaseExpired)
+			h.planner.RemoveWorker(first.Incarnation, h.now)
+		}, planner.Running},
+	} {
+		h := newHarness(t, vm)
+		h.submit("job", plantainrail.Step{Count: 1, CPU: 1000})
+		first := h.tick().Assignments
+		assert.Equal(t, h.state("job"), planner.Queued, "a task that is placed has not begun")
+		c.lose(h, first[0])
+		h.tick()
+		assert.Equal(t, h.state("job"), c.want, c.name)
+		assert.Equal(t, h.takeOver().state("job"), c.want, "%s, after a takeover", c.name)
+	}
+}
