--- a/assembler/fleet_crash_test.go
+++ b/assembler/fleet_crash_test.go
@@ -1,6 +1,7 @@
 package assembler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,3 +53,42 @@
 		})
 	}
 }
+
+// Guards against sound jobs that are given up (LOST) in place of the one whose task crashes the
+// workers (BUDGET), if these crash some time after its start: it must be told from the tasks that
+// are started after it.
+func TestLateCrashCountsAgainstItsCause(t *testing.T) {
+	const (
+		deadlyJob = 50
+		soundJobs = 5
+		// maxStarts are three starts under which workers crash, and two more.
+		maxStarts = 5
+	)
+	for _, delay := range []time.Duration{60 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond} {
+		for _, vms := range []int{1, 2} {
+			t.Run(fmt.Sprint(delay, " on ", vms), func(t *testing.T) {
+				shape := smallFleet
+				shape.vms = vms
+				runInFleet(t, shape, func(f *fleet) {
+					for n := range soundJobs {
+						f.submit(n, "", []map[string]any{{"count": 1, "cpu": 1000, "longRunning": true}})
+					}
+					f.submit(deadlyJob, fmt.Sprint("crash ", delay.Milliseconds()), oneTask)
+					f.waitForState(deadlyJob, "failed", 45*time.Second)
+					starts := 0
+					for _, v := range f.vms {
+						for _, s := range v.worker.History() {
+							if runner.JobID(s.Task) == jobID(deadlyJob) {
+								starts++
+							}
+						}
+					}
+					assert.Assert(t, starts <= maxStarts, "%d starts", starts)
+					for n := range soundJobs {
+						f.waitForState(n, "in_progress", time.Second)
+					}
+				})
+			})
+		}
+	}
+}
--- a/minder/crash.go
+++ b/minder/crash.go
@@ -30,6 +30,18 @@
 
 func newStartSlots() startSlots { return startSlots{semaphore.NewWeighted(maxConcurrentStarts)} }
 
+// quietTimes returns how long before and after the start of a run no other run is started. An
+// isolated start is the only one that a break can count against.
+func quietTimes(o plantainrail.RunOrder) (before, after time.Duration) {
+	switch {
+	case o.Isolated:
+		return breakDelay, breakDelay
+	case o.Alone:
+		return batchTime, aloneTime
+	}
+	return 0, 0
+}
+
 // acquire waits until the run may be started, and returns the function that lets the next
 // runs start.
 func (s startSlots) acquire(r *run) (release func()) {
--- a/minder/crash_test.go
+++ b/minder/crash_test.go
@@ -44,7 +44,7 @@
 			withWorker(t, func(t *testing.T, m *Minder, _ *fakeWorker) {
 				current := knownVM(m).Incarnation
 				m.noteStart(current, refForJob("sound"), m.Now(), nil)
-				time.Sleep(aloneTime)
+				time.Sleep(2 * batchTime)
 				sentAt := m.Now()
 				time.Sleep(time.Millisecond)
 				m.renewLeaseFailed(current, 1, io.ErrUnexpectedEOF)
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -261,16 +261,17 @@
 	incarnation := m.vm.Incarnation
 	go func() {
 		release := m.starts.acquire(r)
-		if r.order.Alone && m.wants(incarnation, r) {
+		before, after := quietTimes(r.order)
+		if before > 0 && m.wants(incarnation, r) {
 			// Starts just before must be told apart from this one.
-			_ = clocker.Sleep(context.Background(), batchTime)
+			_ = clocker.Sleep(context.Background(), before)
 		}
 		// A start that had to wait for its turn is tried, but does not hold up the next ones
 		// for as long.
 		until := later(r.orderedAt.Add(startTimeout), m.Now().Add(workerRetryDelay))
 		refusal := m.startRun(incarnation, r, until)
-		if r.order.Alone && refusal == nil && m.wants(incarnation, r) {
-			_ = clocker.Sleep(context.Background(), aloneTime)
+		if after > 0 && refusal == nil && m.wants(incarnation, r) {
+			_ = clocker.Sleep(context.Background(), after)
 		}
 		release()
 		if refusal != nil {
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -58,7 +58,7 @@
 	step := r.step()
 	order := plantainrail.RunOrder{
 		Ref: r.ref(), Spec: r.job.Spec, Checkpoint: r.task.Checkpoint, Filler: step.Filler, TailObjective: step.TailObjective,
-		Alone: r.task.suspect(), Reservation: step.Reservation(),
+		Alone: r.task.suspect(), Isolated: r.task.Crashes >= maxCrashes-1, Reservation: step.Reservation(),
 	}
 	if step.Filler {
 		order.Image = step.Image
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -24,7 +24,7 @@
 	// stopDuration is the time from the first call that stops a run to the end of
 	// the run.
 	stopDuration = 300 * time.Millisecond
-	// crashDelay is the time from the start of a run that crashes the worker to the crash,
+	// crashDelay is the usual time from the start of a run that crashes the worker to the crash,
 	// and crashDowntime the time from there to the restart.
 	crashDelay    = 10 * time.Millisecond
 	crashDowntime = 3200 * time.Millisecond
@@ -53,8 +53,9 @@
 }
 
 // Worker is a simulated worker on one VM. The spec of a task is its duration in
-// milliseconds, "fail" for a task that fails after 100 ms, or "crash" for a task that crashes
-// the worker. A task with an empty spec runs until it is stopped.
+// milliseconds, "fail" for a task that fails after 100 ms, "crash" for a task that crashes
+// the worker, or "crash" and the milliseconds until it does so. A task with an empty spec runs
+// until it is stopped.
 type Worker struct {
 	id, service, zone, address string
 	// agentAddress is the address of the agent that receives the heartbeats.
@@ -456,6 +457,16 @@
 	}
 }
 
+// crashDelayOf returns the time from the start of a run to the crash of the worker; ok is false
+// for a spec that does not crash it.
+func crashDelayOf(spec string) (delay time.Duration, ok bool) {
+	rest, ok := strings.CutPrefix(spec, "crash")
+	if ms, err := strconv.Atoi(strings.TrimSpace(rest)); err == nil {
+		return time.Duration(ms) * time.Millisecond, ok
+	}
+	return crashDelay, ok
+}
+
 // startRun extends the lease and starts a run. It returns an empty string, or the reason
 // of a rejection: "old" for a stale run number, "late" without a valid lease, and "room"
 // if maxRuns runs are active and the worker guards its capacity. Starting an active run
@@ -488,8 +499,8 @@
 		duration = time.Duration(ms) * time.Millisecond
 	}
 	incarnation := r.incarnation
-	if c.Spec == "crash" {
-		time.AfterFunc(crashDelay, func() { r.crashAndRestart(incarnation) })
+	if delay, deadly := crashDelayOf(c.Spec); deadly {
+		time.AfterFunc(delay, func() { r.crashAndRestart(incarnation) })
 	}
 	s.timer = time.AfterFunc(duration, func() {
 		r.mu.Lock()
@@ -564,8 +575,8 @@
 		r.mu.Lock()
 	}
 	if r.incarnation != incarnation {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		// The end of the worker has broken the connection.
+		panic(http.ErrAbortHandler)
 	}
 	// Each active run is reported with its task, run, checkpoint (always empty),
 	// percentage of the work done (always 50) and measured processor use (always 0);
--- a/work.go
+++ b/work.go
@@ -267,6 +267,9 @@
 	Alone bool `cbor:"6,keyasint,omitempty"`
 	// Reservation is what the run takes of the worker's capacity.
 	Reservation Resources `cbor:"7,keyasint"`
+	// Isolated means that the job fails if the worker crashes under this run, so that no
+	// other start may be the cause. It is set only beside Alone.
+	Isolated bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Worker runs tasks on one VM. Each call carries the worker incarnation that it is
