--- a/assembler/fleet_crash_test.go
+++ b/assembler/fleet_crash_test.go
@@ -10,13 +10,27 @@
 	"github.com/plantainrail/plantainrail/standin/runner"
 )
 
+// checkDeadlyStarts fails the test if the tasks of a job that crashes workers were started more often
+// than the platform allows: three starts under which workers crash, and two more.
+func (f *fleet) checkDeadlyStarts(job int) {
+	f.t.Helper()
+	const maxStarts = 5
+	starts := 0
+	for _, v := range f.vms {
+		for _, s := range v.worker.History() {
+			if runner.JobID(s.Task) == jobID(job) {
+				starts++
+			}
+		}
+	}
+	assert.Assert(f.t, starts <= maxStarts, "%d starts", starts)
+}
+
 // Guards against a task that crashes one worker after another (BUDGET): its job must fail, also
 // across a change of the owner, and the tasks beside it must complete.
 func TestDeadlyTaskIsGivenUp(t *testing.T) {
 	const (
 		deadlyJob = 50
-		// maxStarts are three starts under which workers crash, and two more.
-		maxStarts = 5
 		// limit allows for three crashes, the time until each worker is back, and a lease.
 		limit = 30 * time.Second
 	)
@@ -39,15 +53,7 @@
 				for n := range 6 {
 					f.waitForState(n, "completed", limit)
 				}
-				starts := 0
-				for _, v := range f.vms {
-					for _, s := range v.worker.History() {
-						if runner.JobID(s.Task) == jobID(deadlyJob) {
-							starts++
-						}
-					}
-				}
-				assert.Assert(t, starts <= maxStarts, "%d starts", starts)
+				f.checkDeadlyStarts(deadlyJob)
 				f.checkRuns()
 			})
 		})
@@ -61,8 +67,6 @@
 	const (
 		deadlyJob = 50
 		soundJobs = 5
-		// maxStarts are three starts under which workers crash, and two more.
-		maxStarts = 5
 	)
 	for _, delay := range []time.Duration{60 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond} {
 		for _, vms := range []int{1, 2} {
@@ -75,15 +79,7 @@
 					}
 					f.submit(deadlyJob, fmt.Sprint("crash ", delay.Milliseconds()), oneTask)
 					f.waitForState(deadlyJob, "failed", 45*time.Second)
-					starts := 0
-					for _, v := range f.vms {
-						for _, s := range v.worker.History() {
-							if runner.JobID(s.Task) == jobID(deadlyJob) {
-								starts++
-							}
-						}
-					}
-					assert.Assert(t, starts <= maxStarts, "%d starts", starts)
+					f.checkDeadlyStarts(deadlyJob)
 					for n := range soundJobs {
 						f.waitForState(n, "in_progress", time.Second)
 					}
@@ -92,3 +88,18 @@
 		}
 	}
 }
+
+// Guards against a task that crashes its workers long after each start (BUDGET).
+func TestCrashLongAfterStartIsCounted(t *testing.T) {
+	const deadlyJob = 50
+	for _, delay := range []time.Duration{300 * time.Millisecond, 2 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			runInFleet(t, smallFleet, func(f *fleet) {
+				f.submit(deadlyJob, fmt.Sprint("crash ", delay.Milliseconds()), oneTask)
+				time.Sleep(45 * time.Second)
+				f.checkDeadlyStarts(deadlyJob)
+				assert.Equal(t, f.jobState(deadlyJob), "failed")
+			})
+		})
+	}
+}
