--- a/minder/crash.go
+++ b/minder/crash.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// aloneTime is how long after the start of a run alone no other run is started. A task
-	// that crashes its worker does so within that time.
+	// aloneTime is how long after the start of a run alone no other run is started. Most
+	// tasks that crash their worker do so within that time.
 	aloneTime = 100 * time.Millisecond
 	// maxConcurrentStarts is the weight of a start alone in startSlots.
 	maxConcurrentStarts = 1 << 20
--- /dev/null
+++ b/minder/start.go
@@ -0,0 +1,296 @@
+package minder
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
+	"github.com/plantainrail/plantainrail/linker"
+)
+
+const (
+	// startTimeout is how long a start is retried. If the worker has not accepted it by
+	// then, the start is cancelled.
+	startTimeout = 1500 * time.Millisecond
+	// heartbeatDelay is how long after the interval of the heartbeats the newest one still
+	// counts when a run is started. The capacity that it shows may have changed since.
+	heartbeatDelay = 1500 * time.Millisecond
+	// settleTime is how long a start waits for room or for the next RenewLease call after a
+	// failed one. The end of a run that the owner knows from elsewhere may not be listed yet.
+	settleTime = 2 * workerRetryDelay
+	// callTimeout bounds one call that starts, stops or paces a run.
+	callTimeout = 300 * time.Millisecond
+)
+
+// start starts a run on the worker in the background, and cancels the start if it is refused.
+// The caller holds the lock.
+func (m *Minder) start(r *run) {
+	incarnation := m.vm.Incarnation
+	go func() {
+		release := m.starts.acquire(r)
+		before, after := quietTimes(r.order)
+		if before > 0 && m.wants(incarnation, r) {
+			// Starts just before must be told apart from this one.
+			_ = clocker.Sleep(context.Background(), before)
+		}
+		// A start that had to wait for its turn is tried, but does not hold up the next ones
+		// for as long.
+		until := later(r.orderedAt.Add(startTimeout), m.Now().Add(workerRetryDelay))
+		refusal := m.startRun(incarnation, r, until)
+		if after > 0 && refusal == nil && m.wants(incarnation, r) {
+			_ = clocker.Sleep(context.Background(), after)
+		}
+		release()
+		if refusal != nil {
+			m.refuseStart(incarnation, r, *refusal)
+		}
+	}()
+}
+
+// wants reports whether a run is still to be started on the incarnation of the worker.
+func (m *Minder) wants(incarnation plantainrail.WorkerIncarnation, r *run) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.superseded(incarnation) && m.orderedRuns[r.order.Ref] == r && !m.stopping[r.order.Ref]
+}
+
+// later returns the later one of two instants.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// startRefusal tells why a run is not started. Unanswered is set if the worker may still
+// execute an earlier try.
+type startRefusal struct {
+	reason     plantainrail.RefusalReason
+	unanswered bool
+}
+
+// startRun sends a start to the worker and repeats it until the worker accepts or
+// refuses it or the run is to be stopped. It returns a refusal if the worker refuses the
+// run, the worker's capacity is too small, the VM is draining or the given time has passed,
+// and otherwise nil. The time limit also bounds the wait for a lease renewal: a start must
+// not be sent after the owner has declared the worker lost.
+func (m *Minder) startRun(incarnation plantainrail.WorkerIncarnation, r *run, until time.Time) *startRefusal {
+	ref := r.order.Ref
+	// unanswered is set if the worker may still execute an earlier try. A run that was
+	// ordered again may have been tried by a previous process of this agent.
+	unanswered := r.reordered
+	for {
+		m.mu.Lock()
+		if m.superseded(incarnation) || m.orderedRuns[ref] != r || m.stopping[ref] {
+			m.mu.Unlock()
+			return nil
+		}
+		if _, listed := m.running[ref]; listed {
+			// An earlier try was executed.
+			m.mu.Unlock()
+			return nil
+		}
+		epoch, deadline := m.epoch, m.leaseDeadline()
+		reason, wait := m.startObstacle(r, until, unanswered)
+		m.mu.Unlock()
+		switch {
+		case reason != "":
+			return &startRefusal{reason, unanswered}
+		case wait:
+			_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		sentAt := m.Now()
+		err := m.Worker.Start(ctx, incarnation, epoch, r.order, deadline)
+		cancel()
+		m.noteStart(incarnation, ref, sentAt, err)
+		var refusal *plantainrail.RefusedError
+		switch {
+		case err == nil:
+			m.mu.Lock()
+			m.applyPace(r)
+			m.mu.Unlock()
+			return nil
+		case errors.As(err, &refusal):
+			return &startRefusal{refusal.Reason, unanswered}
+		}
+		unanswered = true
+		m.Logger.Warn("start not answered", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Error(err))
+		_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
+	}
+}
+
+// startObstacle returns the reason for which a run must be refused now, if any, or reports
+// whether its start has to wait. The caller holds the lock.
+func (m *Minder) startObstacle(r *run, until time.Time, unanswered bool) (reason plantainrail.RefusalReason, wait bool) {
+	now := m.Now()
+	settled := now.After(r.orderedAt.Add(settleTime))
+	capacityKnown := m.capacityKnown()
+	// A run that was ordered before may be running until a newer list shows that it is not.
+	mayRun := r.reordered && m.listedPoll <= r.orderedPoll
+	fits := m.fits(r)
+	switch {
+	case m.vm.Draining:
+		return plantainrail.RefusedDraining, false
+	case now.After(until):
+		return plantainrail.RefusedNoResponse, false
+	case m.pollFailed && settled && !unanswered:
+		return plantainrail.RefusedUnhealthy, false
+	case !fits && settled && capacityKnown && !mayRun:
+		return plantainrail.RefusedCapacity, false
+	}
+	// Without a deadline, the start waits for a renewal of the lease.
+	return "", m.pollFailed || !capacityKnown || !fits || m.leaseDeadline() == 0
+}
+
+// capacityKnown reports whether the current incarnation has sent a heartbeat recently. The caller
+// holds the lock.
+func (m *Minder) capacityKnown() bool {
+	return m.Now().Sub(m.heartbeatAt) <= m.HeartbeatInterval+heartbeatDelay
+}
+
+// fits reports whether the worker has room for a run, according to its newest heartbeat,
+// beside all others that may be running. If so, the run holds that room from then on. Runs
+// that were not ordered to start hold an unknown room until they are stopped. The caller holds
+// the lock.
+func (m *Minder) fits(r *run) bool {
+	for ref := range m.running {
+		if other := m.orderedRuns[ref]; other == nil || other.sizeUnknown {
+			return false
+		}
+	}
+	needed := r.order.Reservation
+	for _, other := range m.orderedRuns {
+		if other != r && other.holdsRoom {
+			needed = needed.Add(other.order.Reservation)
+		}
+	}
+	fits := needed.Fits(m.vm.Capacity)
+	r.holdsRoom = r.holdsRoom || fits
+	return fits
+}
+
+// refuseStart reports to the owner that a run was not started. It first cancels the start
+// if the worker may still execute an earlier try, and for those reasons after which the
+// owner may place the next run on the VM at once.
+func (m *Minder) refuseStart(incarnation plantainrail.WorkerIncarnation, r *run, refusal startRefusal) {
+	switch refusal.reason {
+	case plantainrail.RefusedCapacity, plantainrail.RefusedUnhealthy, plantainrail.RefusedDraining, plantainrail.RefusedNoResponse:
+		if !refusal.unanswered {
+			m.reportRefusal(incarnation, r, refusal.reason)
+			return
+		}
+	}
+	m.cancelStart(incarnation, r, refusal.reason)
+}
+
+// cancelStart prevents a run from starting and reports the refusal to the owner. It
+// stops the run even if the worker has refused the start: the worker may execute an
+// earlier try seconds later, even one that a previous process of this agent sent.
+func (m *Minder) cancelStart(incarnation plantainrail.WorkerIncarnation, r *run, reason plantainrail.RefusalReason) {
+	ref := r.order.Ref
+	m.mu.Lock()
+	if m.vm.Incarnation != incarnation || m.orderedRuns[ref] != r {
+		m.mu.Unlock()
+		return
+	}
+	m.stopping[ref] = true
+	m.mu.Unlock()
+	if m.stopRun(incarnation, ref) {
+		m.refuseAfterListing(incarnation, r, reason)
+	}
+}
+
+// refuseAfterListing reports to the owner that a run was not started. It first
+// waits for the worker's reply to a RenewLease call that was sent after the stop,
+// since a run that did start is listed in that reply. It reports nothing if the run is
+// no longer among the ordered runs by then.
+func (m *Minder) refuseAfterListing(incarnation plantainrail.WorkerIncarnation, r *run, reason plantainrail.RefusalReason) {
+	m.mu.Lock()
+	since := m.polls
+	if _, listed := m.running[r.order.Ref]; !listed {
+		m.wantListing()
+	}
+	m.mu.Unlock()
+	for {
+		m.mu.Lock()
+		obsolete := m.superseded(incarnation) || m.orderedRuns[r.order.Ref] != r
+		listed := m.listedPoll > since
+		m.mu.Unlock()
+		switch {
+		case obsolete:
+			return
+		case listed:
+			m.reportRefusal(incarnation, r, reason)
+			return
+		}
+		_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
+	}
+}
+
+// reportRefusal reports to the owner that a run was not started and never will
+// be. It does nothing if the worker lists the run, since its end will be reported.
+func (m *Minder) reportRefusal(incarnation plantainrail.WorkerIncarnation, r *run, reason plantainrail.RefusalReason) {
+	ref := r.order.Ref
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.vm.Incarnation != incarnation || m.orderedRuns[ref] != r {
+		return
+	}
+	if _, listed := m.running[ref]; listed {
+		return
+	}
+	delete(m.orderedRuns, ref)
+	delete(m.stopping, ref)
+	m.Logger.Info("run refused", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.String("reason", string(reason)))
+	m.report(linker.WorkReport{Refused: []linker.RunRefusal{{Ref: ref, Reason: reason}}})
+}
+
+// stop stops a run in the background. A run that the owner has ordered but that was
+// never started has no end, so a refusal is reported to the owner instead. The reason
+// is only logged. The caller holds the lock.
+func (m *Minder) stop(ref plantainrail.RunRef, reason string) {
+	if m.stopping[ref] {
+		return
+	}
+	m.stopping[ref] = true
+	r := m.orderedRuns[ref]
+	incarnation := m.vm.Incarnation
+	// The event is logged when the stop begins, not when the run has ended.
+	m.Logger.Info("run stopped", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.String("reason", reason))
+	go func() {
+		if m.stopRun(incarnation, ref) && r != nil {
+			m.refuseAfterListing(incarnation, r, plantainrail.RefusedNoResponse)
+		}
+	}()
+}
+
+// stopRun sends a stop to the worker and repeats it until the worker has confirmed it,
+// the run has ended, the incarnation is no longer the current one or the agent has
+// stopped. It reports whether the worker has confirmed the stop. A refusal with
+// RefusedStaleRun counts as confirmed, since the run has ended or was stopped before.
+func (m *Minder) stopRun(incarnation plantainrail.WorkerIncarnation, ref plantainrail.RunRef) bool {
+	for {
+		m.mu.Lock()
+		obsolete, epoch := m.superseded(incarnation) || !m.stopping[ref], m.epoch
+		m.mu.Unlock()
+		if obsolete {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		err := m.Worker.Stop(ctx, incarnation, epoch, ref)
+		cancel()
+		var refused *plantainrail.RefusedError
+		if err == nil || errors.As(err, &refused) && refused.Reason == plantainrail.RefusedStaleRun {
+			return true
+		}
+		// The call failed, or the worker refused the stop for another reason.
+		m.Logger.Warn("stop not answered", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Error(err))
+		_ = clocker.Sleep(context.Background(), workerRetryDelay)
+	}
+}
