--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -42,6 +44,10 @@
 	stop    context.CancelFunc
 	store   *store
 	client  *http.Client
+	// stopDelay is added to the 0.3 s that the stand-in workers take for a stop.
+	stopDelay time.Duration
+	// racks holds the racks of VMs by name, if they have different ones.
+	racks map[string]string
 
 	mu     sync.Mutex
 	record io.Writer
@@ -119,18 +125,27 @@
 	return l.Addr().String(), nil
 }
 
+const (
+	// firstPort and lastPort bound the ports of the processes. They are below the range from which
+	// systems take the ports of outgoing connections, which could take a port during a restart.
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
 // freePorts returns addresses of ports that are free now.
 func freePorts(n int) ([]string, error) {
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 * n {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
+		if out = append(out, l.Addr().String()); len(out) == n {
+			return out, nil
+		}
 	}
-	return out, nil
+	return nil, fmt.Errorf("no %d free ports", n)
 }
 
 // addProcess writes the settings of a process and starts it.
@@ -212,7 +227,7 @@
 	if err != nil {
 		return nil, err
 	}
-	link := &heartbeatLink{agentAddress: agent.heartbeat, client: newClient()}
+	link := &heartbeatLink{agentAddress: agent.heartbeat, client: newClient(), rack: f.racks[name]}
 	linkAddress, err := f.serve(link)
 	if err != nil {
 		return nil, err
@@ -221,12 +236,38 @@
 		ID: "w-" + name, Service: pool, Zone: zone, Address: workerAddress, AgentAddress: linkAddress,
 		Client: newClient(), MaxRuns: maxRuns, HeartbeatInterval: heartbeatInterval,
 	})}
-	handler.set(v.worker)
+	handler.set(&slowStopper{v.worker, f.stopDelay})
 	go v.worker.Run(f.ctx)
 	f.vms = append(f.vms, v)
 	return v, nil
 }
 
+// slowStopper answers a call that stops a run at once, and passes it on to the worker after a
+// delay, so that the stop takes longer.
+type slowStopper struct {
+	worker http.Handler
+	delay  time.Duration
+}
+
+func (s *slowStopper) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if s.delay == 0 || req.URL.Path != "/run-stop" {
+		s.worker.ServeHTTP(w, req)
+		return
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	later := req.Clone(context.WithoutCancel(req.Context()))
+	later.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(s.delay, func() { s.worker.ServeHTTP(httptest.NewRecorder(), later) })
+	// The stand-in answers calls that it does not simulate with the same checks and fields.
+	now := req.Clone(req.Context())
+	now.Body, now.URL.Path = io.NopCloser(bytes.NewReader(body)), "/checked"
+	s.worker.ServeHTTP(w, now)
+}
+
 // lateHandler is a handler that is set after its server has started.
 type lateHandler struct {
 	mu sync.Mutex
@@ -254,7 +295,9 @@
 // partition does.
 type heartbeatLink struct {
 	agentAddress string
-	client       *http.Client
+	// rack is the VM's rack. The stand-in workers name the same one for all.
+	rack   string
+	client *http.Client
 
 	mu       sync.Mutex
 	holdNext bool
@@ -263,6 +306,9 @@
 	delivered int
 }
 
+// standInRack is the rack of all stand-in workers.
+const standInRack = "r1-1"
+
 // heldHeartbeat is a heartbeat that has not reached the agent yet.
 type heldHeartbeat struct {
 	path string
@@ -275,6 +321,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if l.rack != "" {
+		body = bytes.ReplaceAll(body, []byte(standInRack), []byte(l.rack))
+	}
 	l.mu.Lock()
 	hold := l.holdNext
 	if hold {
@@ -343,6 +392,7 @@
 	Estimate     int    `json:"estimateMs,omitempty"`
 	DependsOn    []int  `json:"dependsOn,omitempty"`
 	Requirements string `json:"requirements,omitempty"`
+	Affinity     string `json:"affinity,omitempty"`
 	LongRunning  bool   `json:"longRunning,omitempty"`
 }
 
--- a/review/rig/heartbeat.go
+++ b/review/rig/heartbeat.go
@@ -6,9 +6,22 @@
 	"time"
 )
 
+const (
+	// stopTime is how long a worker takes for a stop, below stopTimeoutMs (900) of the first
+	// site. standInStopTime is what the project's stand-in takes.
+	stopTime        = 800 * time.Millisecond
+	standInStopTime = 300 * time.Millisecond
+	// dataRack is the rack of the other three workers, and longTasks the number of the tasks that
+	// run on the first one.
+	dataRack  = "r1-2"
+	longTasks = 4
+)
+
 // delayedHeartbeat checks that no task runs twice when the first heartbeat that a restarted
 // agent receives is one of the worker's previous life, which a partition has delayed.
 func delayedHeartbeat(f *fleet, trouble string) ([]string, error) {
+	f.stopDelay = stopTime - standInStopTime
+	f.racks = map[string]string{"vm-2": dataRack, "vm-3": dataRack, "vm-4": dataRack}
 	storeAddress, err := f.serve(f.store)
 	if err != nil {
 		return nil, err
@@ -31,15 +44,20 @@
 		f.note("the worker of %s is back under its ID", v.agent.name)
 	}
 	time.Sleep(8 * time.Second)
-	// The tasks take 40 s, so they run throughout the rest of the case.
-	id, err := f.submit(entry, job{Spec: "40000", Steps: []step{{Count: 16, CPU: 1000, Memory: 100, Estimate: 40000}}})
+	// The first job fills the workers in the rack of its data, so that the second one, whose tasks
+	// run throughout the rest of the case, gets the other worker. Later there is room in the rack.
+	if _, err := f.submit(entry, job{Spec: "5000", Steps: []step{{Count: 3 * maxRuns, CPU: 1000, Memory: 100, Estimate: 5000, Affinity: dataRack}}}); err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Second)
+	id, err := f.submit(entry, job{Spec: "40000", Steps: []step{{Count: longTasks, CPU: 1000, Memory: 100, Estimate: 40000, Affinity: dataRack}}})
 	if err != nil {
 		return nil, err
 	}
-	f.note("job %s of 16 tasks is accepted", id)
-	time.Sleep(4 * time.Second)
-	if n := len(f.runs(id)); n != 16 {
-		return nil, fmt.Errorf("%d of 16 tasks run", n)
+	f.note("job %s of %d tasks is accepted", id, longTasks)
+	time.Sleep(7 * time.Second)
+	if n := len(f.runs(id)); n != longTasks {
+		return nil, fmt.Errorf("%d of %d tasks run", n, longTasks)
 	}
 	if trouble != troubleNone {
 		// The worker's next heartbeat is due after the agent's restart.
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -39,6 +39,7 @@
 	"delayed-heartbeat": delayedHeartbeat,
 	"new-replica":       newReplica,
 	"large-job":         largeJob,
+	"full-store":        fullStore,
 	"silent-jobs":       silentJobs,
 }
 
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -10,14 +10,24 @@
 const (
 	// stuckJobs is the number of jobs that no worker can run, so that they stay pending.
 	stuckJobs = 40
+	// earlierJobs is the number of the completed jobs of earlier: what some 50 minutes of the
+	// traffic on the users' sheet leave. usualSpec is the mean length of a spec there.
+	earlierJobs = 20_000
+	usualSpec   = 600
 	// pollInterval is the time between two questions for the number of pending jobs.
-	pollInterval = 500 * time.Microsecond
+	pollInterval = 2 * time.Millisecond
 )
 
 // newReplica checks the number of pending jobs that an undisturbed entry gives while it takes
 // the place of its zone's other entry, which is stopped and started again.
 func newReplica(f *fleet, trouble string) ([]string, error) {
-	storeAddress, err := f.serve(f.store)
+	s := newLogStore()
+	s.put("keyed.op", "config", []byte(operatorConfig))
+	if _, err := s.fill(earlierJobs, usualSpec, maxStored); err != nil {
+		return nil, err
+	}
+	f.note("the store holds the records of %d completed jobs, %d bytes", earlierJobs, s.stored)
+	storeAddress, err := f.serve(s)
 	if err != nil {
 		return nil, err
 	}
