Log what an owner drops and what it had not read

A takeover on a part of the jobs could not be told from other causes of a task that counts as placed for good: an end that changes nothing was logged as "run ended" like any other, and "ownership gained" did not tell up to where the jobs were read.

The owner now logs "end dropped" for an end of a run that is not placed on the worker, with whether the job is known; "job read after its progress"; and with "ownership gained" the offset up to which the jobs were read and the number of jobs of which only the progress is known.

--- a/decider/owner.go
+++ b/decider/owner.go
@@ -202,7 +202,8 @@
 	defer o.mu.Unlock()
 	o.planner = planner.New(book, planner.Timeouts{Lease: LeaseDuration, TakeoverGrace: renewalWindow}, d.Now())
 	o.planner.Configure(d.configuration)
-	d.Logger.Info("ownership gained", zap.Int64("epoch", o.epoch), zap.Int64("offset", int64(end)))
+	d.Logger.Info("ownership gained", zap.Int64("epoch", o.epoch), zap.Int64("offset", int64(end)), zap.Int64("jobs", int64(d.jobsNext)),
+		zap.Int("unknown", book.UnknownProgress()))
 	return nil
 }
 
@@ -368,9 +369,13 @@
 		return
 	}
 	for _, r := range records {
+		unknown := o.planner.Book.UnknownProgress()
 		if err := o.planner.ApplyJob(r, o.decider.Now()); err != nil {
 			o.decider.Logger.Error("job unreadable", zap.String("key", r.Key), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
 		}
+		if o.planner.Book.UnknownProgress() < unknown {
+			o.decider.Logger.Error("job read after its progress", zap.String("key", r.Key), zap.Int64("offset", int64(r.Offset)))
+		}
 	}
 	o.requestRound()
 }
--- a/decider/session.go
+++ b/decider/session.go
@@ -159,7 +159,10 @@
 		// Such a report contains nothing else that is applied below.
 		return
 	}
-	o.planner.ApplyEnds(a.incarnation, r.Ended, now)
+	for _, end := range o.planner.ApplyEnds(a.incarnation, r.Ended, now) {
+		o.decider.Logger.Warn("end dropped", zap.Stringer("task", end.Ref.Task), zap.Int64("run", end.Ref.Run), zap.String("how", string(end.Outcome)),
+			zap.String("node", a.incarnation.Node), zap.Int64("number", end.Number), zap.Bool("known", o.planner.Book.Job(end.Ref.Task.Job) != nil))
+	}
 	for _, end := range r.Ended {
 		o.decider.Logger.Info("run ended", zap.Stringer("task", end.Ref.Task), zap.Int64("run", end.Ref.Run),
 			zap.String("how", string(end.Outcome)), zap.String("node", a.incarnation.Node), zap.Int64("number", end.Number))
--- a/planner/book.go
+++ b/planner/book.go
@@ -68,6 +68,9 @@
 // Job returns the job with the ID, or nil if it is unknown.
 func (b *Book) Job(id string) *Job { return b.jobs[id] }
 
+// UnknownProgress returns the number of jobs whose progress is known but whose submission is not.
+func (b *Book) UnknownProgress() int { return len(b.pendingProgress) }
+
 // addEnded adds a job that has ended and has no placed task. Its steps are not known.
 func (b *Book) addEnded(id string, state State) {
 	b.acceptedCount++
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -318,21 +318,26 @@
 
 // ApplyEnds applies the ends of runs that a worker lists, which must be in
 // ascending order of RunEnd.Number, and skips those that were applied before. The
-// caller may acknowledge them to the worker once the changes are stored.
-func (p *Planner) ApplyEnds(incarnation plantainrail.WorkerIncarnation, ends []plantainrail.RunEnd, now time.Time) {
+// caller may acknowledge them to the worker once the changes are stored. ApplyEnds
+// returns the ends of runs that are not placed on the worker; they change nothing.
+func (p *Planner) ApplyEnds(incarnation plantainrail.WorkerIncarnation, ends []plantainrail.RunEnd, now time.Time) (dropped []plantainrail.RunEnd) {
 	v := p.vms[incarnation]
 	if v == nil {
-		return
+		return nil
 	}
 	for _, end := range ends {
 		if end.Number <= v.lastEnd {
 			continue
 		}
 		v.lastEnd = end.Number
-		if run := v.runs[end.Ref]; run != nil {
-			p.handleRunEnd(v, run, end, now)
+		run := v.runs[end.Ref]
+		if run == nil {
+			dropped = append(dropped, end)
+			continue
 		}
+		p.handleRunEnd(v, run, end, now)
 	}
+	return dropped
 }
 
 // LastAppliedEnd returns the number of the newest end that ApplyEnds has applied
