--- /dev/null
+++ b/assembler/fleet_takeover_test.go
@@ -0,0 +1,118 @@
+package assembler_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+// silencer is a store whose reads can be made to hang, as those on a connection that has gone
+// silent: their answers are lost, and new reads work.
+type silencer struct {
+	plantainrail.Store
+
+	mu sync.Mutex
+	// silencedAt is when the reads of a topic that were open then became silent.
+	silencedAt map[string]time.Time
+}
+
+func newSilencer(store plantainrail.Store) *silencer {
+	return &silencer{Store: store, silencedAt: map[string]time.Time{}}
+}
+
+// silence makes the open reads of a topic hang.
+func (s *silencer) silence(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silencedAt[topic] = time.Now()
+}
+
+// silentReadMargin is how long a silent read takes beyond its wait, as in package platform.
+const silentReadMargin = time.Second
+
+// Read implements plantainrail.Store.
+func (s *silencer) Read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
+	sentAt := time.Now()
+	batch, err := s.Store.Read(ctx, topic, from, wait)
+	s.mu.Lock()
+	silent := !s.silencedAt[topic].Before(sentAt)
+	s.mu.Unlock()
+	if !silent {
+		return batch, err
+	}
+	timer := time.NewTimer(time.Until(sentAt.Add(wait + silentReadMargin)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return plantainrail.KeyedBatch{}, errors.Wrap(context.DeadlineExceeded, "silent connection")
+}
+
+// others returns the entries but one.
+func (f *fleet) others(excluded int) []*fleetEntry {
+	var out []*fleetEntry
+	for i, e := range f.entries {
+		if i != excluded {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Guards against accepted tasks that never run again, or run twice, because a new owner takes
+// over before it has read the jobs that its predecessor has started (LOST, TWICE).
+func TestNewOwnerKnowsTheJobsOfItsPredecessor(t *testing.T) {
+	for _, c := range []struct{ name, spec string }{
+		{"runs end after the takeover", "600"},
+		{"runs end during the takeover", "150"},
+		{"runs last beyond the next reads", "3000"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runInFleet(t, smallFleet, func(f *fleet) {
+				owner := f.owner()
+				for _, e := range f.others(owner) {
+					e.store.silence("jobs")
+				}
+				for n := range 3 {
+					f.submit(n, c.spec, jobSteps)
+				}
+				time.Sleep(50 * time.Millisecond)
+				f.group.Go(func() error { return f.entries[owner].decider.Drain(f.ctx) })
+				for n := range 3 {
+					f.waitForState(n, "completed", 12*time.Second)
+				}
+				f.checkRuns()
+			})
+		})
+	}
+}
+
+// Guards against an entry that takes the ownership from a healthy owner, because its own reads
+// stood still and it takes this for the owner's silence.
+func TestEntryWithSilentReadsLeavesTheOwnerAlone(t *testing.T) {
+	for _, duration := range []time.Duration{400 * time.Millisecond, 900 * time.Millisecond, 1220 * time.Millisecond, 1400 * time.Millisecond, 2 * time.Second} {
+		t.Run(duration.String(), func(t *testing.T) {
+			runInFleet(t, smallFleet, func(f *fleet) {
+				owner := f.owner()
+				for range 5 {
+					for _, e := range f.others(owner) {
+						f.net.setFault(linkName(e.name, "store"), blackholed)
+					}
+					time.Sleep(duration)
+					for _, e := range f.others(owner) {
+						f.net.setFault(linkName(e.name, "store"), healthy)
+					}
+					time.Sleep(2*time.Second + duration/7)
+					assert.Equal(f.t, f.owner(), owner)
+				}
+			})
+		})
+	}
+}
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -48,6 +48,8 @@
 	name, clientAddress string
 	stop                context.CancelFunc
 	decider             *decider.Decider
+	// store is the entry's store without hedged calls.
+	store *silencer
 }
 
 type fleetVM struct {
@@ -189,13 +191,14 @@
 	clientListener, err := f.net.Listen(name)
 	assert.NilError(f.t, err)
 	store := relayer.New(platform.NewStore(f.storeAddress, f.client(name)), f.client(name), logger())
+	silencer := newSilencer(store)
 	d := decider.New(decider.Options{
-		Name: name, Address: peerListener.Addr().String(), Store: hedger.New(store), Relay: store, SetPeers: store.SetPeers,
+		Name: name, Address: peerListener.Addr().String(), Store: hedger.New(silencer), Relay: store, SetPeers: store.SetPeers,
 		PeerClient: f.client(name), Zone: f.zoneOf(i), Cores: f.coresOf(i),
 		ApplyOperatorRecord: (&platform.OperatorState{}).Apply, OperatorTopic: platform.OperatorTopic, Peers: peerListener, Clients: clientListener,
 		ClientHandler: platform.JobHandler, HealthHandler: platform.ReadyHandler, Now: time.Now, Logger: logger().Named(name),
 	})
-	f.entries[i] = &fleetEntry{name: name, clientAddress: clientListener.Addr().String(), stop: stop, decider: d}
+	f.entries[i] = &fleetEntry{name: name, clientAddress: clientListener.Addr().String(), stop: stop, decider: d, store: silencer}
 	f.group.Go(func() error { return d.Run(ctx) })
 }
 
