Take over only with whole views of all topics

Cause: that something is absent was taken for knowledge. A new owner waited for all progress of its predecessor and for no other topic. Where its read of the jobs stood still (its connection was silent, or it had been cut off) it took over without the jobs of that time. It told the agents to stop their runs, dropped the ends of these, also "done", and acknowledged them. Once the jobs were read, their tasks counted as placed on runs that had ended, and nothing changed that. The evacuations were not waited for either.

Change: each topic is followed through a view that knows as of when it is whole: a read that was sent then, or that waited until then, has reached the topic's end. For that the end in the store's answer is decoded. A takeover completes the views of progress, jobs and operators' records as of the moment at which it has fenced its predecessors. Any run that they may have ordered is stored before that, and so is its job; what the new owner does not know does not exist. The reads run at the same time, so a takeover costs no further round trip. The ages that decide whether an entry is ready, rejects a path or reports a job as unknown are those of the views as well: an answer that was delayed on its way no longer counts as new.

Weighed: positions of both topics in the claim (the owner would have to be told them by its predecessor, which may be gone); positions carried in orders and ends (each receiver would have to hold back what it cannot place); a condition in each place that meets an unknown job. Fencing already orders the owners, so reading each topic once after the fence is enough.

--- a/decider/claim.go
+++ b/decider/claim.go
@@ -108,24 +108,10 @@
 	return ctx.Err()
 }
 
-func (d *Decider) followMembers(ctx context.Context) error {
-	return d.follow(ctx, subscription{
-		topic: MembersTopic, wait: membersPollWait, next: func() plantainrail.Offset {
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			return d.membersNext
-		},
-		apply: func(_ plantainrail.Offset, b plantainrail.KeyedBatch) { d.applyMembers(ctx, b) },
-	})
-}
-
 // applyMembers applies records of the members topic. It starts an ownership if the
 // newest claim is this process's own, and ends it after any other claim or a
-// resignation.
+// resignation. The caller holds the lock.
 func (d *Decider) applyMembers(ctx context.Context, b plantainrail.KeyedBatch) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.membersNext = b.Next
 	for _, r := range b.Records {
 		if name, ok := strings.CutPrefix(r.Key, entryPrefix); ok {
 			address, err := parseAddress(r.Value)
@@ -214,15 +200,15 @@
 func (d *Decider) shouldClaim() (plantainrail.Offset, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.owner != nil || d.stopping || !d.follows() || d.membersNext == unread || d.progressNext == unread || d.jobsNext == unread || d.ownerSeenAt.IsZero() {
+	if d.owner != nil || d.stopping || !d.follows() || d.members.next == unread || d.progress.next == unread || d.jobs.next == unread || d.ownerSeenAt.IsZero() {
 		return 0, false
 	}
 	now := d.Now()
 	// A recent read of the jobs topic shows that the store is reachable, so the owner's
 	// silence is not caused by an outage of the store.
-	timedOut := now.Sub(d.ownerSeenAt) > ownerTimeout && now.Sub(d.jobsReadAt) < jobsPollWait+ownerTimeout
+	timedOut := now.Sub(d.ownerSeenAt) > ownerTimeout && now.Sub(d.jobs.asOf) < jobsPollWait+ownerTimeout
 	// The owner was an earlier process of this entry and has ended, since this
 	// process replaced it.
 	previousProcess := d.claim.Name == d.Name && d.claim.Nonce != d.nonce
-	return d.membersNext, d.claim.Epoch == 0 || d.claim.Resigned || previousProcess || timedOut
+	return d.members.next, d.claim.Epoch == 0 || d.claim.Resigned || previousProcess || timedOut
 }
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -58,13 +58,13 @@
 	followDelay = 60 * time.Millisecond
 	// retryDelay is the delay after a failed call to the store.
 	retryDelay = 100 * time.Millisecond
-	// maxJobsAge bounds the age of the newest read of the jobs topic by an entry that
-	// follows it, and of the operators' topic by any other. The entry is ready and accepts
-	// jobs only while that read is younger, and an entry that follows the jobs reports an
+	// maxJobsAge bounds the age (see view.asOf) of the view of the jobs topic of an entry
+	// that follows it, and of the operators' topic of any other. The entry is ready and accepts
+	// jobs only while that view is younger, and an entry that follows the jobs reports an
 	// unknown one as nonexistent only then.
 	maxJobsAge = 2500 * time.Millisecond
-	// maxConfigurationAge bounds the age of the newest read of the operators'
-	// topic. The entry reports that a path has no queue only while that read is
+	// maxConfigurationAge bounds the age of the view of the operators'
+	// topic. The entry reports that a path has no queue only while that view is
 	// younger. The bound is below the two seconds within which a changed
 	// configuration must be in force.
 	maxConfigurationAge = 1900 * time.Millisecond
@@ -130,12 +130,9 @@
 	// one was read.
 	configuration plantainrail.OperatorConfig
 	configured    bool
-	// jobsNext, progressNext and membersNext are the offsets at which the next reads
-	// of these topics start.
-	jobsNext, progressNext, membersNext plantainrail.Offset
-	// jobsReadAt and configurationReadAt are the times of the newest successful
-	// reads of the jobs topic and of the operators' topic.
-	jobsReadAt, configurationReadAt time.Time
+	// operators, jobs, progress, members and claims are the views of the topics. The last
+	// holds the claims of replicas.
+	operators, jobs, progress, members, claims *view
 	// entries maps the names of the other entries to their addresses.
 	entries map[string]string
 	// ownerSeenAt is when a claim or another write of the owner was last read, when
@@ -165,15 +162,13 @@
 func New(o Options) *Decider {
 	d := &Decider{
 		Options: o, catalog: planner.NewCatalog(), stateChanged: make(chan struct{}), entries: map[string]string{}, replicas: map[string]replicaClaim{},
-		jobsNext: unread, progressNext: unread, membersNext: unread, nonce: newNonce(),
+		nonce: newNonce(),
 	}
+	d.newViews()
 	d.writer = newWriter(o.Store, o.Logger)
 	return d
 }
 
-// unread stands for the next offset of a topic that has not been read yet.
-const unread plantainrail.Offset = -1
-
 // Run serves until the context ends, and then waits up to shutdownTimeout for requests
 // in flight. It returns nil then, or the error of closing a server. If serving fails
 // earlier, Run ends early and returns the error. If a background loop fails, the other
@@ -186,10 +181,10 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	for _, loop := range []func(context.Context) error{
-		d.writer.run, d.followOperators, d.followJobs, d.followProgress, d.followMembers, d.followReplicas,
-		d.register, d.campaign, d.maintainReplica,
-	} {
+	for _, v := range d.views() {
+		group.Go(func() error { return d.follow(background, v) })
+	}
+	for _, loop := range []func(context.Context) error{d.writer.run, d.register, d.campaign, d.maintainReplica} {
 		group.Go(func() error { return loop(background) })
 	}
 	group.Go(func() error {
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -31,11 +31,11 @@
 // of the jobs topic if the entry follows it, and of the operators' topic otherwise. The
 // caller holds the lock.
 func (d *Decider) storeReadRecently() bool {
-	readAt := d.configurationReadAt
+	asOf := d.operators.asOf
 	if d.follows() {
-		readAt = d.jobsReadAt
+		asOf = d.jobs.asOf
 	}
-	return d.Now().Sub(readAt) < maxJobsAge
+	return d.Now().Sub(asOf) < maxJobsAge
 }
 
 // Queue implements plantainrail.JobService. It reports a path without a queue as known
@@ -43,7 +43,7 @@
 // been added later.
 func (d *Decider) Queue(host, path string) (rule plantainrail.QueueRule, found, known bool) {
 	d.mu.Lock()
-	configuration, configured, fresh := d.configuration, d.configured, d.Now().Sub(d.configurationReadAt) < maxConfigurationAge
+	configuration, configured, fresh := d.configuration, d.configured, d.Now().Sub(d.operators.asOf) < maxConfigurationAge
 	d.mu.Unlock()
 	rule, found = configuration.Match(host, path)
 	return rule, found, configured && (found || fresh)
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/clocker"
@@ -86,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
 	defer cancel()
 	o.decider.mu.Lock()
-	at := o.decider.membersNext
+	at := o.decider.members.next
 	o.decider.mu.Unlock()
 	_, err = o.decider.Store.Append(ctx, plantainrail.AppendCall{
 		Topic: MembersTopic, At: &at, Records: []plantainrail.KeyedRecord{{Key: claimKey, Value: raw}},
@@ -123,7 +124,7 @@
 		o.stop(err.Error())
 		return
 	}
-	if err := o.takeOver(ctx, end); err != nil {
+	if err := o.takeOver(ctx, end, o.decider.Now()); err != nil {
 		o.stop(err.Error())
 		return
 	}
@@ -177,22 +178,21 @@
 	}
 }
 
-// takeOver waits until the catalog holds all progress of earlier owners, which is
-// before the given end of the topic, and creates a planner of its jobs.
-func (o *owner) takeOver(ctx context.Context, end plantainrail.Offset) error {
+// takeOver creates a planner of all jobs. Before that it completes the views of every topic
+// that the planner decides on, as of the given time. By then the progress topic was fenced
+// and ended at the given offset. So every run that an earlier owner may have ordered is known,
+// with its job, and a run that is not known may be stopped and its end acknowledged.
+func (o *owner) takeOver(ctx context.Context, end plantainrail.Offset, fencedAt time.Time) error {
 	d := o.decider
-	for {
-		// The lock is kept after the loop, so that every later record of the jobs topic
-		// finds the planner.
-		d.mu.Lock()
-		if d.progressNext >= end {
-			break
-		}
-		d.mu.Unlock()
-		if err := d.catchUp(ctx, end); err != nil {
-			return err
-		}
+	group, groupCtx := errgroup.WithContext(ctx)
+	for _, v := range []*view{d.progress, d.jobs, d.operators} {
+		group.Go(func() error { return d.catchUp(groupCtx, v, fencedAt) })
+	}
+	if err := group.Wait(); err != nil {
+		return err
 	}
+	// The lock is kept, so that every later record of the jobs topic finds the planner.
+	d.mu.Lock()
 	defer d.mu.Unlock()
 	book, unreadable := d.catalog.Book()
 	for _, err := range unreadable {
@@ -202,27 +202,11 @@
 	defer o.mu.Unlock()
 	o.planner = planner.New(book, planner.Timeouts{Lease: LeaseDuration, TakeoverGrace: renewalWindow}, d.Now())
 	o.planner.Configure(d.configuration)
-	d.Logger.Info("ownership gained", zap.Int64("epoch", o.epoch), zap.Int64("offset", int64(end)), zap.Int64("jobs", int64(d.jobsNext)),
+	d.Logger.Info("ownership gained", zap.Int64("epoch", o.epoch), zap.Int64("offset", int64(end)), zap.Int64("jobs", int64(d.jobs.next)),
 		zap.Int("unknown", book.UnknownProgress()))
 	return nil
 }
 
-// catchUp reads and applies the next records of progress. A failed read is logged
-// and followed by a delay. The caller repeats catchUp until the end is reached; an
-// error means that the context has ended.
-func (d *Decider) catchUp(ctx context.Context, end plantainrail.Offset) error {
-	d.mu.Lock()
-	from := d.progressNext
-	d.mu.Unlock()
-	batch, _, err := d.read(ctx, progressTopic, from, 0)
-	if err != nil {
-		d.Logger.Warn("progress not read at takeover", zap.Int64("offset", int64(from)), zap.Int64("end", int64(end)), zap.Error(err))
-		return clocker.Sleep(ctx, retryDelay)
-	}
-	d.applyProgress(from, batch)
-	return ctx.Err()
-}
-
 // round runs the planner once, stores the jobs that changed, sends the orders to
 // the agents and waits for the next round. If there is nothing to store and the
 // newest confirmed write was sent at least heartbeatInterval ago, it stores a
@@ -254,7 +238,7 @@
 			return err
 		}
 		// The entry's catalog gets the records here, since the owner does not read them.
-		o.decider.applyProgress(offset, plantainrail.KeyedBatch{Records: setOffsets(records, offset), Next: offset + plantainrail.Offset(len(records))})
+		o.decider.applyWritten(plantainrail.KeyedBatch{Records: setOffsets(records, offset), Next: offset + plantainrail.Offset(len(records))})
 	}
 	o.dispatch(plan, appliedEnds)
 	return o.waitForRound(ctx)
--- a/decider/query.go
+++ b/decider/query.go
@@ -94,7 +94,7 @@
 // catalogFresh reports whether the catalog holds what was stored until maxJobsAge ago. The
 // caller holds the lock.
 func (d *Decider) catalogFresh() bool {
-	return d.Now().Sub(d.jobsReadAt) < maxJobsAge && (d.owner != nil || !d.ownerSeenAt.IsZero())
+	return d.Now().Sub(d.jobs.asOf) < maxJobsAge && (d.owner != nil || !d.ownerSeenAt.IsZero())
 }
 
 // awaitJob returns the state of a job from the entry's own catalog. It waits for an
--- a/decider/replica.go
+++ b/decider/replica.go
@@ -95,11 +95,12 @@
 // dropUnfollowed drops the catalog if the entry does not follow the jobs any more. It must
 // be called whenever that may have changed. The caller holds the lock.
 func (d *Decider) dropUnfollowed() {
-	if d.follows() || d.jobsNext == unread && d.progressNext == unread {
+	if d.follows() || d.jobs.next == unread && d.progress.next == unread {
 		return
 	}
-	d.catalog, d.jobsNext, d.progressNext = planner.NewCatalog(), unread, unread
-	d.jobsReadAt, d.ownerSeenAt = time.Time{}, time.Time{}
+	d.catalog, d.ownerSeenAt = planner.NewCatalog(), time.Time{}
+	d.jobs.reset()
+	d.progress.reset()
 }
 
 // waitToFollow returns nil if the entry follows the jobs, and otherwise a channel that is
@@ -113,21 +114,8 @@
 	return d.stateChanged
 }
 
-func (d *Decider) followReplicas(ctx context.Context) error {
-	next := unread
-	return d.follow(ctx, subscription{
-		topic: replicasTopic, wait: membersPollWait, next: func() plantainrail.Offset { return next },
-		apply: func(_ plantainrail.Offset, b plantainrail.KeyedBatch) {
-			next = b.Next
-			d.applyReplicas(b)
-		},
-	})
-}
-
-// applyReplicas applies records of the replicas topic.
+// applyReplicas applies records of the replicas topic. The caller holds the lock.
 func (d *Decider) applyReplicas(b plantainrail.KeyedBatch) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.replicasRead = true
 	for _, r := range b.Records {
 		c, err := parseReplica(r)
@@ -209,7 +197,7 @@
 		return farLarger(d.Cores, c.Cores) && now.Sub(w.since) > promotionDelay
 	}
 	d.mu.Lock()
-	storeReachable := d.Now().Sub(d.configurationReadAt) < maxConfigurationAge
+	storeReachable := d.Now().Sub(d.operators.asOf) < maxConfigurationAge
 	d.mu.Unlock()
 	switch {
 	case !storeReachable:
--- a/decider/replica_test.go
+++ b/decider/replica_test.go
@@ -34,7 +34,9 @@
 		go func() { _ = d.maintainReplica(ctx) }()
 		// The entry has looked for claims before they are read.
 		synctest.Wait()
+		d.mu.Lock()
 		d.applyReplicas(plantainrail.KeyedBatch{})
+		d.mu.Unlock()
 		readAt := time.Now()
 		waited := (<-store.appended).Sub(readAt)
 		delay := claimDelay(d.Cores, replicaClaim{})
--- /dev/null
+++ b/decider/view.go
@@ -0,0 +1,198 @@
+package decider
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
+)
+
+// unread stands for the next offset of a view of which nothing has been read yet.
+const unread plantainrail.Offset = -1
+
+// view is what an entry has read of one topic. What a view lacks may not have been read
+// yet. So whatever is concluded from an absence (a job is unknown, a zone is not evacuated, the
+// owner has written nothing) holds only up to asOf, and catchUp moves that up to a given time.
+type view struct {
+	topic string
+	// wait returns the maximum wait of the next long poll.
+	wait func() time.Duration
+	// batchDelay is the delay after a read that returned records, so that the next
+	// read returns more at once.
+	batchDelay time.Duration
+	// confirm makes a read without a wait follow each one that returned records, so that
+	// asOf does not stay behind by the wait of a long poll.
+	confirm bool
+	// apply processes the records of a read. The caller holds the Decider's lock.
+	apply func(ctx context.Context, b plantainrail.KeyedBatch)
+	// keys, if set, holds the topic's keys, so that apply also gets the deletions that have
+	// expired before they were read. It must be set for a topic with deleted keys.
+	keys topicKeys
+	// onError, if set, is called after a failed read.
+	onError func()
+	// resumeSignal, if set, returns nil while the topic is to be read. Otherwise it
+	// returns a channel that is closed once reading is to continue.
+	resumeSignal func() <-chan struct{}
+
+	// The Decider's lock guards the fields below.
+
+	// next is the offset of the next read, or unread.
+	next plantainrail.Offset
+	// asOf is the time up to which the view is whole: everything that was stored before has
+	// been applied. It is zero until a read has reached the topic's end.
+	asOf time.Time
+}
+
+// readResult is a read of a topic from an offset on and its outcome.
+type readResult struct {
+	from   plantainrail.Offset
+	sentAt time.Time
+	wait   time.Duration
+	batch  plantainrail.KeyedBatch
+	// complete means that the batch holds the newest record of each key that existed when the
+	// read was sent.
+	complete bool
+}
+
+// asOf returns the time up to which the result shows everything that was stored, or zero if
+// it does not reach the topic's end. A store that has no records answers after the whole wait.
+func (r readResult) asOf(now time.Time) time.Time {
+	waited := r.sentAt.Add(r.wait)
+	switch {
+	case r.complete:
+		return r.sentAt
+	case !r.batch.ReachesEnd():
+		return time.Time{}
+	case len(r.batch.Records) == 0 && waited.Before(now):
+		return waited
+	case len(r.batch.Records) == 0:
+		return now
+	}
+	return r.sentAt
+}
+
+// reset forgets what was read.
+func (v *view) reset() { v.next, v.asOf = unread, time.Time{} }
+
+// follow reads the topic of a view until the context ends, beginning with the newest record
+// of each key, and retries failed reads. It returns the context's error.
+func (d *Decider) follow(ctx context.Context, v *view) error {
+	storeLost, confirm := false, false
+	for ctx.Err() == nil {
+		if v.resumeSignal != nil {
+			if resume := v.resumeSignal(); resume != nil {
+				select {
+				case <-resume:
+				case <-ctx.Done():
+				}
+				continue
+			}
+		}
+		wait := v.wait()
+		if storeLost || confirm {
+			// Such a read shows at once that the store is reachable again, or that there are
+			// no more records.
+			wait = 0
+		}
+		records, err := d.advance(ctx, v, wait)
+		if err != nil {
+			if !storeLost && ctx.Err() == nil {
+				d.Logger.Warn("store lost", zap.String("topic", v.topic), zap.Error(err))
+			}
+			storeLost = true
+			if v.onError != nil {
+				v.onError()
+			}
+			_ = clocker.Sleep(ctx, retryDelay)
+			continue
+		}
+		if storeLost {
+			d.Logger.Info("store regained", zap.String("topic", v.topic))
+			storeLost = false
+		}
+		confirm = v.confirm && records > 0
+		if v.batchDelay > 0 && records > 0 {
+			_ = clocker.Sleep(ctx, v.batchDelay)
+		}
+	}
+	return ctx.Err()
+}
+
+// advance reads the next records of a view, waits up to the given time for the first, applies
+// them and returns their number. It may be called while another read of the view is open; of
+// two reads from the same offset, the first to end counts.
+func (d *Decider) advance(ctx context.Context, v *view, wait time.Duration) (records int, err error) {
+	d.mu.Lock()
+	r := readResult{from: v.next, sentAt: d.Now(), wait: wait}
+	d.mu.Unlock()
+	r.batch, r.complete, err = d.read(ctx, v.topic, r.from, wait)
+	if err != nil {
+		return 0, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.applyRead(ctx, v, r)
+	return len(r.batch.Records), nil
+}
+
+// applyRead applies the result of a read to its view, unless the view has moved on or was reset
+// since. The caller holds the lock.
+func (d *Decider) applyRead(ctx context.Context, v *view, r readResult) {
+	if v.next != r.from {
+		return
+	}
+	if v.keys != nil {
+		if r.complete {
+			r.batch.Records = append(r.batch.Records, v.keys.deleted(r.batch.Records, r.batch.Next)...)
+		}
+		v.keys.update(r.batch.Records)
+	}
+	// The view is whole before apply lets others see what has changed.
+	if asOf := r.asOf(d.Now()); asOf.After(v.asOf) {
+		v.asOf = asOf
+	}
+	v.apply(ctx, r.batch)
+	v.next = max(v.next, r.batch.Next)
+}
+
+// read returns the records from the offset on, or the newest record of each key if
+// nothing was read yet or those records have expired. In the second case complete is set,
+// and a key without a record does not exist.
+func (d *Decider) read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (b plantainrail.KeyedBatch, complete bool, err error) {
+	complete = from == unread
+	if !complete {
+		b, err = d.Store.Read(ctx, topic, from, wait)
+		if complete = errors.Is(err, plantainrail.ErrExpired); complete {
+			d.Logger.Warn("records expired before they were read", zap.String("topic", topic), zap.Int64("offset", int64(from)))
+		}
+	}
+	if complete {
+		b, err = d.Store.Newest(ctx, topic)
+	}
+	if b.Malformed > 0 {
+		d.Logger.Error("records unreadable", zap.String("topic", topic), zap.Int64("offset", int64(from)), zap.Int("records", b.Malformed))
+	}
+	return b, complete, err
+}
+
+// catchUp reads a view until it is whole as of the given time. A failed read is logged and
+// repeated after a delay. It returns an error only if the context ends first.
+func (d *Decider) catchUp(ctx context.Context, v *view, since time.Time) error {
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		whole := !v.asOf.Before(since)
+		d.mu.Unlock()
+		if whole {
+			return nil
+		}
+		if _, err := d.advance(ctx, v, 0); err != nil {
+			d.Logger.Warn("view not completed", zap.String("topic", v.topic), zap.Error(err))
+			_ = clocker.Sleep(ctx, retryDelay)
+		}
+	}
+	return ctx.Err()
+}
--- a/store.go
+++ b/store.go
@@ -41,10 +41,19 @@
 	Records []KeyedRecord
 	// Next is the offset from which to continue reading.
 	Next Offset
+	// End is the offset at which the topic ended when the store answered a read; 0 if it is
+	// not known.
+	End Offset `cbor:",omitempty"`
 	// Malformed is the number of records that were left out since they have no valid key.
 	Malformed int
 }
 
+// ReachesEnd reports whether a read has returned all records that the topic held when the
+// store answered.
+func (b KeyedBatch) ReachesEnd() bool {
+	return len(b.Records) == 0 && b.Malformed == 0 || b.End > 0 && b.Next >= b.End
+}
+
 // Store is the platform's store of topics. After an error other than ErrRejected,
 // ErrFenced, *OffsetMismatchError and *SequenceError, a write may or may not have been
 // done.
