Find an owner silent only by reads that returned

Callers saw tasks that ran twice and accepted tasks that never ran (TWICE, LOST): an entry that had been cut off from the store for 1.22 s took the ownership from an owner that was well, as soon as the cut had healed.

The time since the owner's last record that the entry had read counted as the owner's silence, also while the entry's own reads hung. Only a read that failed ended that, after 1.5 s.

Change: silence counts up to the time as of which the view of progress is whole, so a read that hangs adds nothing, and one whose answer was delayed adds no more than it was asked to wait. The wait of a read of progress ends when the owner would time out, so a silent owner is found as early as before.

--- a/decider/claim.go
+++ b/decider/claim.go
@@ -203,12 +203,16 @@
 	if d.owner != nil || d.stopping || !d.follows() || d.members.next == unread || d.progress.next == unread || d.jobs.next == unread || d.ownerSeenAt.IsZero() {
 		return 0, false
 	}
-	now := d.Now()
-	// A recent read of the jobs topic shows that the store is reachable, so the owner's
-	// silence is not caused by an outage of the store.
-	timedOut := now.Sub(d.ownerSeenAt) > ownerTimeout && now.Sub(d.jobs.asOf) < jobsPollWait+ownerTimeout
 	// The owner was an earlier process of this entry and has ended, since this
 	// process replaced it.
 	previousProcess := d.claim.Name == d.Name && d.claim.Nonce != d.nonce
-	return d.members.next, d.claim.Epoch == 0 || d.claim.Resigned || previousProcess || timedOut
+	return d.members.next, d.claim.Epoch == 0 || d.claim.Resigned || previousProcess || d.ownerTimedOut()
+}
+
+// ownerTimedOut reports whether the owner has written nothing for ownerTimeout. Only what the
+// entry has read counts: while its own reads stand still, they show nothing about the owner.
+// The caller holds the lock.
+func (d *Decider) ownerTimedOut() bool {
+	silence := d.progress.asOf.Sub(d.ownerSeenAt)
+	return silence >= ownerTimeout && d.Now().Sub(d.progress.asOf) < ownerTimeout
 }
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -35,7 +35,7 @@
 		apply: func(_ context.Context, b plantainrail.KeyedBatch) { d.applyJobs(b) },
 	}
 	d.progress = &view{
-		topic: progressTopic, wait: every(jobsPollWait), batchDelay: followDelay, resumeSignal: d.waitToReadProgress,
+		topic: progressTopic, wait: d.progressWait, batchDelay: followDelay, resumeSignal: d.waitToReadProgress,
 		apply: func(_ context.Context, b plantainrail.KeyedBatch) { d.applyProgress(b) },
 		onError: func() {
 			// Without reads of progress the owner cannot be found to have timed out.
@@ -59,6 +59,17 @@
 	return []*view{d.operators, d.jobs, d.progress, d.members, d.claims}
 }
 
+// progressWait returns the maximum wait of the next read of progress. It ends when the owner
+// times out, so that this is noticed at once.
+func (d *Decider) progressWait() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if left := d.ownerSeenAt.Add(ownerTimeout).Sub(d.Now()); left > 0 {
+		return min(left, jobsPollWait)
+	}
+	return jobsPollWait
+}
+
 // applyOperatorRecord applies a record of the operators' topic, and passes a
 // changed configuration to the owner's planner. The caller holds the lock.
 func (d *Decider) applyOperatorRecord(r plantainrail.KeyedRecord) {
