--- a/assembler/fleet_takeover_test.go
+++ b/assembler/fleet_takeover_test.go
@@ -120,3 +120,47 @@
 		})
 	}
 }
+
+// Guards against jobs that nobody owns, because the entry that has claimed them learns of its own
+// claim only by a long poll whose connection has gone silent (LOST).
+func TestOwnerIsReplacedWhileReadsOfMembersHang(t *testing.T) {
+	// limit is the time after which an owner counts as silent and the time in which its
+	// successor takes over, with half a second for a call to the store that has to be repeated.
+	const limit = 2 * time.Second
+	for _, c := range []struct {
+		name string
+		lose func(f *fleet, owner int)
+	}{
+		{"power lost", func(f *fleet, owner int) {
+			f.net.setFault(f.entries[owner].name, down)
+			f.entries[owner].stop()
+		}},
+		{"resigned", func(f *fleet, owner int) {
+			f.group.Go(func() error {
+				// The test may end before the drain does.
+				_ = f.entries[owner].decider.Drain(f.ctx)
+				return nil
+			})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runInFleet(t, smallFleet, func(f *fleet) {
+				owner := f.owner()
+				f.submit(1, "20000", jobSteps[:1])
+				time.Sleep(100 * time.Millisecond)
+				for _, e := range f.others(owner) {
+					e.store.silence("members")
+				}
+				c.lose(f, owner)
+				begin := time.Now()
+				for f.entries[owner].decider.Owns() {
+					time.Sleep(10 * time.Millisecond)
+				}
+				f.owner()
+				assert.Assert(f.t, time.Since(begin) <= limit, "no entry owned the jobs for %s", time.Since(begin))
+				f.waitForState(1, "completed", 25*time.Second)
+				f.checkRuns()
+			})
+		})
+	}
+}
