Answer queries only from a catalog that was read

An entry answered from its own catalog from the moment its claim as its zone's replica was read, although the catalog was empty until the first reads had returned (0.6 s with 20,000 ended jobs in the store). Between the reads of the jobs and of their progress it would have counted those that had begun as pending.

Change: an entry answers from its catalog, also other entries, once its views of jobs and progress are whole; before that it asks a replica or uses the numbers of the last ping. Numbers of pending jobs older than maxJobsAge are not given at all.

--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -150,13 +150,18 @@
 // each ping of its replica.
 const maxPendingAge = 1500 * time.Millisecond
 
-// PendingJobs implements plantainrail.JobService.
+// PendingJobs implements plantainrail.JobService. The numbers are those of the entry's own
+// catalog once it has read the jobs, and otherwise those of a replica. If they would be older
+// than maxJobsAge, the result is CallUnavailable.
 func (d *Decider) PendingJobs(ctx context.Context, queue string) (int, plantainrail.Reply) {
 	d.mu.Lock()
-	pending, fresh, follows := d.pending, d.Now().Sub(d.pendingReadAt) < maxPendingAge, d.follows()
+	pending, fresh, answers := d.pending, d.Now().Sub(d.pendingReadAt) < maxPendingAge, d.catalogRead()
 	d.mu.Unlock()
-	if follows || !fresh {
+	if answers || !fresh {
 		answer := d.findJob(ctx, jobQuery{})
+		if answer.Result == plantainrail.CallOK && !answer.Fresh {
+			answer.Result = plantainrail.CallUnavailable
+		}
 		if answer.Result != plantainrail.CallOK {
 			return 0, answer.reply()
 		}
--- a/decider/query.go
+++ b/decider/query.go
@@ -54,7 +54,7 @@
 }
 
 // serveQuery answers the query of another entry. It responds with status 421 if this
-// entry does not follow the jobs.
+// entry does not follow the jobs or has not read them yet.
 func (d *Decider) serveQuery(w http.ResponseWriter, req *http.Request) {
 	var q jobQuery
 	if err := receive(w, req, &q); err != nil {
@@ -62,10 +62,10 @@
 		return
 	}
 	d.mu.Lock()
-	follows := d.follows()
+	answers := d.catalogRead()
 	d.mu.Unlock()
-	if !follows {
-		http.Error(w, "this entry does not follow the jobs", http.StatusMisdirectedRequest)
+	if !answers {
+		http.Error(w, "this entry does not know the jobs", http.StatusMisdirectedRequest)
 		return
 	}
 	raw, err := cbor.Marshal(d.answer(req.Context(), q))
@@ -91,6 +91,13 @@
 	return d.awaitJob(ctx, q.ID, wait)
 }
 
+// catalogRead reports whether the entry follows the jobs and has read all jobs and their progress
+// since it began to. Before that, its catalog lacks some, or takes those that have begun for
+// pending. The caller holds the lock.
+func (d *Decider) catalogRead() bool {
+	return d.follows() && !d.jobs.asOf.IsZero() && !d.progress.asOf.IsZero()
+}
+
 // catalogFresh reports whether the catalog holds what was stored until maxJobsAge ago. The
 // caller holds the lock.
 func (d *Decider) catalogFresh() bool {
@@ -123,13 +130,13 @@
 	}
 }
 
-// findJob returns the state of a job: from the entry's own catalog if it follows the jobs,
-// and otherwise from a replica. If no replica answers, the result is CallUnavailable.
+// findJob answers a query: from the entry's own catalog if it follows the jobs and has read
+// them, and otherwise through a replica. If no replica answers, the result is CallUnavailable.
 func (d *Decider) findJob(ctx context.Context, q jobQuery) jobAnswer {
 	d.mu.Lock()
-	follows, addresses := d.follows(), d.replicaAddresses()
+	answers, addresses := d.catalogRead(), d.replicaAddresses()
 	d.mu.Unlock()
-	if follows {
+	if answers {
 		return d.answer(ctx, q)
 	}
 	answer, err := d.askReplicas(ctx, addresses, q)
--- a/decider/replica_test.go
+++ b/decider/replica_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/planner"
 )
 
 // claimStore sends the times of appends to a channel.
@@ -61,3 +62,44 @@
 	unknown := replicaClaim{Resigned: true}
 	assert.Equal(t, claimDelay(0, unknown), maxClaimDelay)
 }
+
+// Guards against an entry that has just become the replica and answers from a catalog that it has
+// not read: no job is pending, or jobs that have begun are (MIXED).
+func TestReplicaAnswersOnlyFromWhatItHasRead(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, c := range []struct {
+		name string
+		// read lists the views that were read, as of the given time before now.
+		read func(d *Decider) []*view
+		age  time.Duration
+		// pinged is set if the earlier replica has answered a ping lately.
+		pinged      bool
+		want        int
+		unavailable bool
+	}{
+		{"nothing read", func(*Decider) []*view { return nil }, 0, false, 0, true},
+		{"nothing read, pinged", func(*Decider) []*view { return nil }, 0, true, 40, false},
+		{"only the jobs read, pinged", func(d *Decider) []*view { return []*view{d.jobs} }, 0, true, 40, false},
+		{"only progress read", func(d *Decider) []*view { return []*view{d.progress} }, 0, false, 0, true},
+		{"both read", func(d *Decider) []*view { return []*view{d.jobs, d.progress} }, 0, true, 1, false},
+		{"both read long ago", func(d *Decider) []*view { return []*view{d.jobs, d.progress} }, maxJobsAge, true, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := New(Options{Name: "a", Zone: "z", Logger: zap.NewNop(), Now: func() time.Time { return now }})
+			makeReplica(d)
+			d.ownerSeenAt = now
+			record, err := planner.NewJobRecord(plantainrail.Workflow{ID: "1", Queue: plantainrail.Queue{Name: "q"}})
+			assert.NilError(t, err)
+			assert.NilError(t, d.catalog.ApplyJob(record))
+			for _, v := range c.read(d) {
+				v.asOf = now.Add(-c.age)
+			}
+			if c.pinged {
+				d.pending, d.pendingReadAt = map[string]int{"q": 40}, now
+			}
+			pending, reply := d.PendingJobs(t.Context(), "q")
+			assert.Equal(t, reply.Result == plantainrail.CallUnavailable, c.unavailable)
+			assert.Equal(t, pending, c.want)
+		})
+	}
+}
