Start nothing in an evacuated zone that was assigned before

Cause: only the choice of a VM looked at the evacuated zones. A new owner ordered every stored assignment, since it cannot know which had begun, and an agent that connected again got all of them as well. An order whose assignment took long to store was sent without another look, also if its worker had gone meanwhile and the task was placed elsewhere.

Change: in an evacuated zone the agent is told to adopt a run: it goes on if the worker lists it, and is refused otherwise, so its task is placed in another zone. Before an order is sent, the planner is asked whether the assignment still holds. The new field of an order is ignored by agents of the build before.

--- a/assembler/fleet_takeover_test.go
+++ b/assembler/fleet_takeover_test.go
@@ -164,3 +164,33 @@
 		})
 	}
 }
+
+// Guards against starts in an evacuated zone (EVAC) of runs that were assigned before all entries
+// lost power: the zone was evacuated meanwhile.
+func TestNothingStartsInAZoneThatWasEvacuatedDuringAPowerLoss(t *testing.T) {
+	runInFleet(t, smallFleet, func(f *fleet) {
+		// The power goes while the assignments are being stored.
+		f.store.SetAppendTime(300 * time.Millisecond)
+		f.submit(1, "300", jobSteps)
+		time.Sleep(100 * time.Millisecond)
+		for _, e := range f.entries {
+			f.net.setFault(e.name, down)
+			e.stop()
+		}
+		f.store.SetAppendTime(0)
+		// All VMs are in zone z.
+		f.store.Put("keyed.op", "evacuate/z", []byte("{}"))
+		time.Sleep(8 * time.Second)
+		for i, e := range f.entries {
+			f.net.setFault(e.name, healthy)
+			f.startEntry(i)
+		}
+		time.Sleep(5 * time.Second)
+		for _, v := range f.vms {
+			assert.Equal(f.t, len(v.worker.History()), 0, "runs on %s", v.name)
+		}
+		f.store.Put("keyed.op", "evacuate/z", nil)
+		f.waitForState(1, "completed", 10*time.Second)
+		f.checkRuns()
+	})
+}
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -284,7 +284,10 @@
 			zap.String("cause", string(lost.Cause)), zap.Int64("age", lost.Age.Milliseconds()), zap.Int("crashes", lost.Crashes))
 	}
 	for _, a := range plan.Assignments {
-		o.planner.MarkStored(a, o.decider.Now())
+		if !o.planner.MarkStored(a, o.decider.Now()) {
+			o.decider.Logger.Info("placement dropped", zap.Stringer("task", a.Order.Ref.Task), zap.Int64("run", a.Order.Ref.Run), zap.String("node", a.Incarnation.Node))
+			continue
+		}
 		ordersFor(a.Incarnation).Starts = append(ordersFor(a.Incarnation).Starts, a.Order)
 		o.decider.Logger.Info("task placed", zap.Stringer("task", a.Order.Ref.Task), zap.Int64("run", a.Order.Ref.Run), zap.String("node", a.Incarnation.Node))
 	}
--- a/minder/start.go
+++ b/minder/start.go
@@ -135,6 +135,8 @@
 	mayRun := r.reordered && m.listedPoll <= r.orderedPoll
 	fits := m.fits(r)
 	switch {
+	case r.order.Adopt && !mayRun:
+		return plantainrail.RefusedZone, false
 	case m.vm.Draining:
 		return plantainrail.RefusedDraining, false
 	case now.After(until):
@@ -145,7 +147,7 @@
 		return plantainrail.RefusedCapacity, false
 	}
 	// Without a deadline, the start waits for a renewal of the lease.
-	return "", m.pollFailed || !capacityKnown || !fits || m.leaseDeadline() == 0
+	return "", r.order.Adopt || m.pollFailed || !capacityKnown || !fits || m.leaseDeadline() == 0
 }
 
 // capacityKnown reports whether the current incarnation has sent a heartbeat recently. The caller
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -364,19 +364,29 @@
 	}
 }
 
-// MarkStored records that an assignment is in the store. From then on DesiredRuns
-// returns its order, until the run ends or is to be stopped.
-func (p *Planner) MarkStored(a Assignment, now time.Time) {
-	if v := p.vms[a.Incarnation]; v != nil {
-		if run := v.runs[a.Order.Ref]; run != nil {
-			run.stored, run.orderedSince = true, now
-		}
+// MarkStored records that an assignment is in the store, and reports whether it still holds.
+// If so, DesiredRuns returns its order from then on, until the run ends or is to be
+// stopped. Otherwise the run must not be ordered: since the assignment was decided, the worker
+// has gone, the run is to be stopped, or the VM's zone was evacuated. In the last case the task
+// waits again.
+func (p *Planner) MarkStored(a Assignment, now time.Time) bool {
+	v := p.vms[a.Incarnation]
+	if v == nil || v.runs[a.Order.Ref] == nil || v.runs[a.Order.Ref].stopping {
+		return false
+	}
+	run := v.runs[a.Order.Ref]
+	if p.config.Out[v.Zone] {
+		p.requeue(v, run)
+		return false
 	}
+	run.stored, run.orderedSince = true, now
+	return true
 }
 
 // DesiredRuns returns the orders for the runs that a worker should have, and the
 // runs that the worker may still have and must stop. Runs whose assignments are
-// not stored yet are in neither list unless they are to be stopped.
+// not stored yet are in neither list unless they are to be stopped. In an evacuated zone the
+// runs are only to be adopted, since it is not known which of them have begun.
 func (p *Planner) DesiredRuns(incarnation plantainrail.WorkerIncarnation) (orders []plantainrail.RunOrder, stops []plantainrail.RunRef) {
 	v := p.vms[incarnation]
 	if v == nil {
@@ -387,7 +397,9 @@
 		case run.stopping:
 			stops = append(stops, run.ref())
 		case run.stored:
-			orders = append(orders, run.order())
+			order := run.order()
+			order.Adopt = p.config.Out[v.Zone]
+			orders = append(orders, order)
 		}
 	}
 	return orders, stops
--- a/work.go
+++ b/work.go
@@ -270,6 +270,10 @@
 	// Isolated means that the job fails if the worker crashes under this run, so that no
 	// other start may be the cause. It is set only beside Alone.
 	Isolated bool `cbor:"8,keyasint,omitempty"`
+	// Adopt means that the run must not be started, but may go on if the worker runs it
+	// already: the operators have evacuated the worker's availability zone since the run was
+	// assigned.
+	Adopt bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Worker runs tasks on one VM. Each call carries the worker incarnation that it is
@@ -341,6 +345,9 @@
 	RefusedInvalid RefusalReason = "invalid"
 	// RefusedDraining is set by the agent, not the worker: the worker is draining.
 	RefusedDraining RefusalReason = "draining"
+	// RefusedZone is set by the agent, not the worker: the run was only to be adopted, and the
+	// worker does not run it.
+	RefusedZone RefusalReason = "zone"
 	// RefusedNoResponse is set by the agent, not the worker: the worker did not respond,
 	// and the run was prevented from starting.
 	RefusedNoResponse RefusalReason = "silent"
