--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -69,6 +69,23 @@
 		time.Sleep(8 * time.Second)
 		f.net.setFault(name, healthy)
 	}},
+	{"owner cut off from the store for a moment", func(f *fleet) { f.cutFromStore(f.entries[f.owner():][:1], 2400*time.Millisecond) }},
+	{"other entries cut off from the store for moments", func(f *fleet) {
+		for _, duration := range []time.Duration{400 * time.Millisecond, 1220 * time.Millisecond, 1400 * time.Millisecond} {
+			f.cutFromStore(f.others(f.owner()), duration)
+			time.Sleep(500 * time.Millisecond)
+		}
+	}},
+	{"reads of the other entries hang, owner killed", func(f *fleet) {
+		owner := f.owner()
+		for _, e := range f.others(owner) {
+			for _, topic := range []string{"jobs", "members", "op", "replicas"} {
+				e.store.silence(topic)
+			}
+		}
+		f.submit(50, "800", jobSteps)
+		f.killEntry(owner, time.Second)
+	}},
 	{"store busy", func(f *fleet) { f.breakStore(keeper.Unavailable, 3*time.Second) }},
 	{"store hangs", func(f *fleet) { f.breakStore(keeper.Unresponsive, 4*time.Second) }},
 	{"store replies lost", func(f *fleet) { f.breakStore(keeper.LosesReplies, 4*time.Second) }},
@@ -146,6 +163,18 @@
 	f.store.Put("keyed.replicas", f.zoneOf(0), []byte("\xa4\x00\x61x\x01\x6a10.0.0.1:1\x02\x61x\x03\xf9\x7e\x00"))
 }
 
+// cutFromStore drops all data between entries and the store, and returns when it passes again.
+func (f *fleet) cutFromStore(entries []*fleetEntry, duration time.Duration) {
+	setLinks := func(state fault) {
+		for _, e := range entries {
+			f.net.setFault(linkName(e.name, "store"), state)
+		}
+	}
+	setLinks(blackholed)
+	time.Sleep(duration)
+	setLinks(healthy)
+}
+
 // breakStore injects a fault of the store and returns when it is over.
 func (f *fleet) breakStore(fault keeper.Fault, duration time.Duration) {
 	f.store.SetFault(fault)
--- a/assembler/fleet_takeover_test.go
+++ b/assembler/fleet_takeover_test.go
@@ -106,13 +106,7 @@
 			runInFleet(t, smallFleet, func(f *fleet) {
 				owner := f.owner()
 				for range 5 {
-					for _, e := range f.others(owner) {
-						f.net.setFault(linkName(e.name, "store"), blackholed)
-					}
-					time.Sleep(duration)
-					for _, e := range f.others(owner) {
-						f.net.setFault(linkName(e.name, "store"), healthy)
-					}
+					f.cutFromStore(f.others(owner), duration)
 					time.Sleep(2*time.Second + duration/7)
 					assert.Equal(f.t, f.owner(), owner)
 				}
