Use each read of a view, also beside another one

A takeover reads the topics while the entry's long polls are open. The result of a read was dropped if another one from the same offset had ended first, and the topic was read once more.

Now only the records that were applied meanwhile are left out, and the view is whole as of that read. A result from before a reset of the view is still dropped.

--- a/decider/view.go
+++ b/decider/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -123,8 +124,7 @@
 }
 
 // advance reads the next records of a view, waits up to the given time for the first, applies
-// them and returns their number. It may be called while another read of the view is open; of
-// two reads from the same offset, the first to end counts.
+// them and returns their number. It may be called while another read of the view is open.
 func (d *Decider) advance(ctx context.Context, v *view, wait time.Duration) (records int, err error) {
 	d.mu.Lock()
 	r := readResult{from: v.next, sentAt: d.Now(), wait: wait}
@@ -139,22 +139,25 @@
 	return len(r.batch.Records), nil
 }
 
-// applyRead applies the result of a read to its view, unless the view has moved on or was reset
-// since. The caller holds the lock.
+// applyRead applies the result of a read to its view, without the records that another read has
+// applied since. It drops the result if the view was reset since. The caller holds the lock.
 func (d *Decider) applyRead(ctx context.Context, v *view, r readResult) {
-	if v.next != r.from {
+	if v.next < r.from || v.next > r.from && r.complete {
 		return
 	}
+	// The view is whole before apply lets others see what has changed.
+	if asOf := r.asOf(d.Now()); asOf.After(v.asOf) {
+		v.asOf = asOf
+	}
+	if v.next > r.from {
+		r.batch.Records = slices.DeleteFunc(r.batch.Records, func(record plantainrail.KeyedRecord) bool { return record.Offset < v.next })
+	}
 	if v.keys != nil {
 		if r.complete {
 			r.batch.Records = append(r.batch.Records, v.keys.deleted(r.batch.Records, r.batch.Next)...)
 		}
 		v.keys.update(r.batch.Records)
 	}
-	// The view is whole before apply lets others see what has changed.
-	if asOf := r.asOf(d.Now()); asOf.After(v.asOf) {
-		v.asOf = asOf
-	}
 	v.apply(ctx, r.batch)
 	v.next = max(v.next, r.batch.Next)
 }
--- a/decider/view_test.go
+++ b/decider/view_test.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -60,3 +61,49 @@
 		})
 	}
 }
+
+// Guards against records that are applied twice or left out, and against a view that never becomes
+// whole, when a takeover and the follower read a topic at the same time.
+func TestOverlappingReadsOfAView(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	batch := func(from, next plantainrail.Offset) plantainrail.KeyedBatch {
+		b := plantainrail.KeyedBatch{Next: next, End: next}
+		for offset := from; offset < next; offset++ {
+			b.Records = append(b.Records, plantainrail.KeyedRecord{Key: "k", Value: []byte{1}, Offset: offset})
+		}
+		return b
+	}
+	read := func(from, next plantainrail.Offset) readResult {
+		return readResult{from: from, sentAt: now, batch: batch(from, next)}
+	}
+	for _, c := range []struct {
+		name   string
+		reads  []readResult
+		reset  bool
+		want   []plantainrail.Offset
+		isRead bool
+	}{
+		{"one after the other", []readResult{read(5, 7), read(7, 8)}, false, []plantainrail.Offset{5, 6, 7}, true},
+		{"the longer one last", []readResult{read(5, 6), read(5, 8)}, false, []plantainrail.Offset{5, 6, 7}, true},
+		{"the shorter one last", []readResult{read(5, 8), read(5, 6)}, false, []plantainrail.Offset{5, 6, 7}, true},
+		{"reset meanwhile", []readResult{read(5, 8)}, true, nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := New(Options{Logger: zap.NewNop(), Now: func() time.Time { return now }})
+			var applied []plantainrail.Offset
+			v := &view{next: 5, apply: func(_ context.Context, b plantainrail.KeyedBatch) {
+				for _, r := range b.Records {
+					applied = append(applied, r.Offset)
+				}
+			}}
+			if c.reset {
+				v.reset()
+			}
+			for _, r := range c.reads {
+				d.applyRead(t.Context(), v, r)
+			}
+			assert.DeepEqual(t, applied, c.want)
+			assert.Equal(t, v.asOf.Equal(now), c.isRead)
+		})
+	}
+}
