--- a/assembler/fleet_takeover_test.go
+++ b/assembler/fleet_takeover_test.go
@@ -13,13 +13,15 @@
 )
 
 // silencer is a store whose reads can be made to hang, as those on a connection that has gone
-// silent: their answers are lost, and new reads work.
+// silent: their answers are lost, and new reads work. It can also be slowed down.
 type silencer struct {
 	plantainrail.Store
 
 	mu sync.Mutex
 	// silencedAt is when the reads of a topic that were open then became silent.
 	silencedAt map[string]time.Time
+	// delay is how much later each call returns.
+	delay time.Duration
 }
 
 func newSilencer(store plantainrail.Store) *silencer {
@@ -33,6 +35,27 @@
 	s.silencedAt[topic] = time.Now()
 }
 
+// slowDown makes each call return later.
+func (s *silencer) slowDown(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
+// wait delays the return of a call.
+func (s *silencer) wait() {
+	s.mu.Lock()
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(delay)
+}
+
+// Append implements plantainrail.Store.
+func (s *silencer) Append(ctx context.Context, call plantainrail.AppendCall) (plantainrail.Offset, error) {
+	defer s.wait()
+	return s.Store.Append(ctx, call)
+}
+
 // silentReadMargin is how long a silent read takes beyond its wait, as in package platform.
 const silentReadMargin = time.Second
 
@@ -40,6 +63,7 @@
 func (s *silencer) Read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
 	sentAt := time.Now()
 	batch, err := s.Store.Read(ctx, topic, from, wait)
+	s.wait()
 	s.mu.Lock()
 	silent := !s.silencedAt[topic].Before(sentAt)
 	s.mu.Unlock()
@@ -188,3 +212,29 @@
 		f.checkRuns()
 	})
 }
+
+// Load pattern: slow store beside a loss of the owner. Guards against entries that take the
+// ownership from each other (LOST), because a takeover at a store that answers after 300 ms lasts
+// longer than an owner may write nothing.
+func TestSlowTakeoverIsNotTakenForSilence(t *testing.T) {
+	runInFleet(t, smallFleet, func(f *fleet) {
+		f.submit(1, "20000", jobSteps[:1])
+		for _, e := range f.entries {
+			e.store.slowDown(300 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		lost := f.owner()
+		f.killEntry(lost, time.Second)
+		// Until then the successor has claimed, fenced, read and written.
+		time.Sleep(4 * time.Second)
+		owner := f.owner()
+		for begin := time.Now(); time.Since(begin) < 10*time.Second; time.Sleep(50 * time.Millisecond) {
+			assert.Assert(f.t, f.entries[owner].decider.Owns(), "the ownership changed %s later", time.Since(begin))
+		}
+		for _, e := range f.entries {
+			e.store.slowDown(0)
+		}
+		f.waitForState(1, "completed", 25*time.Second)
+		f.checkRuns()
+	})
+}
