Count for a view only what its reads prove

A view could count as whole although it was not, in three ways.

- A takeover asked whether the view was whole as of the time of its fence.
Now only a read that is sent after the fence completes a view.
- The result of a read that ended after the entry's term as replica was kept, and the entry answered from it at once when it was the replica again.
Resets are counted, and what is not wanted is dropped.

--- a/decider/claim.go
+++ b/decider/claim.go
@@ -186,7 +186,7 @@
 		d.Logger.Info("ownership claimed", zap.Int64("offset", int64(at)), zap.Error(err))
 		// The topic tells whether this claim or another entry's was stored. The open long poll
 		// may be on a connection that has gone silent.
-		if _, err := d.advance(ctx, d.members, 0); err != nil {
+		if _, _, err := d.advance(ctx, d.members, 0); err != nil {
 			d.Logger.Warn("claims not read", zap.Error(err))
 		}
 		_ = clocker.Sleep(ctx, ownerTimeout/2)
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -31,11 +31,11 @@
 		},
 	}
 	d.jobs = &view{
-		topic: jobsTopic, wait: every(jobsPollWait), resumeSignal: d.waitToFollow,
+		topic: jobsTopic, wait: every(jobsPollWait), resumeSignal: d.waitToFollow, wanted: d.follows,
 		apply: func(_ context.Context, b plantainrail.KeyedBatch) { d.applyJobs(b) },
 	}
 	d.progress = &view{
-		topic: progressTopic, wait: d.progressWait, batchDelay: followDelay, resumeSignal: d.waitToReadProgress,
+		topic: progressTopic, wait: d.progressWait, batchDelay: followDelay, resumeSignal: d.waitToReadProgress, wanted: d.follows,
 		apply: func(_ context.Context, b plantainrail.KeyedBatch) { d.applyProgress(b) },
 		onError: func() {
 			// Without reads of progress the owner cannot be found to have timed out.
@@ -50,7 +50,7 @@
 		apply: func(_ context.Context, b plantainrail.KeyedBatch) { d.applyReplicas(b) },
 	}
 	for _, v := range d.views() {
-		v.reset()
+		v.next = unread
 	}
 }
 
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -124,7 +124,7 @@
 		o.stop(err.Error())
 		return
 	}
-	if err := o.takeOver(ctx, end, o.decider.Now()); err != nil {
+	if err := o.takeOver(ctx, end); err != nil {
 		o.stop(err.Error())
 		return
 	}
@@ -179,14 +179,14 @@
 }
 
 // takeOver creates a planner of all jobs. Before that it completes the views of every topic
-// that the planner decides on, as of the given time. By then the progress topic was fenced
-// and ended at the given offset. So every run that an earlier owner may have ordered is known,
-// with its job, and a run that is not known may be stopped and its end acknowledged.
-func (o *owner) takeOver(ctx context.Context, end plantainrail.Offset, fencedAt time.Time) error {
+// that the planner decides on. The progress topic was fenced before the call, when it ended at the
+// given offset. So every run that an earlier owner may have ordered is known, with its job, and a
+// run that is not known may be stopped and its end acknowledged.
+func (o *owner) takeOver(ctx context.Context, end plantainrail.Offset) error {
 	d := o.decider
 	group, groupCtx := errgroup.WithContext(ctx)
 	for _, v := range []*view{d.progress, d.jobs, d.operators} {
-		group.Go(func() error { return d.catchUp(groupCtx, v, fencedAt) })
+		group.Go(func() error { return d.catchUp(groupCtx, v) })
 	}
 	if err := group.Wait(); err != nil {
 		return err
--- a/decider/view.go
+++ b/decider/view.go
@@ -17,7 +17,7 @@
 
 // view is what an entry has read of one topic. What a view lacks may not have been read
 // yet. So whatever is concluded from an absence (a job is unknown, a zone is not evacuated, the
-// owner has written nothing) holds only up to asOf, and catchUp moves that up to a given time.
+// owner has written nothing) holds only up to asOf, and catchUp makes the view whole as of now.
 type view struct {
 	topic string
 	// wait returns the maximum wait of the next long poll.
@@ -38,6 +38,9 @@
 	// resumeSignal, if set, returns nil while the topic is to be read. Otherwise it
 	// returns a channel that is closed once reading is to continue.
 	resumeSignal func() <-chan struct{}
+	// wanted, if set, reports whether the entry keeps the view. Otherwise the result of a read is
+	// dropped. The caller holds the Decider's lock.
+	wanted func() bool
 
 	// The Decider's lock guards the fields below.
 
@@ -46,11 +49,15 @@
 	// asOf is the time up to which the view is whole: everything that was stored before has
 	// been applied. It is zero until a read has reached the topic's end.
 	asOf time.Time
+	// resets is the number of calls of reset.
+	resets int
 }
 
 // readResult is a read of a topic from an offset on and its outcome.
 type readResult struct {
-	from   plantainrail.Offset
+	from plantainrail.Offset
+	// resets is view.resets at the time of the read.
+	resets int
 	sentAt time.Time
 	wait   time.Duration
 	batch  plantainrail.KeyedBatch
@@ -59,25 +66,25 @@
 	complete bool
 }
 
-// asOf returns the time up to which the result shows everything that was stored, or zero if
-// it does not reach the topic's end. A store that has no records answers after the whole wait.
-func (r readResult) asOf(now time.Time) time.Time {
+// wholeAsOf returns the time up to which the result shows everything that was stored, or zero if
+// it does not reach the topic's end. A store that has no records answers after the whole wait,
+// but not if the read went through another entry, which shortens the wait.
+func (r readResult) wholeAsOf(now time.Time) time.Time {
 	waited := r.sentAt.Add(r.wait)
 	switch {
-	case r.complete:
-		return r.sentAt
-	case !r.batch.ReachesEnd():
+	case !r.complete && !r.batch.ReachesEnd():
 		return time.Time{}
-	case len(r.batch.Records) == 0 && waited.Before(now):
+	case !r.complete && len(r.batch.Records) == 0 && !waited.After(now):
 		return waited
-	case len(r.batch.Records) == 0:
-		return now
 	}
 	return r.sentAt
 }
 
-// reset forgets what was read.
-func (v *view) reset() { v.next, v.asOf = unread, time.Time{} }
+// reset forgets what was read. Reads that are open are dropped.
+func (v *view) reset() {
+	v.next, v.asOf = unread, time.Time{}
+	v.resets++
+}
 
 // follow reads the topic of a view until the context ends, beginning with the newest record
 // of each key, and retries failed reads. It returns the context's error.
@@ -99,7 +106,7 @@
 			// no more records.
 			wait = 0
 		}
-		records, err := d.advance(ctx, v, wait)
+		records, _, err := d.advance(ctx, v, wait)
 		if err != nil {
 			if !storeLost && ctx.Err() == nil {
 				d.Logger.Warn("store lost", zap.String("topic", v.topic), zap.Error(err))
@@ -124,29 +131,31 @@
 }
 
 // advance reads the next records of a view, waits up to the given time for the first, applies
-// them and returns their number. It may be called while another read of the view is open.
-func (d *Decider) advance(ctx context.Context, v *view, wait time.Duration) (records int, err error) {
+// them and returns their number, and whether the view is whole as of the call. It may be called
+// while another read of the view is open.
+func (d *Decider) advance(ctx context.Context, v *view, wait time.Duration) (records int, whole bool, err error) {
 	d.mu.Lock()
-	r := readResult{from: v.next, sentAt: d.Now(), wait: wait}
+	r := readResult{from: v.next, resets: v.resets, sentAt: d.Now(), wait: wait}
 	d.mu.Unlock()
 	r.batch, r.complete, err = d.read(ctx, v.topic, r.from, wait)
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.applyRead(ctx, v, r)
-	return len(r.batch.Records), nil
+	return len(r.batch.Records), d.applyRead(ctx, v, r), nil
 }
 
 // applyRead applies the result of a read to its view, without the records that another read has
-// applied since. It drops the result if the view was reset since. The caller holds the lock.
-func (d *Decider) applyRead(ctx context.Context, v *view, r readResult) {
-	if v.next < r.from || v.next > r.from && r.complete {
-		return
+// applied since, and reports whether the view is whole as of the read. It drops the result if the
+// view was reset since or is not wanted any more. The caller holds the lock.
+func (d *Decider) applyRead(ctx context.Context, v *view, r readResult) bool {
+	if v.resets != r.resets || v.wanted != nil && !v.wanted() || v.next > r.from && r.complete {
+		return false
 	}
 	// The view is whole before apply lets others see what has changed.
-	if asOf := r.asOf(d.Now()); asOf.After(v.asOf) {
+	asOf := r.wholeAsOf(d.Now())
+	if asOf.After(v.asOf) {
 		v.asOf = asOf
 	}
 	if v.next > r.from {
@@ -160,6 +169,7 @@
 	}
 	v.apply(ctx, r.batch)
 	v.next = max(v.next, r.batch.Next)
+	return !asOf.IsZero()
 }
 
 // read returns the records from the offset on, or the newest record of each key if
@@ -182,17 +192,17 @@
 	return b, complete, err
 }
 
-// catchUp reads a view until it is whole as of the given time. A failed read is logged and
-// repeated after a delay. It returns an error only if the context ends first.
-func (d *Decider) catchUp(ctx context.Context, v *view, since time.Time) error {
+// catchUp reads a view until it is whole as of the call. Only reads that are sent from now on
+// count, since clocks do not order a read and a write that happen at nearly the same time. A failed
+// read is logged and repeated after a delay. catchUp returns an error only if the context ends
+// first.
+func (d *Decider) catchUp(ctx context.Context, v *view) error {
 	for ctx.Err() == nil {
-		d.mu.Lock()
-		whole := !v.asOf.Before(since)
-		d.mu.Unlock()
+		_, whole, err := d.advance(ctx, v, 0)
 		if whole {
 			return nil
 		}
-		if _, err := d.advance(ctx, v, 0); err != nil {
+		if err != nil {
 			d.Logger.Warn("view not completed", zap.String("topic", v.topic), zap.Error(err))
 			_ = clocker.Sleep(ctx, retryDelay)
 		}
