Refuse a job whose progress the store would not take

Callers saw: a job of 50,000 tasks got 200.

Cause: the progress of a job is one record. Nothing compared its size with the store's 262,144 bytes a record when the job arrived, and the owner repeats the refused append for ever.

Change: planner.MaxProgressBytes computes the largest record from the job; an entry answers 413 (CallTooLarge) if that, or the job's own record, exceeds platform.recordBytes of the settings file. The job is never stored. One that an earlier build accepted keeps its answer: the entry asks for the job first. The stand-in for the store enforces the limits of a record and a call (413).

Not changed: a job that exceeds the limit although its bound does not (longer checkpoints), or that an earlier build accepted, still stops the owner.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -92,6 +92,9 @@
 	fleetMaxRuns = 6
 )
 
+// fleetLimits are the limits of the platform's store, which keeper.New applies.
+var fleetLimits = plantainrail.StoreLimits{RecordBytes: 262_144, CallBytes: 2_097_152}
+
 // fleetConfig is the operators' configuration, with one route for jobs and its service.
 const fleetConfig = `{"version":1,"routes":[{"name":"q","host":"desk.example","pathPrefix":"/q/","service":"desk",
 "maxAttempts":2,"stretchFactor":2,"targetLatencyMs":500}],"services":[{"name":"desk","rejectsOverload":true}]}`
@@ -193,7 +196,7 @@
 	store := relayer.New(platform.NewStore(f.storeAddress, f.client(name)), f.client(name), logger())
 	silencer := newSilencer(store)
 	d := decider.New(decider.Options{
-		Name: name, Address: peerListener.Addr().String(), Store: hedger.New(silencer), Relay: store, SetPeers: store.SetPeers,
+		Name: name, Address: peerListener.Addr().String(), Store: hedger.New(silencer), StoreLimits: fleetLimits, Relay: store, SetPeers: store.SetPeers,
 		PeerClient: f.client(name), Zone: f.zoneOf(i), Cores: f.coresOf(i),
 		ApplyOperatorRecord: (&platform.OperatorState{}).Apply, OperatorTopic: platform.OperatorTopic, Peers: peerListener, Clients: clientListener,
 		ClientHandler: platform.JobHandler, HealthHandler: platform.ReadyHandler, Now: time.Now, Logger: logger().Named(name),
--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -71,7 +71,7 @@
 	peers := platform.NewClient()
 	store := relayer.New(platform.NewStore(s.StoreAddress, platform.NewClient()), peers, logger)
 	return o.Serve(decider.New(decider.Options{
-		Name: s.Name, Address: peerAddress, Store: hedger.New(store), Relay: store, SetPeers: store.SetPeers,
+		Name: s.Name, Address: peerAddress, Store: hedger.New(store), StoreLimits: s.StoreLimits, Relay: store, SetPeers: store.SetPeers,
 		PeerClient: peers, Zone: s.Zone, Cores: s.Cores,
 		ApplyOperatorRecord: operator.Apply, OperatorTopic: platform.OperatorTopic,
 		Peers: listeners[0], Clients: listeners[1], Health: listeners[2],
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -80,6 +80,8 @@
 	// entry.
 	Address string
 	Store   plantainrail.Store
+	// StoreLimits are the sizes that the store accepts.
+	StoreLimits plantainrail.StoreLimits
 	// Relay serves calls to the store that other entries relay through this one.
 	// SetPeers sets the addresses of the entries that this one can relay through.
 	Relay    http.Handler
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -52,7 +52,7 @@
 // Submit implements plantainrail.JobService. If a job with this ID is in the entry's catalog
 // (see planner.Catalog) already, it returns success and writes nothing, without comparing
 // the contents of the two jobs. An entry that does not follow the jobs writes the job again;
-// the first record of an ID counts.
+// the first record of an ID counts. A job that is too large for the store is refused for good.
 func (d *Decider) Submit(ctx context.Context, w plantainrail.Workflow) plantainrail.Reply {
 	d.mu.Lock()
 	known, fresh := d.catalog.Accepted(w.ID), d.storeReadRecently()
@@ -71,13 +71,33 @@
 		d.Logger.Error("job not encoded", zap.String("job", w.ID), zap.Error(err))
 		return plantainrail.Reply{Result: plantainrail.CallUnavailable}
 	}
-	reply := d.persist(ctx, w.ID, record)
+	reply, tooLarge := d.refuseTooLarge(ctx, w, record)
+	if !tooLarge {
+		reply = d.persist(ctx, w.ID, record)
+	}
 	// This event is logged for every result, also if the job was not stored. The field
 	// "answer" is the number of the plantainrail.CallResult.
 	d.Logger.Info("job offered", zap.String("job", w.ID), zap.String("queue", w.Queue.Name), zap.Int("answer", int(reply.Result)))
 	return reply
 }
 
+// refuseTooLarge reports whether the job's record, or that of its progress at its largest,
+// exceeds what the store accepts, and returns the reply for such a job. A job that was
+// accepted before, by a build without this limit, gets the same answer as then.
+func (d *Decider) refuseTooLarge(ctx context.Context, w plantainrail.Workflow, record plantainrail.KeyedRecord) (plantainrail.Reply, bool) {
+	size, limit := max(record.Size(), planner.MaxProgressBytes(w)), d.StoreLimits.RecordBytes
+	if limit == 0 || size <= limit {
+		return plantainrail.Reply{}, false
+	}
+	d.Logger.Warn("job too large", zap.String("job", w.ID), zap.String("queue", w.Queue.Name), zap.Int("bytes", size), zap.Int("limit", limit))
+	job := d.findJob(ctx, jobQuery{ID: w.ID})
+	job.State = ""
+	if job.Result == plantainrail.CallNotFound {
+		job.Result = plantainrail.CallTooLarge
+	}
+	return job.reply(), true
+}
+
 // persist writes the record of a job and returns the reply to its client. A job
 // that is read from the store in the meantime is accepted, even if the store's
 // reply to the write was lost.
--- a/jobs.go
+++ b/jobs.go
@@ -23,6 +23,9 @@
 	CallUncertain
 	// CallNotFound means that the job does not exist.
 	CallNotFound
+	// CallTooLarge means that the job is larger than the store accepts. It is not stored
+	// and never runs; a retry gets the same result.
+	CallTooLarge
 )
 
 // Reply is the response to a client's call on a job.
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -43,6 +43,8 @@
 	lossyAppends int
 	// appendTime is how long a topic takes for an append; see SetAppendTime.
 	appendTime time.Duration
+	// maxRecordBytes and maxCallBytes bound a record and an append; see SetLimits.
+	maxRecordBytes, maxCallBytes int
 }
 
 // topic is an append-only list of records. The store's lock guards it.
@@ -73,8 +75,36 @@
 	lastOffset int64
 }
 
-// New returns an empty store.
-func New() *Store { return &Store{topics: map[string]*topic{}} }
+// The platform's own limits of a record, without its length, and of an append.
+const (
+	defaultMaxRecordBytes = 262_144
+	defaultMaxCallBytes   = 2_097_152
+)
+
+// New returns an empty store with the platform's limits.
+func New() *Store {
+	return &Store{topics: map[string]*topic{}, maxRecordBytes: defaultMaxRecordBytes, maxCallBytes: defaultMaxCallBytes}
+}
+
+// SetLimits sets the maximum size of a record, without its length, and of all records of an
+// append together, in bytes. An append beyond them is rejected with status 413. Records of
+// Put are not limited.
+func (s *Store) SetLimits(recordBytes, callBytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxRecordBytes, s.maxCallBytes = recordBytes, callBytes
+}
+
+// withinLimits reports whether an append with the body keeps within the limits of the store.
+// The caller holds the lock.
+func (s *Store) withinLimits(raw []byte) bool {
+	within := len(raw) <= s.maxCallBytes
+	for within && len(raw) > 0 {
+		size := int(binary.BigEndian.Uint32(raw))
+		within, raw = size <= s.maxRecordBytes, raw[4+size:]
+	}
+	return within
+}
 
 // SetFault sets the failure mode; Healthy ends it.
 func (s *Store) SetFault(f Fault) {
@@ -212,7 +242,7 @@
 func (d *discardingWriter) WriteHeader(int)             {}
 
 // append appends the records in the body, each of which is preceded by its length in
-// four bytes. If the parameter at is set, the topic must end at that offset; otherwise
+// four bytes. An append beyond the limits is rejected with status 413. If the parameter at is set, the topic must end at that offset; otherwise
 // the reply has status 412 and holds the end. If the parameter producer is set,
 // acceptAppend decides whether to append. After an append the reply holds the offset
 // of the first record and the end of the topic.
@@ -229,6 +259,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.withinLimits(raw) {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
 	t := s.topic(query.Get("topic"))
 	endOffset := int64(len(t.records))
 	if at := query.Get("at"); at != "" && parseNumber(at) != endOffset {
--- a/store.go
+++ b/store.go
@@ -36,6 +36,18 @@
 	Offset Offset
 }
 
+// Size returns the size of the record in bytes, as StoreLimits.RecordBytes bounds it: the
+// length of the key in one byte, the key and the value.
+func (r KeyedRecord) Size() int { return 1 + len(r.Key) + len(r.Value) }
+
+// StoreLimits are the sizes, in bytes, beyond which the store never accepts an append. A
+// zero means that no limit is known.
+type StoreLimits struct {
+	// RecordBytes bounds the size of one record (see KeyedRecord.Size), and CallBytes that
+	// of all records of one append with their lengths.
+	RecordBytes, CallBytes int
+}
+
 // KeyedBatch is the result of one read of a topic.
 type KeyedBatch struct {
 	Records []KeyedRecord
