Abandon a job whose progress exceeds the store's limit

Cause: the owner stores all changes of a round in one append and repeats it until it is taken. A record above 262,144 bytes, or records that are together above 2,097,152, are never taken.

Change: the owner compares each record with the limit. A job above it ends as failed (planner.Abandon): its new assignments are withdrawn before anybody has seen them, its runs are stopped, and a record with its state alone is stored in place of the other, so its ends are acknowledged after that. Failed rather than held back, since its clients would ask for ever, and its runs would hold their VMs as their ends cannot be stored either. Builds before read such a record as that of any ended job. The records of a round are divided into as many appends as the limit of a call requires, each with its own sequence number; the orders follow the last one.

Not changed: an append that the store refuses for good for another reason is still repeated for ever.

--- a/assembler/fleet_large_test.go
+++ b/assembler/fleet_large_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/planner"
 )
 
 // smallJobs are the numbers of the jobs that are submitted beside a large one.
@@ -42,3 +45,50 @@
 		})
 	}
 }
+
+// storeJob stores job n as an entry of a build without limits does.
+func (f *fleet) storeJob(n int, steps ...plantainrail.Step) {
+	record, err := planner.NewJobRecord(plantainrail.Workflow{
+		ID: jobID(n), Queue: plantainrail.Queue{Name: "q", Pool: "desk", MaxAttempts: 2}, Spec: "500", Steps: steps,
+	})
+	assert.NilError(f.t, err)
+	f.store.Put("keyed.jobs", record.Key, record.Value)
+}
+
+// Guards against jobs of everybody that never start (LOST) while the owner repeats an append
+// for ever: that of a too large job, which an earlier build has accepted. The job must fail
+// without a run, also if another entry takes over.
+func TestStoredTooLargeJobStopsNoOther(t *testing.T) {
+	for _, shape := range fleetShapes {
+		t.Run(shape.name, func(t *testing.T) {
+			runInFleet(t, shape, func(f *fleet) {
+				f.storeJob(100, plantainrail.Step{Count: 50_000, CPU: 10})
+				f.checkSmallJobs()
+				f.waitForState(100, "failed", time.Second)
+				f.killEntry(f.owner(), 3*time.Second)
+				f.owner()
+				f.waitForState(100, "failed", time.Second)
+				assert.Assert(t, f.firstStart(100).IsZero())
+			})
+		})
+	}
+}
+
+// Guards against an append that the store never takes (LOST for all) since the records of a
+// round are together above the limit of a call.
+func TestRoundIsStoredInSeveralAppends(t *testing.T) {
+	shape := smallFleet
+	shape.limits = plantainrail.StoreLimits{RecordBytes: 1000, CallBytes: 1000}
+	runInFleet(t, shape, func(f *fleet) {
+		// During an append, the owner reads all jobs that are stored meanwhile.
+		f.store.SetAppendTime(50 * time.Millisecond)
+		const jobs = 24
+		for n := range jobs {
+			f.storeJob(100+n, plantainrail.Step{Count: 1, CPU: 10})
+		}
+		for n := range jobs {
+			f.waitForState(100+n, "completed", 20*time.Second)
+		}
+		f.checkSmallJobs()
+	})
+}
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -72,6 +72,8 @@
 	unguarded bool
 	// heartbeatInterval is the time between two heartbeats of a worker, if it is not 1.5 s.
 	heartbeatInterval time.Duration
+	// limits are those of the store, if they are not fleetLimits.
+	limits plantainrail.StoreLimits
 }
 
 var (
@@ -143,6 +145,8 @@
 		ctx, stop := context.WithCancel(t.Context())
 		f := &fleet{t: t, net: newNetwork(), ctx: ctx, shape: shape, store: keeper.New()}
 		f.storeAddress = f.serve("store", f.store)
+		limits := cmp.Or(shape.limits, fleetLimits)
+		f.store.SetLimits(limits.RecordBytes, limits.CallBytes)
 		f.store.Put("keyed.op", "config", []byte(fleetConfig))
 		for i := range shape.entries {
 			f.entries = append(f.entries, nil)
@@ -196,7 +200,7 @@
 	store := relayer.New(platform.NewStore(f.storeAddress, f.client(name)), f.client(name), logger())
 	silencer := newSilencer(store)
 	d := decider.New(decider.Options{
-		Name: name, Address: peerListener.Addr().String(), Store: hedger.New(silencer), StoreLimits: fleetLimits, Relay: store, SetPeers: store.SetPeers,
+		Name: name, Address: peerListener.Addr().String(), Store: hedger.New(silencer), StoreLimits: cmp.Or(f.shape.limits, fleetLimits), Relay: store, SetPeers: store.SetPeers,
 		PeerClient: f.client(name), Zone: f.zoneOf(i), Cores: f.coresOf(i),
 		ApplyOperatorRecord: (&platform.OperatorState{}).Apply, OperatorTopic: platform.OperatorTopic, Peers: peerListener, Clients: clientListener,
 		ClientHandler: platform.JobHandler, HealthHandler: platform.ReadyHandler, Now: time.Now, Logger: logger().Named(name),
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -85,11 +85,11 @@
 // exceeds what the store accepts, and returns the reply for such a job. A job that was
 // accepted before, by a build without this limit, gets the same answer as then.
 func (d *Decider) refuseTooLarge(ctx context.Context, w plantainrail.Workflow, record plantainrail.KeyedRecord) (plantainrail.Reply, bool) {
-	size, limit := max(record.Size(), planner.MaxProgressBytes(w)), d.StoreLimits.RecordBytes
-	if limit == 0 || size <= limit {
+	size := max(record.Size(), planner.MaxProgressBytes(w))
+	if d.StoreLimits.FitsRecord(size) {
 		return plantainrail.Reply{}, false
 	}
-	d.Logger.Warn("job too large", zap.String("job", w.ID), zap.String("queue", w.Queue.Name), zap.Int("bytes", size), zap.Int("limit", limit))
+	d.Logger.Warn("job too large", zap.String("job", w.ID), zap.String("queue", w.Queue.Name), zap.Int("bytes", size), zap.Int("limit", d.StoreLimits.RecordBytes))
 	job := d.findJob(ctx, jobQuery{ID: w.ID})
 	job.State = ""
 	if job.Result == plantainrail.CallNotFound {
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -207,8 +207,8 @@
 	return nil
 }
 
-// round runs the planner once, stores the jobs that changed, sends the orders to
-// the agents and waits for the next round. If there is nothing to store and the
+// round runs the planner once, stores the jobs that changed, in as many appends as
+// the limit of a call requires, sends the orders to the agents and waits for the next round. If there is nothing to store and the
 // newest confirmed write was sent at least heartbeatInterval ago, it stores a
 // heartbeat. It returns an error if the progress cannot be encoded, the write
 // fails or the context ends.
@@ -216,7 +216,7 @@
 	o.mu.Lock()
 	now := o.decider.Now()
 	plan := o.planner.Tick(now)
-	records, err := encodeProgress(plan.Changed)
+	records, err := o.encodeProgress(&plan)
 	// The plan includes all ends that were applied so far, so they are stored
 	// before dispatch acknowledges them. Ends that arrive during the write are
 	// acknowledged in a later round.
@@ -232,18 +232,26 @@
 	if heartbeat {
 		records = []plantainrail.KeyedRecord{{Key: heartbeatKey, Value: []byte{1}}}
 	}
-	if len(records) > 0 {
-		offset, err := o.append(ctx, records)
-		if err != nil {
+	for _, batch := range o.decider.StoreLimits.Batches(records) {
+		if err := o.store(ctx, batch); err != nil {
 			return err
 		}
-		// The entry's catalog gets the records here, since the owner does not read them.
-		o.decider.applyWritten(plantainrail.KeyedBatch{Records: setOffsets(records, offset), Next: offset + plantainrail.Offset(len(records))})
 	}
 	o.dispatch(plan, appliedEnds)
 	return o.waitForRound(ctx)
 }
 
+// store appends records to the progress topic and applies them to the entry's catalog, since
+// the owner does not read them. Its errors are those of append.
+func (o *owner) store(ctx context.Context, records []plantainrail.KeyedRecord) error {
+	offset, err := o.append(ctx, records)
+	if err != nil {
+		return err
+	}
+	o.decider.applyWritten(plantainrail.KeyedBatch{Records: setOffsets(records, offset), Next: offset + plantainrail.Offset(len(records))})
+	return nil
+}
+
 // setOffsets sets, in place, the offsets of records that were stored one after the
 // other beginning at the first offset. It returns the same slice.
 func setOffsets(records []plantainrail.KeyedRecord, first plantainrail.Offset) []plantainrail.KeyedRecord {
@@ -253,20 +261,35 @@
 	return records
 }
 
-// encodeProgress returns the records of the jobs' progress. Their offsets are not
-// set.
-func encodeProgress(jobs []*planner.Job) ([]plantainrail.KeyedRecord, error) {
+// encodeProgress returns the records of the jobs that the plan has changed. Their offsets
+// are not set. It abandons a job whose record is larger than the store accepts: what cannot
+// be stored must not be carried out, and a job that stays as it is would hold up its clients
+// for ever. The caller holds the lock.
+func (o *owner) encodeProgress(plan *planner.Plan) ([]plantainrail.KeyedRecord, error) {
 	var records []plantainrail.KeyedRecord
-	for _, j := range jobs {
-		raw, err := j.Progress()
+	for _, j := range plan.Changed {
+		record, err := progressRecord(j)
 		if err != nil {
 			return nil, err
 		}
-		records = append(records, plantainrail.KeyedRecord{Key: j.ID, Value: raw})
+		if size := record.Size(); !o.decider.StoreLimits.FitsRecord(size) {
+			o.decider.Logger.Error("job abandoned", zap.String("job", j.ID), zap.Int("bytes", size), zap.Int("limit", o.decider.StoreLimits.RecordBytes))
+			o.planner.Abandon(j, plan)
+			if record, err = progressRecord(j); err != nil {
+				return nil, err
+			}
+		}
+		records = append(records, record)
 	}
 	return records, nil
 }
 
+// progressRecord returns the record of a job's progress.
+func progressRecord(j *planner.Job) (plantainrail.KeyedRecord, error) {
+	raw, err := j.Progress()
+	return plantainrail.KeyedRecord{Key: j.ID, Value: raw}, err
+}
+
 // dispatch sends the agents the orders of a plan whose changes are stored, and
 // acknowledges the run ends up to the numbers in appliedEnds, which are stored too.
 func (o *owner) dispatch(plan planner.Plan, appliedEnds map[plantainrail.WorkerIncarnation]int64) {
--- a/planner/job.go
+++ b/planner/job.go
@@ -114,6 +114,9 @@
 	fillersWaitingSince time.Time
 	// crashed is set once a crash was counted against a task of the job.
 	crashed bool
+	// stateOnly means that the tasks of the job, which has ended, are not stored; see
+	// Planner.Abandon.
+	stateOnly bool
 }
 
 func newJob(w plantainrail.Workflow, arrival int64) *Job {
@@ -272,6 +275,10 @@
 // Progress returns the job's progress in the form in which it is stored. It
 // returns an error if the progress cannot be encoded.
 func (j *Job) Progress() ([]byte, error) {
+	if j.stateOnly {
+		raw, err := cbor.Marshal(progress{State: j.State, Started: j.Started})
+		return raw, errors.Wrap(err, "encode progress")
+	}
 	p := progress{State: j.State, Started: j.Started, Crashes: j.crashRecords()}
 	incarnations := map[plantainrail.WorkerIncarnation]int{}
 	for _, k := range slices.Sorted(maps.Keys(j.occurrences)) {
--- a/store.go
+++ b/store.go
@@ -48,6 +48,29 @@
 	RecordBytes, CallBytes int
 }
 
+// FitsRecord reports whether a record of the size keeps within the limit of a record.
+func (l StoreLimits) FitsRecord(size int) bool { return l.RecordBytes == 0 || size <= l.RecordBytes }
+
+// Batches divides records, in their order, into parts for one append each, which keep within
+// the limit of a call. A record above the limit is a part of its own.
+func (l StoreLimits) Batches(records []KeyedRecord) [][]KeyedRecord {
+	// lengthBytes is the size of a record's length, which precedes it in an append.
+	const lengthBytes = 4
+	var out [][]KeyedRecord
+	first, size := 0, 0
+	for i, r := range records {
+		recordBytes := lengthBytes + r.Size()
+		if i > first && l.CallBytes > 0 && size+recordBytes > l.CallBytes {
+			out, first, size = append(out, records[first:i]), i, 0
+		}
+		size += recordBytes
+	}
+	if first < len(records) {
+		out = append(out, records[first:])
+	}
+	return out
+}
+
 // KeyedBatch is the result of one read of a topic.
 type KeyedBatch struct {
 	Records []KeyedRecord
