Isolate the record that the store refuses for good

Callers saw: no job of anybody was started any more while the owner repeated an append that the store would never take (LOST for all). Jobs that were submitted together with a refused one got 504, or were turned away.

Cause: the store's answers 400 and 413 were an unknown outcome, like a lost reply, so both the owner and the writer of submitted jobs repeated the call with all of its records. The relayer also turned away from the store for it.

The owner divides such an append until the refused record stands alone. As the store may refuse everything at present, it appends a heartbeat, which is repeated until accepted, and tries the record once more; after that the job is abandoned as if it were above the known limit. The writer divides its append likewise and answers 413 to the write at fault. Its batches also keep within the limit of a call; 128 of the largest jobs did not.

Evidence, before the change: TestRefusedRecordStopsNoOther: job 1 "queued" after 20 s. TestRefusedRecordStopsTheRunsOfItsJob: job 100 "in_progress" after 10 s. The tests of ErrUnacceptable itself do not compile without it. With the writer's division taken out, TestRefusedRecordFailsItsOwnWriteOnly fails for jobs 4, 6 and 8; without the heartbeat and the second try, TestJobsOutliveAStoreThatRefusesEverything fails (job 100 "queued" after 30 s).

Result: all pass.

--- a/assembler/fleet_large_test.go
+++ b/assembler/fleet_large_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,3 +93,54 @@
 		f.checkSmallJobs()
 	})
 }
+
+// Guards against jobs of everybody that never start (LOST) after the store has refused one
+// job's record for good: its limits are lower than the settings tell.
+func TestRefusedRecordStopsNoOther(t *testing.T) {
+	for _, shape := range fleetShapes {
+		t.Run(shape.name, func(t *testing.T) {
+			runInFleet(t, shape, func(f *fleet) {
+				f.store.SetLimits(2000, 3000)
+				f.submit(100, "500", []map[string]any{{"count": 400, "cpu": 10}})
+				f.checkSmallJobs()
+				f.waitForState(100, "failed", time.Second)
+				assert.Assert(t, f.firstStart(100).IsZero())
+				// The job's own record is refused, too.
+				status, _ := f.call(http.MethodPost, 101, map[string]any{"spec": strings.Repeat("x", 3000), "steps": jobSteps})
+				assert.Equal(t, status, http.StatusRequestEntityTooLarge)
+			})
+		})
+	}
+}
+
+// Guards against VMs that stay full with the runs of a job whose progress is no longer taken.
+func TestRefusedRecordStopsTheRunsOfItsJob(t *testing.T) {
+	runInFleet(t, smallFleet, func(f *fleet) {
+		f.submit(100, "60000", []map[string]any{{"count": 400, "cpu": 10}})
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, f.runningCount(100) > 0)
+		f.store.SetLimits(2000, 3000)
+		f.vms[0].worker.SetMaxRuns(fleetMaxRuns + 1)
+		f.waitForState(100, "failed", 10*time.Second)
+		f.checkSmallJobs()
+		assert.Equal(t, f.runningCount(100), 0)
+	})
+}
+
+// Guards against jobs that are given up although not they are at fault: for some time, the
+// store refuses every append as it would refuse one for good.
+func TestJobsOutliveAStoreThatRefusesEverything(t *testing.T) {
+	runInFleet(t, smallFleet, func(f *fleet) {
+		// The runs end, and the owner stores that, while the store refuses everything, and at
+		// times also a heartbeat before.
+		for n := range 10 {
+			f.submit(100+n, "500", jobSteps)
+			time.Sleep(400*time.Millisecond + time.Duration(n)*20*time.Millisecond)
+			f.store.SetLimits(0, 0)
+			time.Sleep(200*time.Millisecond + time.Duration(n)*200*time.Millisecond)
+			f.store.SetLimits(fleetLimits.RecordBytes, fleetLimits.CallBytes)
+			f.waitForState(100+n, "completed", 30*time.Second)
+		}
+		f.checkSmallJobs()
+	})
+}
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -167,7 +167,7 @@
 		nonce: newNonce(),
 	}
 	d.newViews()
-	d.writer = newWriter(o.Store, o.Logger)
+	d.writer = newWriter(o.Store, o.StoreLimits, o.Logger)
 	return d
 }
 
--- a/decider/forward.go
+++ b/decider/forward.go
@@ -40,7 +40,7 @@
 	}
 	var tries plantainrail.WriteTries
 	err := d.forward(ctx, address, record)
-	if err == nil || errors.Is(err, plantainrail.ErrRejected) {
+	if err == nil || errors.Is(err, plantainrail.ErrRejected) || errors.Is(err, plantainrail.ErrUnacceptable) {
 		return err
 	}
 	tries = tries.With(err)
@@ -65,7 +65,7 @@
 func (d *Decider) replicaAnswers() bool { return d.Now().Sub(d.pendingReadAt) < maxReplicaSilence }
 
 // forward asks the replica at the address to store a record. After an error other than
-// plantainrail.ErrRejected the record may be stored. forward gives up early when the
+// plantainrail.ErrRejected and plantainrail.ErrUnacceptable the record may be stored. forward gives up early when the
 // replica stops answering pings.
 func (d *Decider) forward(ctx context.Context, address string, record plantainrail.KeyedRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
@@ -89,12 +89,15 @@
 		return nil
 	case status == http.StatusServiceUnavailable:
 		return errors.Wrapf(plantainrail.ErrRejected, "replica: %s", bytes.TrimSpace(text))
+	case status == http.StatusRequestEntityTooLarge:
+		return errors.Wrapf(plantainrail.ErrUnacceptable, "replica: %s", bytes.TrimSpace(text))
 	}
 	return errors.Errorf("replica answered with status %d: %s", status, bytes.TrimSpace(text))
 }
 
 // serveWrite stores a record of another entry. It responds with status 503 if the record
-// is not stored and never will be by this call, and with 504 if that is not known.
+// is not stored and never will be by this call, with 413 if the store accepts it by no call,
+// and with 504 if it is not known whether it is stored.
 func (d *Decider) serveWrite(w http.ResponseWriter, req *http.Request) {
 	var record plantainrail.KeyedRecord
 	if err := receive(w, req, &record); err != nil {
@@ -105,6 +108,8 @@
 	case err == nil:
 	case errors.Is(err, plantainrail.ErrRejected):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case errors.Is(err, plantainrail.ErrUnacceptable):
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	default:
 		http.Error(w, err.Error(), http.StatusGatewayTimeout)
 	}
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -126,13 +126,16 @@
 }
 
 // replyFor returns the reply to a call whose write returned this error, which may
-// be nil. After any error other than ErrRejected the record may have been stored.
+// be nil. After any error other than ErrRejected and ErrUnacceptable the record may have
+// been stored.
 func replyFor(err error) plantainrail.Reply {
 	switch {
 	case err == nil:
 		return plantainrail.Reply{Result: plantainrail.CallOK}
 	case errors.Is(err, plantainrail.ErrRejected):
 		return plantainrail.Reply{Result: plantainrail.CallUnavailable, RetryAfter: storeRetryAfter}
+	case errors.Is(err, plantainrail.ErrUnacceptable):
+		return plantainrail.Reply{Result: plantainrail.CallTooLarge}
 	}
 	return plantainrail.Reply{Result: plantainrail.CallUncertain}
 }
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -152,7 +152,8 @@
 // append writes to the progress topic and returns the offset of the first record.
 // Without records it fences lower epochs and returns the topic's end. It retries
 // until the store has accepted the records, and returns an error if a higher epoch
-// has written, the sequence number does not match or the context ends.
+// has written, the sequence number does not match or the context ends, and ErrUnacceptable
+// if the store never accepts the progress of jobs.
 func (o *owner) append(ctx context.Context, records []plantainrail.KeyedRecord) (plantainrail.Offset, error) {
 	call := plantainrail.AppendCall{
 		Topic: progressTopic, Records: records, Writer: &plantainrail.Writer{Name: writerName, Epoch: o.epoch, Sequence: o.sequence},
@@ -172,6 +173,10 @@
 			return 0, err
 		}
 		o.decider.Logger.Warn("progress not stored", zap.Int("records", len(records)), zap.Int64("sequence", o.sequence), zap.Error(err))
+		// A refusal of no record or of a heartbeat does not depend on what was sent.
+		if errors.Is(err, plantainrail.ErrUnacceptable) && len(records) > 0 && records[0].Key != heartbeatKey {
+			return 0, err
+		}
 		if err := clocker.Sleep(ctx, retryDelay); err != nil {
 			return 0, err
 		}
@@ -230,10 +235,14 @@
 		return err
 	}
 	if heartbeat {
-		records = []plantainrail.KeyedRecord{{Key: heartbeatKey, Value: []byte{1}}}
+		records = heartbeatRecords()
 	}
 	for _, batch := range o.decider.StoreLimits.Batches(records) {
-		if err := o.store(ctx, batch); err != nil {
+		refused, err := o.store(ctx, batch)
+		if err == nil {
+			err = o.abandonRefused(ctx, refused, &plan)
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -241,9 +250,58 @@
 	return o.waitForRound(ctx)
 }
 
-// store appends records to the progress topic and applies them to the entry's catalog, since
-// the owner does not read them. Its errors are those of append.
-func (o *owner) store(ctx context.Context, records []plantainrail.KeyedRecord) error {
+func heartbeatRecords() []plantainrail.KeyedRecord {
+	return []plantainrail.KeyedRecord{{Key: heartbeatKey, Value: []byte{1}}}
+}
+
+// store appends records and returns those that the store never accepts; the others are
+// stored. Its errors are those of append.
+func (o *owner) store(ctx context.Context, records []plantainrail.KeyedRecord) (refused []plantainrail.KeyedRecord, err error) {
+	if err := o.appendAndApply(ctx, records); !errors.Is(err, plantainrail.ErrUnacceptable) {
+		return nil, err
+	}
+	if half := len(records) / 2; half > 0 {
+		for _, part := range [][]plantainrail.KeyedRecord{records[:half], records[half:]} {
+			more, err := o.store(ctx, part)
+			if err != nil {
+				return nil, err
+			}
+			refused = append(refused, more...)
+		}
+		return refused, nil
+	}
+	// The store may refuse everything at present. The record is at fault if it is refused
+	// again after a heartbeat was accepted.
+	if err := o.appendAndApply(ctx, heartbeatRecords()); err != nil {
+		return nil, err
+	}
+	if err := o.appendAndApply(ctx, records); !errors.Is(err, plantainrail.ErrUnacceptable) {
+		return nil, err
+	}
+	return records, nil
+}
+
+// abandonRefused abandons the jobs whose records the store never accepts, and stores their
+// states. A job whose state is refused too is left as it is: an owner that takes over will
+// have to abandon it again.
+func (o *owner) abandonRefused(ctx context.Context, refused []plantainrail.KeyedRecord, plan *planner.Plan) error {
+	for _, r := range refused {
+		o.mu.Lock()
+		record, err := o.abandon(o.planner.Book.Job(r.Key), r.Size(), plan)
+		o.mu.Unlock()
+		if err == nil {
+			_, err = o.store(ctx, []plantainrail.KeyedRecord{record})
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// appendAndApply appends records and applies them to the entry's catalog, since the owner
+// does not read them. Its errors are those of append.
+func (o *owner) appendAndApply(ctx context.Context, records []plantainrail.KeyedRecord) error {
 	offset, err := o.append(ctx, records)
 	if err != nil {
 		return err
@@ -273,9 +331,7 @@
 			return nil, err
 		}
 		if size := record.Size(); !o.decider.StoreLimits.FitsRecord(size) {
-			o.decider.Logger.Error("job abandoned", zap.String("job", j.ID), zap.Int("bytes", size), zap.Int("limit", o.decider.StoreLimits.RecordBytes))
-			o.planner.Abandon(j, plan)
-			if record, err = progressRecord(j); err != nil {
+			if record, err = o.abandon(j, size, plan); err != nil {
 				return nil, err
 			}
 		}
@@ -284,6 +340,14 @@
 	return records, nil
 }
 
+// abandon ends a job whose record the store does not accept, and returns the record of its
+// state. The size is that of the former, in bytes. The caller holds the lock.
+func (o *owner) abandon(j *planner.Job, size int, plan *planner.Plan) (plantainrail.KeyedRecord, error) {
+	o.decider.Logger.Error("job abandoned", zap.String("job", j.ID), zap.Int("bytes", size), zap.Int("limit", o.decider.StoreLimits.RecordBytes))
+	o.planner.Abandon(j, plan)
+	return progressRecord(j)
+}
+
 // progressRecord returns the record of a job's progress.
 func progressRecord(j *planner.Job) (plantainrail.KeyedRecord, error) {
 	raw, err := j.Progress()
--- a/decider/writer.go
+++ b/decider/writer.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	// maxBatchRecords bounds the number of records in one append. Even with the
-	// largest jobs an append stays below the store's limit of two megabytes per call.
+	// maxBatchRecords bounds the number of records in one append.
 	maxBatchRecords = 128
 	// rejectedWriteTimeout bounds how long a write is retried while the store rejects
 	// it, and how long it waits in the queue for earlier ones to be answered.
@@ -52,16 +51,18 @@
 // full.
 type writer struct {
 	store  plantainrail.Store
+	limits plantainrail.StoreLimits
 	logger *zap.Logger
 	queue  chan *pendingWrite
 }
 
-func newWriter(store plantainrail.Store, logger *zap.Logger) *writer {
-	return &writer{store, logger, make(chan *pendingWrite, 1024)}
+func newWriter(store plantainrail.Store, limits plantainrail.StoreLimits, logger *zap.Logger) *writer {
+	return &writer{store, limits, logger, make(chan *pendingWrite, 1024)}
 }
 
 // append stores a record and returns nil once it is stored. ErrRejected means that
-// it is not stored and never will be; after any other error it may be stored. A
+// it is not stored and never will be, and ErrUnacceptable also that a further try is
+// of no use; after any other error it may be stored. A
 // write that may have been stored is retried until the context ends. Later writes wait
 // in the queue meanwhile. They are not sent, so they can still be rejected.
 func (w *writer) append(ctx context.Context, record plantainrail.KeyedRecord) error {
@@ -100,14 +101,20 @@
 	}
 }
 
-// fillBatch adds queued writes to a batch, up to maxBatchRecords, without waiting for
-// any. It skips writes that their callers have given up.
+// fillBatch adds queued writes to a batch, up to maxBatchRecords and as long as a record
+// of any size keeps within the limit of a call, without waiting for any. It skips writes
+// that their callers have given up.
 func (w *writer) fillBatch(batch []*pendingWrite) []*pendingWrite {
-	for len(batch) < maxBatchRecords {
+	size := 0
+	for _, pending := range batch {
+		size += pending.record.AppendSize()
+	}
+	for len(batch) < maxBatchRecords && w.limits.HasRoom(size) {
 		select {
 		case next := <-w.queue:
 			if next.acquire() {
 				batch = append(batch, next)
+				size += next.record.AppendSize()
 			}
 		default:
 			return batch
@@ -117,7 +124,9 @@
 }
 
 // appendBatch retries a batch until each of its writes has a result. As long as no
-// write of the batch may be stored, writes that are queued meanwhile join it.
+// write of the batch may be stored, writes that are queued meanwhile join it. If the store
+// never accepts the batch, appendBatch appends each half by itself, so that only the writes
+// at fault fail.
 func (w *writer) appendBatch(ctx context.Context, batch []*pendingWrite) {
 	for len(batch) > 0 {
 		records := make([]plantainrail.KeyedRecord, len(batch))
@@ -134,6 +143,11 @@
 			return
 		}
 		w.logger.Warn("jobs not stored", zap.Strings("jobs", jobIDs(records)), zap.Error(err))
+		if half := len(batch) / 2; half > 0 && errors.Is(err, plantainrail.ErrUnacceptable) {
+			w.appendBatch(ctx, batch[:half:half])
+			w.appendBatch(ctx, batch[half:])
+			return
+		}
 		batch = w.completeExpired(batch, err)
 		if len(batch) > 0 {
 			_ = clocker.Sleep(ctx, retryDelay)
@@ -154,14 +168,15 @@
 }
 
 // completeExpired gives up the writes of a batch that must not be retried after a try that
-// failed with the error, and returns the others. A write ends once its context has ended;
-// one that is certainly not stored also ends once its rejectionDeadline has passed.
+// failed with the error, and returns the others. A write ends once its context has ended, or
+// after ErrUnacceptable, which a batch of one write gets; one that is certainly not stored
+// also ends once its rejectionDeadline has passed.
 func (w *writer) completeExpired(batch []*pendingWrite, err error) []*pendingWrite {
 	var rest []*pendingWrite
 	for _, pending := range batch {
 		pending.tries = pending.tries.With(err)
 		overdue := !pending.tries.MaybeDone() && time.Now().After(pending.rejectionDeadline)
-		if overdue || pending.ctx.Err() != nil {
+		if overdue || pending.ctx.Err() != nil || errors.Is(err, plantainrail.ErrUnacceptable) {
 			pending.result <- errors.Wrap(pending.tries.Err(), "write given up")
 			continue
 		}
--- a/decider/writer_test.go
+++ b/decider/writer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -52,7 +54,7 @@
 func appendDuringOutage(t *testing.T, outage, timeout time.Duration, delays map[string]time.Duration) (map[string]appendResult, map[string]int) {
 	t.Helper()
 	s := &unresponsiveStore{unresponsiveUntil: time.Now().Add(outage), sent: map[string]int{}}
-	w := newWriter(s, zap.NewNop())
+	w := newWriter(s, plantainrail.StoreLimits{}, zap.NewNop())
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	go func() { _ = w.run(ctx) }()
@@ -139,7 +141,7 @@
 			{"rejected always", []error{rejected}, false},
 		} {
 			ctx, stop := context.WithCancel(t.Context())
-			w := newWriter(&scriptedStore{errs: c.errs}, zap.NewNop())
+			w := newWriter(&scriptedStore{errs: c.errs}, plantainrail.StoreLimits{}, zap.NewNop())
 			go func() { _ = w.run(ctx) }()
 			call, cancel := context.WithTimeout(ctx, 2*time.Second)
 			err := w.append(call, plantainrail.KeyedRecord{Key: "j/a", Value: []byte{1}})
@@ -149,3 +151,58 @@
 		}
 	})
 }
+
+// fullStore never accepts an append with a record of more than maxValue bytes, or with more
+// than maxRecords records. It keeps the keys of the records that it has accepted.
+type fullStore struct {
+	plantainrail.Store
+	maxValue, maxRecords int
+	accepted             []string
+}
+
+func (s *fullStore) Append(_ context.Context, call plantainrail.AppendCall) (plantainrail.Offset, error) {
+	refused := len(call.Records) > s.maxRecords
+	for _, r := range call.Records {
+		refused = refused || len(r.Value) > s.maxValue
+	}
+	time.Sleep(10 * time.Millisecond)
+	if refused {
+		return 0, errors.Wrap(plantainrail.ErrUnacceptable, "status 413")
+	}
+	for _, r := range call.Records {
+		s.accepted = append(s.accepted, r.Key)
+	}
+	return 1, nil
+}
+
+// Guards against jobs that are turned away, or of which nobody knows whether they are stored,
+// since the store never takes another job of the same append, or so many.
+func TestRefusedRecordFailsItsOwnWriteOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		s := &fullStore{maxValue: 10, maxRecords: 5}
+		w := newWriter(s, plantainrail.StoreLimits{}, zap.NewNop())
+		go func() { _ = w.run(ctx) }()
+		var group sync.WaitGroup
+		for i := range 10 {
+			group.Go(func() {
+				err := w.append(ctx, plantainrail.KeyedRecord{Key: fmt.Sprint("j/", i), Value: make([]byte, 1+i%2*10)})
+				assert.Check(t, errors.Is(err, plantainrail.ErrUnacceptable) == (i%2 == 1), "job %d: %v", i, err)
+				assert.Check(t, i%2 == 1 || err == nil, "job %d: %v", i, err)
+			})
+		}
+		group.Wait()
+		slices.Sort(s.accepted)
+		assert.DeepEqual(t, s.accepted, []string{"j/0", "j/2", "j/4", "j/6", "j/8"})
+	})
+}
+
+// Guards against an append of many large jobs that the store refuses (see StoreLimits).
+func TestBatchKeepsWithinTheLimitOfACall(t *testing.T) {
+	w := newWriter(nil, plantainrail.StoreLimits{RecordBytes: 100, CallBytes: 350}, zap.NewNop())
+	for range 20 {
+		w.queue <- &pendingWrite{record: plantainrail.KeyedRecord{Key: "j/a", Value: make([]byte, 96)}}
+	}
+	assert.Equal(t, len(w.fillBatch(nil)), 3)
+}
--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -104,5 +104,6 @@
 // result of the call, whatever its other tries return.
 func conclusive(err error) bool {
 	var sequenceErr *plantainrail.SequenceError
-	return err == nil || errors.Is(err, plantainrail.ErrFenced) || errors.Is(err, plantainrail.ErrExpired) || errors.As(err, &sequenceErr)
+	return err == nil || errors.Is(err, plantainrail.ErrUnacceptable) || errors.Is(err, plantainrail.ErrFenced) ||
+		errors.Is(err, plantainrail.ErrExpired) || errors.As(err, &sequenceErr)
 }
--- a/hedger/hedger_test.go
+++ b/hedger/hedger_test.go
@@ -82,6 +82,7 @@
 		{"silent connection", plantainrail.AppendCall{}, []answer{{silent: true}, {after: 4 * time.Millisecond}}, nil, 510 * time.Millisecond, 2},
 		{"two silent connections", plantainrail.AppendCall{}, []answer{{silent: true}, {silent: true}, {after: time.Millisecond}}, nil, 1010 * time.Millisecond, 3},
 		{"rejected", plantainrail.AppendCall{}, []answer{{err: plantainrail.ErrRejected}}, plantainrail.ErrRejected, time.Millisecond, 1},
+		{"never acceptable", plantainrail.AppendCall{}, []answer{{silent: true}, {err: plantainrail.ErrUnacceptable}}, plantainrail.ErrUnacceptable, 510 * time.Millisecond, 2},
 		{"fenced", plantainrail.AppendCall{}, []answer{{silent: true}, {err: plantainrail.ErrFenced}}, plantainrail.ErrFenced, 510 * time.Millisecond, 2},
 		{
 			"rejected after a try that may have taken effect",
--- a/planner/abandon.go
+++ b/planner/abandon.go
@@ -26,7 +26,14 @@
 	if !j.State.Final() {
 		p.endJob(j, Failed)
 	}
-	plan.Stops, p.stops = append(plan.Stops, p.stops...), nil
+	// The stops of other jobs have to wait until those are stored.
+	p.stops = slices.DeleteFunc(p.stops, func(s Stop) bool {
+		own := s.Ref.Task.Job == j.ID
+		if own {
+			plan.Stops = append(plan.Stops, s)
+		}
+		return own
+	})
 	// The caller stores the job with the plan.
 	delete(p.changed, j.ID)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -114,14 +114,16 @@
 
 const (
 	errorNone errorCode = iota
-	// errorRejected to errorSequence stand for the store's corresponding errors (see
-	// encodeError). After them the call had no effect.
+	// errorRejected to errorSequence, and errorUnacceptable, stand for the store's
+	// corresponding errors (see encodeError). After them the call had no effect.
 	errorRejected
 	errorFenced
 	errorExpired
 	errorOffset
 	errorSequence
 	errorUnknown
+	// Entries of earlier builds take errorUnacceptable for errorUnknown.
+	errorUnacceptable
 )
 
 // Append implements plantainrail.Store.
@@ -324,6 +326,8 @@
 		return errorNone, 0, 0
 	case errors.Is(err, plantainrail.ErrRejected):
 		return errorRejected, 0, 0
+	case errors.Is(err, plantainrail.ErrUnacceptable):
+		return errorUnacceptable, 0, 0
 	case errors.Is(err, plantainrail.ErrFenced):
 		return errorFenced, 0, 0
 	case errors.Is(err, plantainrail.ErrExpired):
@@ -343,6 +347,8 @@
 		return nil
 	case errorRejected:
 		return errors.Wrap(plantainrail.ErrRejected, r.Text)
+	case errorUnacceptable:
+		return errors.Wrap(plantainrail.ErrUnacceptable, r.Text)
 	case errorFenced:
 		return plantainrail.ErrFenced
 	case errorExpired:
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -39,3 +39,27 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, batch)
 }
+
+// refusingStore refuses every append with its error.
+type refusingStore struct {
+	plantainrail.Store
+	err error
+}
+
+func (s refusingStore) Append(context.Context, plantainrail.AppendCall) (plantainrail.Offset, error) {
+	return 0, s.err
+}
+
+// Guards against an append that is repeated for ever, since its refusal reaches an entry that
+// is cut off from the store as an unknown outcome.
+func TestRefusalForGoodIsRelayed(t *testing.T) {
+	peer := httptest.NewServer(relayer.New(refusingStore{err: plantainrail.ErrUnacceptable}, nil, zap.NewNop()))
+	defer peer.Close()
+	r := relayer.New(refusingStore{err: plantainrail.ErrRejected}, peer.Client(), zap.NewNop())
+	r.SetPeers([]string{strings.TrimPrefix(peer.URL, "http://")})
+	// The first append turns away from the store.
+	_, err := r.Append(t.Context(), plantainrail.AppendCall{})
+	assert.ErrorIs(t, err, plantainrail.ErrRejected)
+	_, err = r.Append(t.Context(), plantainrail.AppendCall{})
+	assert.ErrorIs(t, err, plantainrail.ErrUnacceptable)
+}
--- a/store.go
+++ b/store.go
@@ -51,15 +51,25 @@
 // FitsRecord reports whether a record of the size keeps within the limit of a record.
 func (l StoreLimits) FitsRecord(size int) bool { return l.RecordBytes == 0 || size <= l.RecordBytes }
 
+// lengthBytes is the size of a record's length, which precedes it in an append.
+const lengthBytes = 4
+
+// AppendSize returns what the record takes of StoreLimits.CallBytes.
+func (r KeyedRecord) AppendSize() int { return lengthBytes + r.Size() }
+
+// HasRoom reports whether an append of records that take the given number of bytes keeps
+// within the limit of a call with one more record, whatever its size.
+func (l StoreLimits) HasRoom(bytes int) bool {
+	return l.CallBytes == 0 || bytes+lengthBytes+l.RecordBytes <= l.CallBytes
+}
+
 // Batches divides records, in their order, into parts for one append each, which keep within
 // the limit of a call. A record above the limit is a part of its own.
 func (l StoreLimits) Batches(records []KeyedRecord) [][]KeyedRecord {
-	// lengthBytes is the size of a record's length, which precedes it in an append.
-	const lengthBytes = 4
 	var out [][]KeyedRecord
 	first, size := 0, 0
 	for i, r := range records {
-		recordBytes := lengthBytes + r.Size()
+		recordBytes := r.AppendSize()
 		if i > first && l.CallBytes > 0 && size+recordBytes > l.CallBytes {
 			out, first, size = append(out, records[first:i]), i, 0
 		}
@@ -90,8 +100,8 @@
 }
 
 // Store is the platform's store of topics. After an error other than ErrRejected,
-// ErrFenced, *OffsetMismatchError and *SequenceError, a write may or may not have been
-// done.
+// ErrUnacceptable, ErrFenced, *OffsetMismatchError and *SequenceError, a write may or may
+// not have been done.
 type Store interface {
 	// Append writes the records and returns the offset of the first.
 	Append(ctx context.Context, call AppendCall) (Offset, error)
@@ -106,6 +116,9 @@
 var (
 	// ErrRejected means that the store rejected a call and did nothing.
 	ErrRejected = errors.New("store rejected the call")
+	// ErrUnacceptable means that the store did nothing and will answer the same call in the
+	// same way at any time, for example since a record is too large.
+	ErrUnacceptable = errors.New("store never accepts the call")
 	// ErrFenced means that a writer of the same name with a higher epoch has written.
 	ErrFenced = errors.New("fenced by a higher epoch")
 	// ErrExpired means that retention has deleted the requested records.
@@ -121,7 +134,7 @@
 
 // With returns the tries with one more, which failed with the error.
 func (t WriteTries) With(err error) WriteTries {
-	if errors.Is(err, ErrRejected) {
+	if errors.Is(err, ErrRejected) || errors.Is(err, ErrUnacceptable) {
 		t.rejection = err
 	} else {
 		t.unknown = err
@@ -133,7 +146,8 @@
 func (t WriteTries) MaybeDone() bool { return t.unknown != nil }
 
 // Err returns the newest error of a try that may have taken effect. Only if every try was
-// rejected does it return an error that is ErrRejected, and nil if there was no try.
+// rejected does it return an error that is ErrRejected or ErrUnacceptable: that of the newest
+// try, and nil if there was none.
 func (t WriteTries) Err() error {
 	if t.unknown != nil {
 		return t.unknown
--- a/store_test.go
+++ b/store_test.go
@@ -29,6 +29,8 @@
 		{"rejected", []error{rejected, rejected}, false, true},
 		{"unknown first", []error{unknown, rejected, rejected}, true, false},
 		{"unknown last", []error{rejected, unknown}, true, false},
+		{"unknown, then never acceptable", []error{unknown, plantainrail.ErrUnacceptable}, true, false},
+		{"never acceptable", []error{plantainrail.ErrUnacceptable}, false, false},
 	} {
 		var tries plantainrail.WriteTries
 		for _, err := range c.errs {
