--- a/planner/size.go
+++ b/planner/size.go
@@ -44,8 +44,8 @@
 // progress (see plantainrail.KeyedRecord.Size). All occurrences are taken to be open at the
 // same time, with all tasks placed on as many workers as there can be, started often, with
 // a checkpoint if their step has them, and suspected of a crash. It returns math.MaxInt if
-// the bound is beyond that. Only checkpoints and names that are longer than those of the
-// platform's pages can exceed it.
+// the bound is beyond that. Only values above the constants in this file can exceed it:
+// longer checkpoints or names, or tasks on more workers at a time.
 func MaxProgressBytes(w plantainrail.Workflow) int {
 	// Placed tasks hold a position among the incarnations.
 	taskBytes := 1 + uintBytes(int(Done)) + uintBytes(maxRun) + uintBytes(maxPlacedWorkers) + uintBytes(max(w.Queue.MaxAttempts, 1)) + uintBytes(0)
@@ -61,8 +61,8 @@
 		occurrenceBytes += uintBytes(step.Count) + step.Count*perTask
 	}
 	const incarnationBytes = 1 + 2*(2+maxNameBytes) + 9
-	// The number of tasks is at least that of the occurrences, and is only computed for as
-	// many as can be told apart.
+	// Occurrences above maxPlacedWorkers do not change the minimum, and are left out so that
+	// the product does not overflow.
 	workers := min(tasks*min(occurrences, maxPlacedWorkers), maxPlacedWorkers)
 	fixed := plantainrail.KeyedRecord{Key: w.ID}.Size() + progressHeaderBytes + workers*incarnationBytes
 	if occurrences > (math.MaxInt-fixed)/occurrenceBytes {
