Planner: a run that lasts ends a VM's probation

Cause: only a run that ends successfully ended the probation, and services do not end. That a run has lasted for probationRunTime allowed just one more run, though a worker that fails every run does so within a second. The class: a penalty that outlasts its reason.

Such a run ends the probation now, as a successful one does.

--- a/planner/place.go
+++ b/planner/place.go
@@ -49,6 +49,9 @@
 	// A shape that finds no VM is not tried again in this tick, in which free
 	// resources only shrink.
 	clear(p.unplaceable)
+	for _, v := range p.ordered {
+		v.endProbation(now)
+	}
 	for _, ready := range p.readySteps(now) {
 		if ready.definition().Gang {
 			out = append(out, p.placeGang(ready, now)...)
--- /dev/null
+++ b/planner/probation_test.go
@@ -0,0 +1,41 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/planner"
+)
+
+// newProbationHarness returns a harness with one VM, whose pause after the failures of two poison
+// jobs has just ended. The jobs' tasks wait again.
+func newProbationHarness(t *testing.T) *harness {
+	h := newHarness(t, newVM("a", 9000))
+	for i := range 2 {
+		h.submit(fmt.Sprint("poison", i), plantainrail.Step{Count: 1, CPU: 1000, Lasting: true})
+	}
+	for i, a := range h.tick().Assignments {
+		h.reportEnd(a, int64(i+1), plantainrail.RunFailed)
+	}
+	assert.Equal(t, len(h.tick().Assignments), 0, "the VM must be paused")
+	h.now = h.now.Add(time.Second)
+	return h
+}
+
+// Guards against long-running tasks that wait (LOST) because a VM without runs that end takes only
+// one of them every three seconds, long after its last failure.
+func TestProbationEndsWithARunThatLasts(t *testing.T) {
+	h := newProbationHarness(t)
+	for i := range 2 {
+		h.applyJob(planner.NewCancelRecord(fmt.Sprint("poison", i)))
+	}
+	h.submit("services", plantainrail.Step{Count: 5, CPU: 1000, Lasting: true})
+	assert.Equal(t, len(h.tick().Assignments), 1)
+	h.now = h.now.Add(3 * time.Second)
+	h.report(newVM("a", 9000))
+	assert.Equal(t, len(h.tick().Assignments), 4)
+}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -19,7 +19,7 @@
 	// together request.
 	maxFillerShare = 0.8
 	// probationRunTime is how long a run that was assigned on probation must last
-	// before the VM gets another one. A worker that fails every run does so
+	// to end the probation. A worker that fails every run does so
 	// within a second.
 	probationRunTime = 3 * time.Second
 	// failedJobsToPause is the number of different jobs that must fail on a VM
@@ -95,10 +95,9 @@
 	// long as its capacity is still noRoomCapacity and none of its runs has ended.
 	noRoomUntil    time.Time
 	noRoomCapacity plantainrail.Resources
-	// probation is set after repeated failures until the next successful run. The
-	// VM then gets no further run until its newest one has ended or lasted for
-	// probationRunTime. probationSince is the time of the newest of these
-	// failures.
+	// probation is set after repeated failures until the next run that succeeds or lasts for
+	// probationRunTime. The VM then gets one run at a time. probationSince is the time of the
+	// newest of these failures.
 	probation      bool
 	probationSince time.Time
 	// headrooms caches the headroom of each service as computed at headroomsAt;
@@ -143,13 +142,12 @@
 
 // recordOutcome updates the failures of the VM after a run of a job has ended.
 // Failed runs of failedJobsToPause different jobs, without a successful run in between,
-// pause the VM and put it on probation, which ends with the first successful run. On
-// probation each failed run pauses the VM again.
+// pause the VM and put it on probation, which ends with the first run that succeeds or lasts
+// for probationRunTime. On probation each failed run pauses the VM again.
 func (v *vm) recordOutcome(job string, outcome plantainrail.RunOutcome, now time.Time) {
 	switch outcome {
 	case plantainrail.RunDone:
-		clear(v.failedJobs)
-		v.pauseDoublings, v.probation = 0, false
+		v.trust()
 	case plantainrail.RunFailed:
 		v.failedJobs[job] = true
 		if len(v.failedJobs) >= failedJobsToPause || v.probation {
@@ -263,6 +261,22 @@
 	return false
 }
 
+// endProbation ends the probation of a VM on which a run that was assigned after the newest
+// failure has lasted for probationRunTime: the worker does not fail every run.
+func (v *vm) endProbation(now time.Time) {
+	if v.probation && slices.ContainsFunc(v.orderedRuns, func(r *placedRun) bool {
+		return r.assignedAt.After(v.probationSince) && now.Sub(r.assignedAt) >= probationRunTime
+	}) {
+		v.trust()
+	}
+}
+
+// trust forgets the failures of a VM.
+func (v *vm) trust() {
+	clear(v.failedJobs)
+	v.pauseDoublings, v.probation = 0, false
+}
+
 // runsOfStep returns the number of the VM's runs for the task's step and
 // occurrence.
 func (v *vm) runsOfStep(id plantainrail.TaskID) int {
