Planner: jobs that fail get VMs on probation last

Callers saw sound jobs wait for seconds while nothing else ran: jobs whose every run fails, above all long-running ones, which are tried without limit, had arrived earlier and took the one run at a time of each VM on probation, failed, and paused the VM again.

Cause: the runs by which a VM on probation is tested were given out by arrival. A run of a job that fails anyway tells nothing about the VM. The class: a test whose result is known beforehand stands in for one that would tell something.

Evidence: TestFailingJobsLeaveProbationToOthers, red before and green after.

Jobs with a failed run since their last successful one take such VMs after all others. It also keeps a sound job that has failed on one bad worker off the next one.

--- a/planner/job.go
+++ b/planner/job.go
@@ -112,6 +112,8 @@
 	// may wait again.
 	fillerWait          time.Duration
 	fillersWaitingSince time.Time
+	// failing is set from a failed run until the next successful one. It is not stored.
+	failing bool
 	// crashed is set once a crash was counted against a task of the job.
 	crashed bool
 	// stateOnly means that the tasks of the job, which has ended, are not stored; see
--- a/planner/place.go
+++ b/planner/place.go
@@ -13,6 +13,8 @@
 	job        *Job
 	occurrence int
 	step       int
+	// noTrial means that the tasks do not use VMs on probation.
+	noTrial bool
 }
 
 // definition returns the step as submitted, which must not be changed.
@@ -40,10 +42,11 @@
 	// mayWait is set while a filler may still wait for a VM with less
 	// interference, and therefore does not take every VM.
 	mayWait bool
+	noTrial bool
 }
 
 // place assigns tasks that are ready to VMs with enough free resources, in the order
-// in which the jobs are served.
+// in which the jobs are served. On VMs on probation, jobs that fail come last.
 func (p *Planner) place(now time.Time) []Assignment {
 	var out []Assignment
 	// A shape that finds no VM is not tried again in this tick, in which free
@@ -52,16 +55,30 @@
 	for _, v := range p.ordered {
 		v.endProbation(now)
 	}
-	for _, ready := range p.readySteps(now) {
-		if ready.definition().Gang {
-			out = append(out, p.placeGang(ready, now)...)
-		} else {
-			out = append(out, p.placeStep(ready, now)...)
+	ready := p.readySteps(now)
+	for i := range ready {
+		ready[i].noTrial = ready[i].job.failing
+		out = append(out, p.placeReady(ready[i], now)...)
+	}
+	// The run of a job that fails tells little about a VM on probation, so such jobs get the
+	// VMs on probation that the others leave.
+	for _, r := range ready {
+		if r.noTrial && r.job.occurrences[r.occurrence][r.step].waiting > 0 {
+			r.noTrial = false
+			out = append(out, p.placeReady(r, now)...)
 		}
 	}
 	return out
 }
 
+// placeReady assigns waiting tasks of a step.
+func (p *Planner) placeReady(ready readyStep, now time.Time) []Assignment {
+	if ready.definition().Gang {
+		return p.placeGang(ready, now)
+	}
+	return p.placeStep(ready, now)
+}
+
 // readySteps lists the steps that have waiting tasks, belong to an occurrence that is
 // due, and depend on no unfinished step. Jobs that are final or to be cancelled are left
 // out. The list is in the order in which the steps are served: by priority of the queue,
@@ -93,6 +110,7 @@
 	step := ready.definition()
 	s := shape{
 		pool: p.vmPool(ready.job), label: step.VMLabel, resources: step.Reservation(), filler: step.Filler, suspects: ready.hasSuspects(),
+		noTrial: ready.noTrial,
 	}
 	if step.Filler {
 		s.image, s.mayWait = step.Image, ready.job.fillersMayWait(now)
@@ -307,6 +325,8 @@
 		return o
 	case p.config.Out[v.Zone]:
 		return obstacleZone
+	case ready.noTrial && v.probation:
+		return obstacleProbation
 	case step.MaxPerVM > 0 && v.runsOfStep(ready.taskID(0)) >= step.MaxPerVM:
 		return obstaclePerVM
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -420,7 +420,7 @@
 	v.removeRun(run)
 	j.setPhase(run.id, Waiting)
 	p.markChanged(j)
-	v.recordOutcome(j.ID, end.Outcome, now)
+	v.recordOutcome(j, end.Outcome, now)
 	switch {
 	case end.Outcome == plantainrail.RunDone && !step.Lasting:
 		p.completeTask(j, run.id)
--- a/planner/probation_test.go
+++ b/planner/probation_test.go
@@ -39,3 +39,13 @@
 	h.report(newVM("a", 9000))
 	assert.Equal(t, len(h.tick().Assignments), 4)
 }
+
+// Guards against a sound job that waits (LOST) because the only run at a time that a VM on
+// probation takes is, again and again, one of a job that fails everywhere.
+func TestFailingJobsLeaveProbationToOthers(t *testing.T) {
+	h := newProbationHarness(t)
+	h.submit("sound", plantainrail.Step{Count: 1, CPU: 1000})
+	placed := h.tick().Assignments
+	assert.Equal(t, len(placed), 1)
+	assert.Equal(t, placed[0].Order.Ref.Task.Job, "sound")
+}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -144,12 +144,14 @@
 // Failed runs of failedJobsToPause different jobs, without a successful run in between,
 // pause the VM and put it on probation, which ends with the first run that succeeds or lasts
 // for probationRunTime. On probation each failed run pauses the VM again.
-func (v *vm) recordOutcome(job string, outcome plantainrail.RunOutcome, now time.Time) {
+func (v *vm) recordOutcome(j *Job, outcome plantainrail.RunOutcome, now time.Time) {
 	switch outcome {
 	case plantainrail.RunDone:
+		j.failing = false
 		v.trust()
 	case plantainrail.RunFailed:
-		v.failedJobs[job] = true
+		j.failing = true
+		v.failedJobs[j.ID] = true
 		if len(v.failedJobs) >= failedJobsToPause || v.probation {
 			v.probation, v.probationSince = true, now
 			v.startPause(now)
