Planner: faulty jobs pause their own tasks in place of VMs

Callers saw tasks wait beside free VMs which were paused, again and again, by jobs that fail wherever they run. Long-running tasks of such jobs are tried without limit.

Cause: each failed run counted against its VM, also when the worker had since shown that it is sound. The class: one party is blamed for the fault of another.

A job is faulty once a run of another job, begun after its failure on the same VM, has succeeded there, until a run of its own succeeds. Its failures no longer count against VMs; its long-running tasks wait two seconds after a failed run. A worker that fails all runs clears no one: a job that has failed on several VMs is not faulty for that alone.

Evidence: TestFaultyJobsDoNotPauseVMs, red before and green after.

--- a/planner/job.go
+++ b/planner/job.go
@@ -54,6 +54,8 @@
 	Crashes int
 	// Checkpoint is the newest known checkpoint.
 	Checkpoint string
+	// retryAt is when the task may be placed again. It is not stored.
+	retryAt time.Time
 }
 
 // stepTasks holds the tasks of one step in one occurrence of a job, by index.
@@ -112,8 +114,10 @@
 	// may wait again.
 	fillerWait          time.Duration
 	fillersWaitingSince time.Time
-	// failing is set from a failed run until the next successful one. It is not stored.
-	failing bool
+	// failing is set from a failed run until the next successful one. faulty is set once a run
+	// has failed on a VM where a later run of another job succeeded, until the job's next
+	// successful run. Neither is stored.
+	failing, faulty bool
 	// crashed is set once a crash was counted against a task of the job.
 	crashed bool
 	// stateOnly means that the tasks of the job, which has ended, are not stored; see
--- a/planner/place.go
+++ b/planner/place.go
@@ -133,7 +133,7 @@
 	r := p.rate(ready, taskShape, now)
 	for index := range ready.tasks() {
 		t := &ready.tasks()[index]
-		if t.Phase != Waiting {
+		if t.Phase != Waiting || now.Before(t.retryAt) {
 			continue
 		}
 		v := r.choose(t)
@@ -165,6 +165,9 @@
 	}
 	run, checkpoint := int64(0), ""
 	for _, t := range tasks {
+		if now.Before(t.retryAt) {
+			return nil
+		}
 		run = max(run, t.Run)
 		if t.Checkpoint != "" {
 			checkpoint = t.Checkpoint
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -405,6 +405,10 @@
 	return orders, stops
 }
 
+// faultyRetryDelay is how long a long-running task of a faulty job waits after a failed run. The
+// number of its runs is not limited.
+const faultyRetryDelay = 2 * time.Second
+
 // handleRunEnd updates a task, its job and the VM after the task's newest run has
 // ended. The task is done after a successful run, and a failed run counts as a
 // failure of the task; at maxFailedRuns the job fails. After any other outcome,
@@ -420,8 +424,10 @@
 	v.removeRun(run)
 	j.setPhase(run.id, Waiting)
 	p.markChanged(j)
-	v.recordOutcome(j, end.Outcome, now)
+	v.recordOutcome(run, end.Outcome, now)
 	switch {
+	case end.Outcome == plantainrail.RunFailed && step.Lasting && j.faulty:
+		t.retryAt = now.Add(faultyRetryDelay)
 	case end.Outcome == plantainrail.RunDone && !step.Lasting:
 		p.completeTask(j, run.id)
 	case end.Outcome == plantainrail.RunFailed && !step.Lasting:
--- a/planner/probation_test.go
+++ b/planner/probation_test.go
@@ -49,3 +49,21 @@
 	assert.Equal(t, len(placed), 1)
 	assert.Equal(t, placed[0].Order.Ref.Task.Job, "sound")
 }
+
+// Guards against a VM that is paused (LOST) by jobs that fail wherever they run, after another
+// job's run there has shown that the worker is sound.
+func TestFaultyJobsDoNotPauseVMs(t *testing.T) {
+	h := newProbationHarness(t)
+	h.submit("sound", plantainrail.Step{Count: 1, CPU: 1000})
+	sound := h.tick().Assignments
+	h.reportEnd(sound[0], 3, plantainrail.RunDone)
+	faulty := h.tick().Assignments
+	assert.Equal(t, len(faulty), 2)
+	for i, a := range faulty {
+		h.reportEnd(a, int64(i+4), plantainrail.RunFailed)
+	}
+	h.submit("next", plantainrail.Step{Count: 1, CPU: 1000})
+	assert.Equal(t, len(h.tick().Assignments), 1, "the VM must take the next job")
+	h.now = h.now.Add(2 * time.Second)
+	assert.Equal(t, len(h.tick().Assignments), 2, "the faulty jobs must be tried again, but not at once")
+}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -84,8 +84,8 @@
 	fillerMillicores int
 	// lastEnd is the number of the newest end that was applied.
 	lastEnd int64
-	// failedJobs are the jobs that failed here since the last successful run.
-	failedJobs map[string]bool
+	// failedJobs are the jobs that failed here since the last successful run, and when.
+	failedJobs map[*Job]time.Time
 	// pausedUntil is when the VM may get tasks again.
 	pausedUntil time.Time
 	// pauseDoublings is how many times initialPause is doubled for the next
@@ -107,7 +107,7 @@
 }
 
 func newVM(reported plantainrail.VM, renewedAt time.Time) *vm {
-	return &vm{VM: reported, renewedAt: renewedAt, runs: map[plantainrail.RunRef]*placedRun{}, failedJobs: map[string]bool{}}
+	return &vm{VM: reported, renewedAt: renewedAt, runs: map[plantainrail.RunRef]*placedRun{}, failedJobs: map[*Job]time.Time{}}
 }
 
 // addRun adds a task's newest run to the VM. Stored means that the assignment is
@@ -140,18 +140,27 @@
 	}
 }
 
-// recordOutcome updates the failures of the VM after a run of a job has ended.
+// recordOutcome updates the failures of the VM after a run has ended.
 // Failed runs of failedJobsToPause different jobs, without a successful run in between,
 // pause the VM and put it on probation, which ends with the first run that succeeds or lasts
-// for probationRunTime. On probation each failed run pauses the VM again.
-func (v *vm) recordOutcome(j *Job, outcome plantainrail.RunOutcome, now time.Time) {
+// for probationRunTime. On probation each failed run pauses the VM again. Runs of a job that is
+// known to be faulty do not count.
+func (v *vm) recordOutcome(run *placedRun, outcome plantainrail.RunOutcome, now time.Time) {
+	j := run.job
 	switch outcome {
 	case plantainrail.RunDone:
-		j.failing = false
+		j.failing, j.faulty = false, false
+		for failed, at := range v.failedJobs {
+			// The worker began a run later that succeeded, so the fault is not the worker's.
+			failed.faulty = failed.faulty || failed != j && run.assignedAt.After(at)
+		}
 		v.trust()
 	case plantainrail.RunFailed:
 		j.failing = true
-		v.failedJobs[j.ID] = true
+		if j.faulty {
+			return
+		}
+		v.failedJobs[j] = now
 		if len(v.failedJobs) >= failedJobsToPause || v.probation {
 			v.probation, v.probationSince = true, now
 			v.startPause(now)
