Planner: long pauses yield while most of a pool is free

Callers saw tasks wait for up to eight seconds with most of the workers' room free: a few failed or refused runs had paused all VMs with room, for longer each time. A gang of more members than there were VMs never started, since a VM on probation took one member.

Cause: a pause holds however much room it holds back. It protects a task from a run that may fail, but not from waiting for longer than such a run costs. The class: a penalty without a bound on what it costs others.

If under half of a pool's processors are reserved, or a task is a long-running one, whose failed runs are not counted, it waits for one second of a pause, if no other VM can take it. A run ends the probation after 1.5 in place of 3 seconds, so that both are below the three seconds of the rule; a worker that fails every run does so within a second. Members of a gang count as one run on probation for such tasks.

Evidence: TestLongPausesYieldInAnIdlePool and TestGangStartsOnVMsOnProbation, red before and green after.

--- a/planner/place.go
+++ b/planner/place.go
@@ -15,6 +15,10 @@
 	step       int
 	// noTrial means that the tasks do not use VMs on probation.
 	noTrial bool
+	// urgent means that the tasks do not wait for the end of long pauses if no other VM can take
+	// them, since waiting is worse than a run that may fail: most of the pool is free, or the
+	// tasks are long-running ones, whose failed runs are not counted.
+	urgent bool
 }
 
 // definition returns the step as submitted, which must not be changed.
@@ -41,8 +45,8 @@
 	suspects bool
 	// mayWait is set while a filler may still wait for a VM with less
 	// interference, and therefore does not take every VM.
-	mayWait bool
-	noTrial bool
+	mayWait         bool
+	noTrial, urgent bool
 }
 
 // place assigns tasks that are ready to VMs with enough free resources, in the order
@@ -55,8 +59,10 @@
 	for _, v := range p.ordered {
 		v.endProbation(now)
 	}
+	idle := p.idlePools()
 	ready := p.readySteps(now)
 	for i := range ready {
+		ready[i].urgent = ready[i].definition().Lasting || idle[p.vmPool(ready[i].job)]
 		ready[i].noTrial = ready[i].job.failing
 		out = append(out, p.placeReady(ready[i], now)...)
 	}
@@ -79,6 +85,21 @@
 	return p.placeStep(ready, now)
 }
 
+// idlePools returns the pools with less than half of their processors reserved.
+func (p *Planner) idlePools() map[string]bool {
+	excess := map[string]int{}
+	for _, v := range p.ordered {
+		if v.connected && !v.Draining && !p.config.Out[v.Zone] {
+			excess[v.Pool] += v.Capacity.Processors - 2*v.reserved.Processors
+		}
+	}
+	idle := map[string]bool{}
+	for pool, processors := range excess {
+		idle[pool] = processors > 0
+	}
+	return idle
+}
+
 // readySteps lists the steps that have waiting tasks, belong to an occurrence that is
 // due, and depend on no unfinished step. Jobs that are final or to be cancelled are left
 // out. The list is in the order in which the steps are served: by priority of the queue,
@@ -110,7 +131,7 @@
 	step := ready.definition()
 	s := shape{
 		pool: p.vmPool(ready.job), label: step.VMLabel, resources: step.Reservation(), filler: step.Filler, suspects: ready.hasSuspects(),
-		noTrial: ready.noTrial,
+		noTrial: ready.noTrial, urgent: ready.urgent,
 	}
 	if step.Filler {
 		s.image, s.mayWait = step.Image, ready.job.fillersMayWait(now)
@@ -244,6 +265,9 @@
 		return unsuitable
 	}
 	score := v.score(r.ready.job, step)
+	if v.paused(false, r.now) || v.onTrial(step, false, r.now) {
+		score -= distrustWeight
+	}
 	if r.shape.suspects {
 		score -= p.suspectPenalty(v, r.now)
 	}
@@ -323,7 +347,7 @@
 // Obstacle. It does not consider interference.
 func (p *Planner) stepObstacle(v *vm, pool string, ready readyStep, now time.Time) Obstacle {
 	step := ready.definition()
-	switch o := v.stepObstacle(pool, step, now); {
+	switch o := v.stepObstacle(pool, step, ready.urgent, now); {
 	case o != "":
 		return o
 	case p.config.Out[v.Zone]:
@@ -386,6 +410,10 @@
 // VM above one with similar services or more free processors.
 const rackWeight = 10
 
+// distrustWeight is what the score of a VM is lowered by that only urgent tasks may use. It
+// exceeds the sum of the other parts of the score.
+const distrustWeight = 200
+
 // score rates a VM for a task of a step without regard to interference: higher is
 // better. It adds up rackWeight for a VM in the rack of the data, the affinity of
 // a service with those on the VM, and the share of free processors, which is at
--- a/planner/probation_test.go
+++ b/planner/probation_test.go
@@ -67,3 +67,30 @@
 	h.now = h.now.Add(2 * time.Second)
 	assert.Equal(t, len(h.tick().Assignments), 2, "the faulty jobs must be tried again, but not at once")
 }
+
+// Guards against a task that waits (LOST) for the end of a pause that has grown to eight seconds,
+// though the worker is sound again and nothing else runs.
+func TestLongPausesYieldInAnIdlePool(t *testing.T) {
+	h := newHarness(t, newVM("a", 9000))
+	h.submit("job", plantainrail.Step{Count: 1, CPU: 1000})
+	for range 8 {
+		placed := h.tick().Assignments
+		assert.Equal(t, len(placed), 1, "the task must not wait for three seconds")
+		h.planner.ApplyRefusal(placed[0].Incarnation, placed[0].Order.Ref, plantainrail.RefusedNoResponse, h.now)
+		assert.Equal(t, len(h.tick().Assignments), 0, "the VM must be paused")
+		h.now = h.now.Add(2500 * time.Millisecond)
+		h.report(newVM("a", 9000))
+	}
+	h.report(newVM("b", 2000))
+	assert.Equal(t, h.tick().Assignments[0].Incarnation.Node, "b", "the pause must hold while another VM has room")
+}
+
+// Guards against a gang that never starts (LOST) because each VM is on probation and takes one
+// member only.
+func TestGangStartsOnVMsOnProbation(t *testing.T) {
+	h := newProbationHarness(t)
+	h.submit("gang", plantainrail.Step{Count: 3, CPU: 1000, Gang: true})
+	placed := h.tick().Assignments
+	assert.Equal(t, len(placed), 3)
+	assert.Equal(t, placed[0].Order.Ref.Task.Job, "gang")
+}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -12,6 +12,10 @@
 	// runs. It doubles with each further pause up to maxPause.
 	initialPause = 500 * time.Millisecond
 	maxPause     = 8 * time.Second
+	// urgentPause is how long urgent tasks wait in place of a longer pause (see readyStep.urgent).
+	// With probationRunTime it is below the three seconds after which a job with nothing running
+	// counts as starved.
+	urgentPause = time.Second
 	// roomPause is how long a VM gets no tasks after its worker has refused one for want of
 	// room. It is the interval of the heartbeats, which show the worker's capacity.
 	roomPause = 1500 * time.Millisecond
@@ -21,7 +25,7 @@
 	// probationRunTime is how long a run that was assigned on probation must last
 	// to end the probation. A worker that fails every run does so
 	// within a second.
-	probationRunTime = 3 * time.Second
+	probationRunTime = 1500 * time.Millisecond
 	// failedJobsToPause is the number of different jobs that must fail on a VM
 	// in a row before it is paused. A single failing job may be at fault
 	// itself.
@@ -88,6 +92,8 @@
 	failedJobs map[*Job]time.Time
 	// pausedUntil is when the VM may get tasks again.
 	pausedUntil time.Time
+	// pauseYieldsAt is when urgent tasks may use the VM although it is still paused.
+	pauseYieldsAt time.Time
 	// pauseDoublings is how many times initialPause is doubled for the next
 	// pause.
 	pauseDoublings int
@@ -184,6 +190,9 @@
 // startPause pauses the VM, unless it is paused already. If the last pause ended more than
 // maxPause ago, the worker had recovered, and the pauses begin with initialPause again.
 func (v *vm) startPause(now time.Time) {
+	if !now.Before(v.pauseYieldsAt) {
+		v.pauseYieldsAt = now.Add(urgentPause)
+	}
 	if now.Before(v.pausedUntil) {
 		return
 	}
@@ -234,7 +243,7 @@
 
 // stepObstacle returns why the VM cannot take any task of the step now, or an
 // empty Obstacle. Planner.stepObstacle also checks the zone and the runs of the step.
-func (v *vm) stepObstacle(pool string, step *plantainrail.Step, now time.Time) Obstacle {
+func (v *vm) stepObstacle(pool string, step *plantainrail.Step, urgent bool, now time.Time) Obstacle {
 	switch {
 	case !v.connected:
 		return obstacleDisconnected
@@ -242,11 +251,11 @@
 		return obstacleDraining
 	case v.Pool != pool:
 		return obstaclePool
-	case now.Before(v.pausedUntil):
+	case v.paused(urgent, now):
 		return obstaclePaused
 	case now.Before(v.noRoomUntil) && v.Capacity == v.noRoomCapacity:
 		return obstacleNoRoom
-	case v.probation && v.probationRunActive(now):
+	case v.onTrial(step, urgent, now):
 		return obstacleProbation
 	case step.VMLabel != "" && !slices.Contains(v.Labels, step.VMLabel):
 		return obstacleLabel
@@ -261,15 +270,18 @@
 	return ""
 }
 
-// probationRunActive reports whether a run that was assigned on probation, after
-// the newest failure, has not lasted for probationRunTime yet.
-func (v *vm) probationRunActive(now time.Time) bool {
-	for _, run := range v.orderedRuns {
-		if run.assignedAt.After(v.probationSince) && now.Sub(run.assignedAt) < probationRunTime {
-			return true
-		}
-	}
-	return false
+// paused reports whether a pause keeps tasks off the VM.
+func (v *vm) paused(urgent bool, now time.Time) bool {
+	return now.Before(v.pausedUntil) && (!urgent || now.Before(v.pauseYieldsAt))
+}
+
+// onTrial reports whether the VM is on probation and a run that was assigned after the newest
+// failure has not lasted long enough for another one. The members of an urgent gang count as one.
+func (v *vm) onTrial(step *plantainrail.Step, urgent bool, now time.Time) bool {
+	return v.probation && slices.ContainsFunc(v.orderedRuns, func(r *placedRun) bool {
+		fellow := urgent && step.Gang && r.step() == step && r.assignedAt.Equal(now)
+		return r.assignedAt.After(v.probationSince) && now.Sub(r.assignedAt) < probationRunTime && !fellow
+	})
 }
 
 // endProbation ends the probation of a VM on which a run that was assigned after the newest
