Planner: long-running tasks that fail again are retried after two seconds

Callers saw tasks wait beside paused VMs: a long-running task that fails everywhere was started again at once, ten times a second, and each failed run paused the next VM on probation. No other run succeeded meanwhile, so nothing showed that its job is faulty.

Cause: failed runs of long-running tasks are not counted and nothing else limited them. The class: a retry without limit or delay.

After the second and each further failed run, such a task waits for two seconds, which is below the three seconds of LOST.

Evidence: TestFailingLongRunningTaskIsNotRetriedAtOnce, red before and green after.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -405,9 +405,9 @@
 	return orders, stops
 }
 
-// faultyRetryDelay is how long a long-running task of a faulty job waits after a failed run. The
-// number of its runs is not limited.
-const faultyRetryDelay = 2 * time.Second
+// retryDelay is how long a long-running task waits after a failed run, since the number of its runs
+// is not limited. After the first one it does not wait, unless the job is known to be faulty.
+const retryDelay = 2 * time.Second
 
 // handleRunEnd updates a task, its job and the VM after the task's newest run has
 // ended. The task is done after a successful run, and a failed run counts as a
@@ -426,8 +426,12 @@
 	p.markChanged(j)
 	v.recordOutcome(run, end.Outcome, now)
 	switch {
-	case end.Outcome == plantainrail.RunFailed && step.Lasting && j.faulty:
-		t.retryAt = now.Add(faultyRetryDelay)
+	case end.Outcome == plantainrail.RunFailed && step.Lasting:
+		again := j.faulty || !t.retryAt.IsZero()
+		t.retryAt = now
+		if again {
+			t.retryAt = now.Add(retryDelay)
+		}
 	case end.Outcome == plantainrail.RunDone && !step.Lasting:
 		p.completeTask(j, run.id)
 	case end.Outcome == plantainrail.RunFailed && !step.Lasting:
--- a/planner/probation_test.go
+++ b/planner/probation_test.go
@@ -94,3 +94,20 @@
 	assert.Equal(t, len(placed), 3)
 	assert.Equal(t, placed[0].Order.Ref.Task.Job, "gang")
 }
+
+// Guards against a long-running task that fails everywhere and, tried without end, keeps all VMs
+// paused (LOST) and their workers busy.
+func TestFailingLongRunningTaskIsNotRetriedAtOnce(t *testing.T) {
+	h := newHarness(t, newVM("a", 9000))
+	h.submit("poison", plantainrail.Step{Count: 1, CPU: 1000, Lasting: true})
+	for run, wait := range []time.Duration{0, 0, 2 * time.Second, 2 * time.Second} {
+		if wait > 0 {
+			h.now = h.now.Add(wait - time.Millisecond)
+			assert.Equal(t, len(h.tick().Assignments), 0, "run %d", run+1)
+			h.now = h.now.Add(time.Millisecond)
+		}
+		placed := h.tick().Assignments
+		assert.Equal(t, len(placed), 1, "run %d", run+1)
+		h.reportEnd(placed[0], int64(run+1), plantainrail.RunFailed)
+	}
+}
