Planner: a large filler does not hold up small ones

Callers saw a filler wait although a VM had processors for it: a larger one of the same image and memory, which had arrived before, found no VM in the same tick.

Cause: the shape by which tasks that find no VM are skipped lacked the processors of fillers, since fillers reserve none; the limit on fillers and their interference depend on them. The class: a key that omits a property which the cached result depends on.

Evidence: TestLargeFillerDoesNotHoldUpSmallOnes, red before (nothing placed) and green after.

--- a/planner/avoid_test.go
+++ b/planner/avoid_test.go
@@ -57,3 +57,16 @@
 	assert.Equal(t, len(next), 1)
 	assert.Equal(t, next[0].Order.Ref.Task.Job, "suspect")
 }
+
+// Guards against a filler that waits (LOST) because a larger one with the same memory, which was
+// submitted before, finds no room.
+func TestLargeFillerDoesNotHoldUpSmallOnes(t *testing.T) {
+	h := newHarness(t, newVM("a", 10_000))
+	h.submit("first", fillerStep(1, 4_000, "f"))
+	assert.Equal(t, len(h.tick().Assignments), 1)
+	h.submit("large", fillerStep(1, 8_000, "f"))
+	h.submit("small", fillerStep(1, 1_000, "f"))
+	placed := h.tick().Assignments
+	assert.Equal(t, len(placed), 1)
+	assert.Equal(t, placed[0].Order.Ref.Task.Job, "small")
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -39,8 +39,10 @@
 	pool, label string
 	resources   plantainrail.Resources
 	filler      bool
-	// image is set for fillers only, since their interference depends on it.
-	image string
+	// image and fillerCPU are set for fillers only, since their interference depends on both, and
+	// resources lacks their processors.
+	image     string
+	fillerCPU int
 	// suspects means that tasks of the step are suspects; see Task.suspect.
 	suspects bool
 	// mayWait is set while a filler may still wait for a VM with less
@@ -134,7 +136,7 @@
 		noTrial: ready.noTrial, urgent: ready.urgent,
 	}
 	if step.Filler {
-		s.image, s.mayWait = step.Image, ready.job.fillersMayWait(now)
+		s.image, s.fillerCPU, s.mayWait = step.Image, step.CPU, ready.job.fillersMayWait(now)
 	}
 	return s
 }
