Planner: a failed task waits two seconds for another node at most

Callers saw a task that had failed once wait for ever beside a free VM, while a service kept the only other VM full.

Cause: a failed task avoids the node of its newest run as long as any other VM lacks nothing but room, however long that lasts. The class: a wait for a resource without a bound.

If under half of the pool's processors are reserved, the task takes the avoided node two seconds after its failure. In a fuller pool it waits for room as before.

Evidence: TestFailedTaskDoesNotWaitForEver, red before and green after.

--- a/planner/avoid_test.go
+++ b/planner/avoid_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -70,3 +71,17 @@
 	assert.Equal(t, len(placed), 1)
 	assert.Equal(t, placed[0].Order.Ref.Task.Job, "small")
 }
+
+// Guards against a task that waits (LOST) for room on a VM that a service keeps busy for ever,
+// because it has failed on the other one, which is free.
+func TestFailedTaskDoesNotWaitForEver(t *testing.T) {
+	h := newHarness(t, newVM("b", 1000))
+	h.submit("busy", plantainrail.Step{Count: 1, CPU: 1000, Lasting: true})
+	assert.Equal(t, len(h.tick().Assignments), 1)
+	h.report(newVM("a", 4000))
+	h.submit("job", plantainrail.Step{Count: 1, CPU: 1000})
+	h.reportEnd(h.tick().Assignments[0], 1, plantainrail.RunFailed)
+	assert.Equal(t, len(h.tick().Assignments), 0, "the task must wait for the other VM first")
+	h.now = h.now.Add(2 * time.Second)
+	assert.Equal(t, len(h.tick().Assignments), 1)
+}
--- a/planner/job.go
+++ b/planner/job.go
@@ -54,6 +54,8 @@
 	Crashes int
 	// Checkpoint is the newest known checkpoint.
 	Checkpoint string
+	// failedAt is when the newest failed run ended. It is not stored.
+	failedAt time.Time
 	// retryAt is when the task may be placed again after its newest failed run. It is set for
 	// long-running tasks only and not stored.
 	retryAt time.Time
--- a/planner/place.go
+++ b/planner/place.go
@@ -306,8 +306,10 @@
 			best, bestScore = v, score
 		}
 	}
-	// A suspect only prefers other VMs, since no node is known to fail.
-	if best == nil && avoided != nil && (t.Failures == 0 || !r.mayTakeLater(t)) {
+	// A suspect only prefers other VMs, since no node is known to fail. A task that has failed
+	// does not wait for long while most of the pool is free.
+	waited := r.ready.urgent && !r.now.Before(t.failedAt.Add(avoidanceWait))
+	if best == nil && avoided != nil && (t.Failures == 0 || waited || !r.mayTakeLater(t)) {
 		best = avoided
 	}
 	if r.shape.mayWait {
@@ -316,8 +318,8 @@
 	return best
 }
 
-// avoidanceWait bounds how long a task waits for the end of another VM's pause, so that it
-// need not run where it has failed. It is below the three seconds after which a job with
+// avoidanceWait bounds how long a task waits for the end of another VM's pause or, in a pool that
+// is mostly free, for another VM's room, so that it need not run where it has failed. It is below the three seconds after which a job with
 // nothing running counts as starved.
 const avoidanceWait = 2 * time.Second
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -436,6 +436,7 @@
 		p.completeTask(j, run.id)
 	case end.Outcome == plantainrail.RunFailed && !step.Lasting:
 		t.Failures++
+		t.failedAt = now
 		if j.failures(run.id, step.Gang) >= j.maxFailedRuns() && !j.State.Final() {
 			p.endJob(j, Failed)
 		}
