Let no backlog of fillers keep a job from running

No cut and no change of the owner is needed: on the second site one burst of rota rebuilds, ten times the usual for 6 s, is enough, and on both sites crashes of half of the workers again and again.

Cause: once the fillers on all VMs request 0.8 of the processors, the next ones wait, in the order of arrival, however long that takes. Fillers reserve no processors, so memory, which is what they need, is free all the time. The class: a wait without a bound.

Change: a job that has had nothing running for 2.5 s, below the three seconds of the rule, places one filler beyond that limit, and from then on one at a time, until one of its tasks is placed within it. VMs whose services are over their objectives take none, as before.

--- a/planner/job.go
+++ b/planner/job.go
@@ -117,6 +117,11 @@
 	// may wait again.
 	fillerWait          time.Duration
 	fillersWaitingSince time.Time
+	// idleSince is when a task of the job could have been placed for the first time since the job
+	// has had no task placed; zero while it has one. overdue is set once that lasted too long
+	// for a job of fillers; see Planner.placeReady. Neither is stored.
+	idleSince time.Time
+	overdue   bool
 	// failing is set from a failed run until the next successful one. faulty is set once a run
 	// has failed on a VM where a later run of another job succeeded, until the job's next
 	// successful run. Neither is stored.
@@ -355,3 +360,19 @@
 	j.restoreCrashes(p.Crashes)
 	return nil
 }
+
+// trackIdle records, for a job with a task that is ready to be placed, since when the job has had no
+// task placed.
+func (j *Job) trackIdle(now time.Time) {
+	for _, o := range j.occurrences {
+		for s := range o {
+			if o[s].waiting+o[s].done < len(o[s].tasks) {
+				j.idleSince = time.Time{}
+				return
+			}
+		}
+	}
+	if j.idleSince.IsZero() {
+		j.idleSince = now
+	}
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -19,6 +19,8 @@
 	// them, since waiting is worse than a run that may fail: most of the pool is free, or the
 	// tasks are long-running ones, whose failed runs are not counted.
 	urgent bool
+	// overdue means that one filler of the step may go beyond maxFillerShare.
+	overdue bool
 }
 
 // definition returns the step as submitted, which must not be changed.
@@ -47,8 +49,8 @@
 	suspects bool
 	// mayWait is set while a filler may still wait for a VM with less
 	// interference, and therefore does not take every VM.
-	mayWait         bool
-	noTrial, urgent bool
+	mayWait                  bool
+	noTrial, urgent, overdue bool
 }
 
 // place assigns tasks that are ready to VMs with enough free resources, in the order
@@ -66,6 +68,7 @@
 	for i := range ready {
 		ready[i].urgent = ready[i].definition().Lasting || idle[p.vmPool(ready[i].job)]
 		ready[i].noTrial = ready[i].job.failing
+		ready[i].job.trackIdle(now)
 		out = append(out, p.placeReady(ready[i], now)...)
 	}
 	// The run of a job that fails tells little about a VM on probation, so such jobs get the
@@ -79,8 +82,24 @@
 	return out
 }
 
-// placeReady assigns waiting tasks of a step.
+// placeReady assigns waiting tasks of a step. The fillers of other jobs must not keep a job
+// waiting for longer than maxFillerWait: what maxFillerShare holds back is processors, which all
+// fillers share anyway. From then on the job has one filler beyond it at a time, until one of its
+// tasks is placed within it. VMs whose services are over their objectives still take none.
 func (p *Planner) placeReady(ready readyStep, now time.Time) []Assignment {
+	j := ready.job
+	out := p.placeTasks(ready, now)
+	switch {
+	case len(out) > 0:
+		j.overdue = false
+	case ready.definition().Filler && !j.idleSince.IsZero() && (j.overdue || now.Sub(j.idleSince) >= maxFillerWait):
+		j.overdue, ready.overdue = true, true
+		out = p.placeTasks(ready, now)
+	}
+	return out
+}
+
+func (p *Planner) placeTasks(ready readyStep, now time.Time) []Assignment {
 	if ready.definition().Gang {
 		return p.placeGang(ready, now)
 	}
@@ -133,10 +152,10 @@
 	step := ready.definition()
 	s := shape{
 		pool: p.vmPool(ready.job), label: step.VMLabel, resources: step.Reservation(), filler: step.Filler, suspects: ready.hasSuspects(),
-		noTrial: ready.noTrial, urgent: ready.urgent,
+		noTrial: ready.noTrial, urgent: ready.urgent, overdue: ready.overdue,
 	}
 	if step.Filler {
-		s.image, s.fillerCPU, s.mayWait = step.Image, step.CPU, ready.job.fillersMayWait(now)
+		s.image, s.fillerCPU, s.mayWait = step.Image, step.CPU, !ready.overdue && ready.job.fillersMayWait(now)
 	}
 	return s
 }
@@ -172,6 +191,9 @@
 			break
 		}
 		out = append(out, p.assign(v, ready.job, ready.taskID(index), t, t.Run+1, now))
+		if ready.overdue {
+			break
+		}
 		r.refresh(v)
 	}
 	return out
@@ -224,6 +246,7 @@
 // run may be started (see MarkStored).
 func (p *Planner) assign(v *vm, j *Job, id plantainrail.TaskID, t *Task, run int64, now time.Time) Assignment {
 	j.setPhase(id, Placed)
+	j.idleSince = time.Time{}
 	t.Run, t.Incarnation = run, v.Incarnation
 	p.markChanged(j)
 	v.addRun(j, id, t, false)
@@ -351,7 +374,7 @@
 // Obstacle. It does not consider interference.
 func (p *Planner) stepObstacle(v *vm, pool string, ready readyStep, now time.Time) Obstacle {
 	step := ready.definition()
-	switch o := v.stepObstacle(pool, step, ready.urgent, now); {
+	switch o := v.stepObstacle(pool, ready, now); {
 	case o != "":
 		return o
 	case p.config.Out[v.Zone]:
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -243,7 +243,8 @@
 
 // stepObstacle returns why the VM cannot take any task of the step now, or an
 // empty Obstacle. Planner.stepObstacle also checks the zone and the runs of the step.
-func (v *vm) stepObstacle(pool string, step *plantainrail.Step, urgent bool, now time.Time) Obstacle {
+func (v *vm) stepObstacle(pool string, ready readyStep, now time.Time) Obstacle {
+	step := ready.definition()
 	switch {
 	case !v.connected:
 		return obstacleDisconnected
@@ -251,11 +252,11 @@
 		return obstacleDraining
 	case v.Pool != pool:
 		return obstaclePool
-	case v.paused(urgent, now):
+	case v.paused(ready.urgent, now):
 		return obstaclePaused
 	case now.Before(v.noRoomUntil) && v.Capacity == v.noRoomCapacity:
 		return obstacleNoRoom
-	case v.onTrial(step, urgent, now):
+	case v.onTrial(step, ready.urgent, now):
 		return obstacleProbation
 	case step.VMLabel != "" && !slices.Contains(v.Labels, step.VMLabel):
 		return obstacleLabel
@@ -264,7 +265,7 @@
 	case !step.Reservation().Fits(v.Capacity.Sub(v.reserved)):
 		return obstacleResources
 	// A single filler is admitted however large it is.
-	case step.Filler && v.fillerMillicores > 0 && v.fillerMillicores+step.CPU > int(float64(v.Capacity.Processors)*maxFillerShare):
+	case step.Filler && !ready.overdue && v.fillerMillicores > 0 && v.fillerMillicores+step.CPU > int(float64(v.Capacity.Processors)*maxFillerShare):
 		return obstacleFillers
 	}
 	return ""
