Attribute a worker's refusals to the incarnation that refuses

An agent is restarted, and the first heartbeat that it receives is a delayed one of the worker's earlier incarnation under the same ID. The owner takes the present one for replaced and places its tasks elsewhere while they run.

Cause: identify took a refusal for a low epoch as a confirmation of whatever the heartbeat named, if no incarnation was known. A new process of an agent calls with epoch 0, so a worker with orders refuses each of its calls. The start of the worker in the body of a refusal was dropped by platform.Worker.call.

Change: RefusedError carries that start. identify compares it with the claimed one. A refusal without it shows nothing: the worker is asked again, with the epoch that the owner has published, so that it lists its runs and names its start. A refused RenewLease call that names another start shows a restart, as a reply does.

TestWorkerIsKnownByItsRefusalOfAnEarlierEpoch checked the belief itself: its row "no start, no incarnation known: confirmed" is wrong. TestRefusalTellsWhichIncarnationRefuses replaces it with eight rows, and also failed before.

--- a/assembler/fleet_heartbeat_test.go
+++ b/assembler/fleet_heartbeat_test.go
@@ -35,3 +35,26 @@
 		assert.Equal(t, f.runningCount(100), 8, "a worker whose heartbeats arrive again must get tasks")
 	})
 }
+
+// Guards against tasks that run twice (TWICE) because the first heartbeat that a restarted agent
+// receives is one of the worker's earlier incarnation, which the network has delayed.
+func TestHeartbeatOfAnEarlierIncarnationMovesNoTasks(t *testing.T) {
+	runInFleet(t, smallFleet, func(f *fleet) {
+		v := f.vms[0]
+		earlier := time.Now().UnixMilli()
+		v.worker.Restart()
+		time.Sleep(3 * time.Second)
+		f.submit(1, "", []map[string]any{{"count": 8, "cpu": 1000, "longRunning": true}})
+		time.Sleep(3 * time.Second)
+		runs := len(v.worker.History())
+		assert.Assert(t, runs > 0)
+		f.restartAgent(v)
+		f.sendHeartbeat(v, "w-"+v.name, earlier-1000)
+		time.Sleep(5 * time.Second)
+		for _, run := range v.worker.History() {
+			assert.Check(t, run.End.IsZero(), "%s was ended: %s", run.Task, run.Outcome)
+		}
+		assert.Equal(t, len(v.worker.History()), runs)
+		f.checkRuns()
+	})
+}
--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"testing"
@@ -103,8 +104,8 @@
 	}},
 	{"heartbeats of another writer", func(f *fleet) {
 		for _, v := range f.vms {
-			f.sendHeartbeat(v, "w-"+v.name)
-			f.sendHeartbeat(v, "w-unknown")
+			f.sendHeartbeat(v, "w-"+v.name, math.MaxInt64)
+			f.sendHeartbeat(v, "w-unknown", math.MaxInt64)
 		}
 	}},
 	{"worker down for a while", func(f *fleet) {
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"strings"
 	"testing"
@@ -263,11 +262,11 @@
 	f.group.Go(func() error { return m.Run(ctx) })
 }
 
-// sendHeartbeat sends the VM's agent a heartbeat of another writer, which claims to be the
-// worker with the ID and to have started in the far future.
-func (f *fleet) sendHeartbeat(v *fleetVM, id string) {
+// sendHeartbeat sends the VM's agent a heartbeat that was not sent by the worker's present
+// incarnation. It names the ID and the start in Unix milliseconds.
+func (f *fleet) sendHeartbeat(v *fleetVM, id string, startedMS int64) {
 	body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":"z","state":"ready","born":%d,"sequence":1,"capacity":{"cpu":9000,"memMb":9000}}`,
-		v.workerAddress, int64(math.MaxInt64))
+		v.workerAddress, startedMS)
 	client := f.client(v.name + workerSuffix)
 	defer client.CloseIdleConnections()
 	response, err := client.Post("http://"+v.registry.Addr().String()+"/Instances.Heartbeat/"+id, "application/json", strings.NewReader(body))
--- a/minder/incarnation.go
+++ b/minder/incarnation.go
@@ -72,23 +72,31 @@
 // times that heartbeats name are in no order if another writer sends one, or if the time
 // of day was set back.
 func identify(current, claimed plantainrail.WorkerIncarnation, reply plantainrail.LeaseReply, err error) identity {
+	startedMS := reply.StartedMS
 	var refused *plantainrail.RefusedError
-	switch isRefused := errors.As(err, &refused); {
-	case err == nil && reply.StartedMS == claimed.StartedMS:
-		return identityConfirmed
-	case err == nil && reply.StartedMS != 0:
+	if errors.As(err, &refused) {
+		startedMS = refused.StartedMS
+	}
+	switch {
+	case refused != nil && refused.Reason == plantainrail.RefusedIncarnation:
 		return identityRefuted
-	case isRefused && refused.Reason == plantainrail.RefusedIncarnation:
+	case startedMS != 0 && startedMS == claimed.StartedMS:
+		return identityConfirmed
+	case startedMS != 0:
 		return identityRefuted
-	case err == nil, isRefused && refused.Reason == plantainrail.RefusedEpoch:
-		// The worker goes by the ID, but it is not known when it started.
-		if claimed.ID != current.ID || err == nil && claimed.StartedMS > current.StartedMS {
-			return identityConfirmed
-		}
+	case err == nil && (claimed.ID != current.ID || claimed.StartedMS > current.StartedMS):
+		// A worker that lists its runs without its start goes at least by the ID.
+		return identityConfirmed
 	}
 	return identityUnknown
 }
 
+// lowEpoch reports whether the worker has refused a call for its epoch.
+func lowEpoch(err error) bool {
+	var refused *plantainrail.RefusedError
+	return errors.As(err, &refused) && refused.Reason == plantainrail.RefusedEpoch
+}
+
 // confirm asks the worker whether it is the incarnation that the heartbeat names, and
 // applies the heartbeat if it is. The calls change nothing on the worker: they neither
 // extend the lease nor acknowledge ends.
@@ -99,9 +107,15 @@
 		m.confirmations--
 	}()
 	claimed := h.VM.Incarnation
+	outdated := false
 	for until := m.Now().Add(m.HeartbeatInterval + confirmationDelay); m.Now().Before(until); _ = clocker.Sleep(context.Background(), workerRetryDelay/3) {
 		m.mu.Lock()
 		current, epoch := m.vm.Incarnation, m.epoch
+		if outdated {
+			// A refusal that does not name the start shows nothing; the epoch that the
+			// owner has published gets a reply.
+			epoch = max(epoch, m.entries.ownerEpoch)
+		}
 		stopped := m.superseded(current)
 		m.mu.Unlock()
 		if stopped {
@@ -110,6 +124,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		reply, err := m.Worker.RenewLease(ctx, claimed, epoch, plantainrail.LeaseRenewal{})
 		cancel()
+		outdated = outdated || lowEpoch(err)
 		if m.settle(h, current, identify(current, claimed, reply, err)) {
 			return
 		}
--- a/minder/incarnation_test.go
+++ b/minder/incarnation_test.go
@@ -22,10 +22,12 @@
 	life
 }
 
-// life is an incarnation of a fakeWorker. If err is set, every call fails.
+// life is an incarnation of a fakeWorker. If err is set, every call fails. Calls with a lower
+// epoch are refused without a start.
 type life struct {
 	id        string
 	startedMS int64
+	epoch     int64
 	err       error
 }
 
@@ -35,7 +37,7 @@
 	w.life = l
 }
 
-func (w *fakeWorker) RenewLease(_ context.Context, incarnation plantainrail.WorkerIncarnation, _ int64, _ plantainrail.LeaseRenewal) (plantainrail.LeaseReply, error) {
+func (w *fakeWorker) RenewLease(_ context.Context, incarnation plantainrail.WorkerIncarnation, epoch int64, _ plantainrail.LeaseRenewal) (plantainrail.LeaseReply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
@@ -43,6 +45,8 @@
 		return plantainrail.LeaseReply{}, w.err
 	case incarnation.ID != w.id:
 		return plantainrail.LeaseReply{}, &plantainrail.RefusedError{Reason: plantainrail.RefusedIncarnation}
+	case epoch < w.epoch:
+		return plantainrail.LeaseReply{}, &plantainrail.RefusedError{Reason: plantainrail.RefusedEpoch}
 	}
 	return plantainrail.LeaseReply{StartedMS: w.startedMS}, nil
 }
@@ -130,13 +134,58 @@
 	}
 }
 
-// An agent that has restarted knows no epoch. The worker refuses its calls for that reason,
-// but only if they name its ID.
-func TestWorkerIsKnownByItsRefusalOfAnEarlierEpoch(t *testing.T) {
+// Guards against tasks that run twice because a heartbeat of an earlier incarnation was
+// believed: an agent that has restarted knows no epoch, so the worker refuses its calls.
+func TestRefusalTellsWhichIncarnationRefuses(t *testing.T) {
 	none, claimed := plantainrail.WorkerIncarnation{}, heartbeatOf("w", 1000, 1, false).VM.Incarnation
-	refusal := &plantainrail.RefusedError{Reason: plantainrail.RefusedEpoch}
-	assert.Equal(t, identify(none, claimed, plantainrail.LeaseReply{}, refusal), identityConfirmed)
-	assert.Equal(t, identify(claimed, claimed, plantainrail.LeaseReply{}, refusal), identityUnknown)
+	for _, c := range []struct {
+		reason    plantainrail.RefusalReason
+		startedMS int64
+		current   plantainrail.WorkerIncarnation
+		want      identity
+	}{
+		{plantainrail.RefusedEpoch, 1000, none, identityConfirmed},
+		{plantainrail.RefusedEpoch, 1000, claimed, identityConfirmed},
+		{plantainrail.RefusedEpoch, 2000, none, identityRefuted},
+		{plantainrail.RefusedEpoch, 0, none, identityUnknown},
+		{plantainrail.RefusedEpoch, 0, claimed, identityUnknown},
+		{plantainrail.RefusedUnhealthy, 2000, none, identityRefuted},
+		{plantainrail.RefusedUnhealthy, 0, none, identityUnknown},
+		{plantainrail.RefusedIncarnation, 1000, none, identityRefuted},
+	} {
+		refusal := &plantainrail.RefusedError{Reason: c.reason, StartedMS: c.startedMS}
+		assert.Equal(t, identify(c.current, claimed, plantainrail.LeaseReply{}, refusal), c.want, "%+v", c)
+	}
+}
+
+// Guards against an agent that never gets to know a worker whose refusals do not tell its start,
+// and against one that takes such a refusal for a confirmation.
+func TestWorkerThatHidesItsStartIsAskedWithTheOwnersEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &fakeWorker{life: life{id: "w", startedMS: 2000, epoch: 7}}
+		m := New(Options{Node: "node", Worker: w, HeartbeatInterval: heartbeatInterval, Now: time.Now, Logger: zap.NewNop()})
+		m.Heartbeat(heartbeatOf("w", 1000, 9, false))
+		m.Heartbeat(heartbeatOf("w", 2000, 1, false))
+		time.Sleep(time.Second)
+		assert.Assert(t, knownVM(m).Incarnation.IsZero())
+		m.mu.Lock()
+		m.entries.ownerEpoch = 7
+		m.mu.Unlock()
+		time.Sleep(workerRetryDelay)
+		assert.Equal(t, knownVM(m).Incarnation.StartedMS, int64(2000))
+		time.Sleep(heartbeatInterval + confirmationDelay)
+	})
+}
+
+// Guards against a restart that is noticed late because the new incarnation refuses the call.
+func TestRefusedCallShowsARestart(t *testing.T) {
+	withWorker(t, func(t *testing.T, m *Minder, _ *fakeWorker) {
+		current := knownVM(m).Incarnation
+		m.renewLeaseFailed(current, 1, &plantainrail.RefusedError{Reason: plantainrail.RefusedIncarnation, StartedMS: 3000})
+		assert.Equal(t, knownVM(m).Incarnation, current, "another ID needs a heartbeat")
+		m.renewLeaseFailed(current, 1, &plantainrail.RefusedError{Reason: plantainrail.RefusedEpoch, StartedMS: 2000})
+		assert.Equal(t, knownVM(m).Incarnation.StartedMS, int64(2000))
+	})
 }
 
 // A worker that does not answer keeps its runs until its lease expires. It is asked again, so
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -142,6 +142,10 @@
 	if m.vm.Incarnation != incarnation {
 		return
 	}
+	var refused *plantainrail.RefusedError
+	if errors.As(err, &refused) && refused.Reason != plantainrail.RefusedIncarnation && m.reborn(refused.StartedMS) {
+		return
+	}
 	m.pollFailed = true
 	if brokenOff(err) {
 		m.crashes = m.crashes.withBreak(m.Now())
@@ -170,13 +174,7 @@
 	if m.vm.Incarnation != incarnation {
 		return false
 	}
-	if reply.StartedMS != 0 && reply.StartedMS != incarnation.StartedMS {
-		// The worker has restarted with a new incarnation. Its start may seem to be the
-		// earlier one, since the time of day may have been set back meanwhile.
-		m.Logger.Info("worker reborn", zap.String("worker", incarnation.ID), zap.Int64("born", reply.StartedMS))
-		incarnation.StartedMS = reply.StartedMS
-		m.startIncarnation(incarnation)
-		m.renew()
+	if m.reborn(reply.StartedMS) {
 		return false
 	}
 	m.pollFailed = false
@@ -200,6 +198,22 @@
 	return len(m.ends) > 0
 }
 
+// reborn reports whether an answer under the worker's ID is of another incarnation than the
+// current one, given the start that it names, and switches to it if so. The start may seem to
+// be the earlier one, since the time of day may have been set back meanwhile. The caller holds
+// the lock.
+func (m *Minder) reborn(startedMS int64) bool {
+	incarnation := m.vm.Incarnation
+	if startedMS == 0 || startedMS == incarnation.StartedMS {
+		return false
+	}
+	m.Logger.Info("worker reborn", zap.String("worker", incarnation.ID), zap.Int64("born", startedMS))
+	incarnation.StartedMS = startedMS
+	m.startIncarnation(incarnation)
+	m.renew()
+	return true
+}
+
 // applyEnds replaces the known run ends by those that the worker lists and the owner
 // has not acknowledged, and removes the ended runs from the ordered runs. Ends that were
 // not reported in the current session are reported to the owner in ascending order of
--- a/work.go
+++ b/work.go
@@ -318,7 +318,12 @@
 }
 
 // RefusedError means that a worker refused a call and did nothing.
-type RefusedError struct{ Reason RefusalReason }
+type RefusedError struct {
+	Reason RefusalReason
+	// StartedMS is the start of the incarnation that refused the call, in Unix
+	// milliseconds; 0 if the worker did not report it.
+	StartedMS int64
+}
 
 // Error implements error.
 func (e *RefusedError) Error() string { return "worker refused the call: " + string(e.Reason) }
