Stop unknown runs before a restarted worker is reported

Seen in a test: a worker that restarts under its ID while runs are ordered is never reported to the owner, which places nothing there, if a run that nobody knows any more was started on it, for instance by a late start of a run that had been refused, or of an earlier process of the agent.

Cause: clearEarlierRuns stops the runs of the previous incarnation and waits until the worker lists none. reconcile, which stops what is not wanted, waits for the owner's orders, and those wait for the report. Only the end of the lease, 6 s at most after the last late start, ended that.

Change: until the owner knows of the incarnation it wants no run there, so reconcile stops all.

--- a/minder/incarnation_test.go
+++ b/minder/incarnation_test.go
@@ -289,3 +289,52 @@
 		assert.Equal(t, knownVM(m).Incarnation.ID, "x")
 	})
 }
+
+// listingWorker is a fakeWorker that lists one run until that is stopped.
+type listingWorker struct {
+	*fakeWorker
+	mu     sync.Mutex
+	listed plantainrail.RunRef
+}
+
+func (w *listingWorker) Stop(_ context.Context, _ plantainrail.WorkerIncarnation, _ int64, ref plantainrail.RunRef) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.listed == ref {
+		w.listed = plantainrail.RunRef{}
+	}
+	return nil
+}
+
+func (w *listingWorker) RenewLease(ctx context.Context, incarnation plantainrail.WorkerIncarnation, epoch int64, renewal plantainrail.LeaseRenewal) (plantainrail.LeaseReply, error) {
+	time.Sleep(renewal.Wait + time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	reply, err := w.fakeWorker.RenewLease(ctx, incarnation, epoch, renewal)
+	if w.listed.Run != 0 {
+		reply.Running = []plantainrail.RunStatus{{Ref: w.listed}}
+	}
+	return reply, err
+}
+
+// Guards against a restarted worker that is never reported to the owner (LOST), because a start
+// of an earlier incarnation that nobody knows any more was executed on it.
+func TestUnknownRunDoesNotHoldUpARestartedWorker(t *testing.T) {
+	withWorker(t, func(t *testing.T, m *Minder, w *fakeWorker) {
+		ctx, stop := context.WithCancel(t.Context())
+		w.set(life{id: "w", startedMS: 5000})
+		m.mu.Lock()
+		m.Worker = &listingWorker{fakeWorker: w, listed: refForJob("unknown")}
+		m.orderedRuns[refForJob("known")] = &run{order: plantainrail.RunOrder{Ref: refForJob("known")}}
+		m.mu.Unlock()
+		go func() { _ = m.pollWorker(ctx) }()
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, knownVM(m).Incarnation.StartedMS, int64(5000))
+		m.mu.Lock()
+		clearing := m.clearingEarlierRuns
+		m.mu.Unlock()
+		assert.Check(t, !clearing, "the owner must get to know the worker")
+		stop()
+		close(m.stopped)
+	})
+}
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -241,9 +241,10 @@
 }
 
 // reconcile stops the worker's runs that the owner has not ordered. It does nothing until
-// the owner has sent the complete list of the runs that it wants. The caller holds the lock.
+// the owner has sent the complete list of the runs that it wants, unless it does not know of
+// the incarnation yet and so wants none. The caller holds the lock.
 func (m *Minder) reconcile() {
-	if !m.ordersComplete {
+	if !m.ordersComplete && !m.clearingEarlierRuns {
 		return
 	}
 	for ref := range m.running {
