Stop starts that are under way when a worker restarts under its ID

Seen in a test: a start gets no answer, is given up and reported as refused; the owner places the task elsewhere. The worker restarts under its ID, and executes the start then: the task runs twice (TWICE), beside others on a smaller worker also over its capacity. By reading: two restarts in a row do the same with runs that were still ordered at the first one.

Cause: startIncarnation stops the ordered runs only. A refused run is not among them any more, and after the second restart none is. The stop that came before the refusal is known to the earlier incarnation alone.

Change: the agent keeps for 30 s which starts the worker has not answered, whatever became of them, and stops these, too, on each new incarnation under the ID before it reports it. Starts by an earlier process of the agent are not known; they are stopped once they are listed.

--- a/minder/minder.go
+++ b/minder/minder.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
 	"reflect"
@@ -91,6 +90,9 @@
 	// removed when the worker lists its end or its refusal is reported. A run that is
 	// being stopped stays in the map until then.
 	orderedRuns map[plantainrail.RunRef]*run
+	// lateStarts holds the runs whose starts the worker may still execute, those of earlier
+	// incarnations and those that were refused since included.
+	lateStarts lateStarts
 	// stopping holds the runs that are being stopped.
 	stopping map[plantainrail.RunRef]bool
 	// running holds the runs that the worker listed in its last reply to RenewLease.
@@ -175,6 +177,7 @@
 		Options: o, orderedRuns: map[plantainrail.RunRef]*run{}, stopping: map[plantainrail.RunRef]bool{},
 		running: map[plantainrail.RunRef]plantainrail.RunStatus{}, renewalSentAt: map[uint64]time.Time{},
 		changed: make(chan struct{}, 1), stopped: make(chan struct{}), entries: newDirectory(), pacing: newPacing(), starts: newStartSlots(),
+		lateStarts: lateStarts{},
 	}
 }
 
@@ -285,13 +288,18 @@
 
 // startIncarnation switches to a new incarnation of the worker and resets the
 // state of the previous one. A new incarnation with the same ID may still receive
-// starts that were meant for the previous one. Therefore the runs of the previous
-// incarnation are stopped before the new one is reported to the owner. The caller
-// holds the lock.
+// starts that were meant for earlier ones. Therefore the runs of the previous
+// incarnation, and those whose starts are still under way, are stopped before the new one is
+// reported to the owner. The caller holds the lock.
 func (m *Minder) startIncarnation(incarnation plantainrail.WorkerIncarnation) {
 	var earlierRuns []plantainrail.RunRef
 	if incarnation.ID == m.vm.Incarnation.ID {
-		earlierRuns = slices.Collect(maps.Keys(m.orderedRuns))
+		earlierRuns = m.lateStarts.refs(m.Now())
+		for ref := range m.orderedRuns {
+			if !slices.Contains(earlierRuns, ref) {
+				earlierRuns = append(earlierRuns, ref)
+			}
+		}
 	}
 	m.vm.Incarnation = incarnation
 	m.leaving, m.departed, m.departureAcked = false, false, false
@@ -310,9 +318,9 @@
 	}
 }
 
-// clearEarlierRuns orders the worker to stop the runs of the previous
-// incarnation, which also keeps them from starting later. It then waits until the
-// worker lists no runs, and reports the new incarnation to the owner.
+// clearEarlierRuns orders the worker to stop runs of earlier incarnations, which also
+// keeps them from starting later. It then waits until the worker lists no runs, of which
+// reconcile stops the others, and reports the new incarnation to the owner.
 func (m *Minder) clearEarlierRuns(incarnation plantainrail.WorkerIncarnation, earlierRuns []plantainrail.RunRef) {
 	for _, ref := range earlierRuns {
 		m.mu.Lock()
--- a/minder/start.go
+++ b/minder/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,8 +25,31 @@
 	settleTime = 2 * workerRetryDelay
 	// callTimeout bounds one call that starts, stops or paces a run.
 	callTimeout = 300 * time.Millisecond
+	// lateCallTime is how long the worker may take to execute a call that it has not answered.
+	lateCallTime = 30 * time.Second
 )
 
+// lateStarts holds the runs whose starts the worker may still execute, also after a restart
+// under its ID, with the time of the last such call.
+type lateStarts map[plantainrail.RunRef]time.Time
+
+// add records a start that is being sent, and drops those of more than lateCallTime ago.
+func (l lateStarts) add(ref plantainrail.RunRef, now time.Time) {
+	maps.DeleteFunc(l, func(_ plantainrail.RunRef, sentAt time.Time) bool { return now.Sub(sentAt) > lateCallTime })
+	l[ref] = now
+}
+
+// refs returns the runs whose last start was sent at most lateCallTime ago.
+func (l lateStarts) refs(now time.Time) []plantainrail.RunRef {
+	var refs []plantainrail.RunRef
+	for ref, sentAt := range l {
+		if now.Sub(sentAt) <= lateCallTime {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
 // start starts a run on the worker in the background, and cancels the start if it is refused.
 // The caller holds the lock.
 func (m *Minder) start(r *run) {
@@ -96,6 +120,9 @@
 		}
 		epoch, deadline := m.epoch, m.leaseDeadline()
 		reason, wait := m.startObstacle(r, until, unanswered)
+		if reason == "" && !wait {
+			m.lateStarts.add(ref, m.Now())
+		}
 		m.mu.Unlock()
 		switch {
 		case reason != "":
@@ -110,6 +137,11 @@
 		cancel()
 		m.noteStart(incarnation, ref, sentAt, err)
 		var refusal *plantainrail.RefusedError
+		if !unanswered && (err == nil || errors.As(err, &refusal) || dialFailed(err)) {
+			m.mu.Lock()
+			delete(m.lateStarts, ref)
+			m.mu.Unlock()
+		}
 		switch {
 		case err == nil:
 			m.mu.Lock()
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -111,6 +111,9 @@
 	// startDelay, if not 0, is the delay before a call that starts a run is executed. Such
 	// a call gets no response.
 	startDelay time.Duration
+	// lateCalls holds, by path, the delay before calls are executed whose connections break; see
+	// DelayCalls.
+	lateCalls map[string]time.Duration
 }
 
 // earlierMaxRuns is an earlier value of maxRuns, which was valid until the given time.
@@ -157,7 +160,7 @@
 	r := &Worker{
 		id: o.ID, service: o.Service, zone: o.Zone, address: o.Address, agentAddress: o.AgentAddress, client: o.Client,
 		maxRuns: o.MaxRuns, unguarded: o.Unguarded, heartbeatInterval: o.HeartbeatInterval,
-		changed: make(chan struct{}), restarted: make(chan struct{}, 1),
+		changed: make(chan struct{}), restarted: make(chan struct{}, 1), lateCalls: map[string]time.Duration{},
 	}
 	// Restart begins the first incarnation.
 	r.Restart()
@@ -236,6 +239,31 @@
 	r.startDelay = delay
 }
 
+// DelayCalls sets a delay after which calls with the path are executed, also by a later
+// incarnation. These calls get no response. 0 turns this off.
+func (r *Worker) DelayCalls(path string, delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lateCalls[path] = delay
+}
+
+// executeLate executes a call that DelayCalls has delayed, unless the worker is down or the call
+// has a lower fencing token than an earlier one.
+func (r *Worker) executeLate(path string, c callBody) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.crashed || c.Epoch < r.epoch {
+		return
+	}
+	r.epoch = c.Epoch
+	switch path {
+	case "/run-start":
+		r.startRun(c)
+	case "/run-stop":
+		r.stopRun(c)
+	}
+}
+
 // SetMaxRuns changes the capacity, which the next heartbeat shows. Active runs go on.
 func (r *Worker) SetMaxRuns(n int) {
 	r.mu.Lock()
@@ -341,8 +369,8 @@
 }
 
 // ServeHTTP implements http.Handler. A crashed worker aborts the connection, and a
-// call that is meant for another worker gets status 421. A start that DelayStarts
-// delays is executed later and gets no response.
+// call that is meant for another worker gets status 421. A call that DelayStarts or
+// DelayCalls delays is executed later and gets no response.
 func (r *Worker) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	var c callBody
 	if err := json.NewDecoder(req.Body).Decode(&c); err != nil {
@@ -351,6 +379,7 @@
 	}
 	r.mu.Lock()
 	crashed, startDelay, incarnation := r.crashed, r.startDelay, r.incarnation
+	lateness := r.lateCalls[req.URL.Path]
 	r.mu.Unlock()
 	if crashed {
 		panic(http.ErrAbortHandler)
@@ -367,6 +396,11 @@
 				r.startRun(c)
 			}
 		})
+	}
+	if lateness > 0 {
+		time.AfterFunc(lateness, func() { r.executeLate(req.URL.Path, c) })
+	}
+	if lateness > 0 || req.URL.Path == "/run-start" && startDelay > 0 {
 		// The server notices that the client has gone only after the body is read.
 		_, _ = io.Copy(io.Discard, req.Body)
 		<-req.Context().Done()
