Notice runs that a worker has accepted and shows no more

Seen in a test: a job stays in progress for ever (LOST). A call that renews the lease of a worker's earlier incarnation is executed late, after a restart under the same ID, and acknowledges the earlier one's ends. The worker forgets the ends of the new one with these numbers. The agent has ordered the runs, but the worker lists neither them nor their ends, so for the owner they count as placed, whatever lost them.

Change: an ordered run that the worker has accepted or listed, that is not being started or stopped, and of which a later reply shows neither the run nor its end, is missing if the replies show nothing for 0.5 s (the next call waits no longer than that). It is stopped, so that it cannot start later; a newer reply must show nothing either; and it is reported as refused with the new reason RefusedMissing, with a log line `run missing`. A run that is still listed after its confirmed stop is watched in the same way. Replies with 500 ends, the most that a worker lists, show nothing about missing runs.

A task whose end was forgotten may have been done; it is run again. The stand-in worker forgets all ends up to the highest acknowledged number, and takes late RenewLease calls.

--- a/assembler/fleet_restart_test.go
+++ b/assembler/fleet_restart_test.go
@@ -29,3 +29,26 @@
 		})
 	}
 }
+
+// Guards against tasks that count as placed for ever (LOST): a call that renews the lease of the
+// worker's earlier incarnation is executed late, and makes the worker forget ends that the agent
+// has not seen.
+func TestRunsWhoseEndsAreForgottenAreRunAgain(t *testing.T) {
+	// noticeTime is how long the agent may take to notice a run that is gone: a long poll, the time
+	// to settle and a stop.
+	const runTime, noticeTime = time.Second, 2500 * time.Millisecond
+	runInFleet(t, fleetShape{entries: 3, zones: 3, vms: 1}, func(f *fleet) {
+		w := f.vms[0].worker
+		f.submit(1, "300", jobSteps[:1])
+		f.waitForState(1, "completed", 10*time.Second)
+		time.Sleep(time.Second)
+		w.DelayCalls("/hold", 3*time.Second)
+		time.Sleep(1500 * time.Millisecond)
+		w.DelayCalls("/hold", 0)
+		w.Restart()
+		time.Sleep(2 * time.Second)
+		f.submit(2, "1000", jobSteps[:1])
+		f.waitForState(2, "completed", 2*runTime+noticeTime)
+		f.checkRuns()
+	})
+}
--- a/minder/late_test.go
+++ b/minder/late_test.go
@@ -175,7 +175,8 @@
 			f.agent.ServeHTTP(httptest.NewRecorder(), request)
 		}
 	},
-	"start": holdStarts,
+	"lease call": holdLeaseCall,
+	"start":      holdStarts,
 	"start of a run that is moved": func(f *lateFleet, delay time.Duration) func() {
 		f.elsewhere = true
 		return holdStarts(f, delay)
@@ -190,6 +191,15 @@
 	},
 }
 
+// holdLeaseCall lets the agent give up a RenewLease call that acknowledges all ends.
+func holdLeaseCall(f *lateFleet, delay time.Duration) func() {
+	f.run(time.Second)
+	f.worker.DelayCalls("/hold", delay)
+	f.run(1200 * time.Millisecond)
+	f.worker.DelayCalls("/hold", 0)
+	return func() {}
+}
+
 // holdStarts lets the agent give up and forget starts that are executed later.
 func holdStarts(f *lateFleet, delay time.Duration) func() {
 	f.worker.DelayCalls("/run-start", delay)
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -30,6 +30,10 @@
 	// maxRenewLeaseFailures is the number of consecutive failed RenewLease calls
 	// after which the worker counts as unreachable and gets no new runs.
 	maxRenewLeaseFailures = 2
+	// missingTime is how long the worker may list neither a run that has begun nor its end.
+	missingTime = 500 * time.Millisecond
+	// maxListedEnds is the number of ends that the worker lists at most.
+	maxListedEnds = 500
 )
 
 // pollWorker polls the worker for its runs and their ends, and renews its lease,
@@ -50,6 +54,8 @@
 		case m.unreachable || m.clock.readAt.IsZero():
 			// The reply shows a new incarnation, or the clock without which no lease can be set.
 			renewal.Wait = 0
+		case m.runMissing:
+			renewal.Wait = missingTime
 		case m.needsPacing() || !m.ordersComplete:
 			// Pacing needs new measurements at each interval. Until the list of ordered
 			// runs is complete, it is not known whether there are fillers.
@@ -194,6 +200,9 @@
 	m.listedPoll = poll
 	m.applyEnds(reply.Ended)
 	m.reconcile()
+	if len(reply.Ended) < maxListedEnds {
+		m.checkMissing(poll)
+	}
 	m.updatePace()
 	return len(m.ends) > 0
 }
@@ -253,3 +262,34 @@
 		}
 	}
 }
+
+// markBegun records that the worker has accepted or listed a run. The caller holds the lock.
+func (m *Minder) markBegun(r *run) {
+	r.begun, r.begunPoll, r.missingSince = true, m.polls, time.Time{}
+}
+
+// checkMissing looks for ordered runs that the worker has accepted and of which its reply to
+// the RenewLease call with the given number shows nothing. A late call of an earlier
+// incarnation may have made the worker forget their ends. After missingTime such a run is
+// stopped, so that it cannot start later, and refused, so that the owner places its task again.
+// The caller holds the lock.
+func (m *Minder) checkMissing(poll uint64) {
+	m.runMissing = false
+	for ref, r := range m.orderedRuns {
+		_, listed := m.running[ref]
+		switch {
+		case listed:
+			m.markBegun(r)
+		case !r.begun || poll <= r.begunPoll || m.stopping[ref] && !r.stopConfirmed:
+			// The reply need not show the run.
+		case r.missingSince.IsZero():
+			r.missingSince, m.runMissing = m.Now(), true
+		case m.Now().Sub(r.missingSince) < missingTime:
+			m.runMissing = true
+		default:
+			m.Logger.Warn("run missing", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Duration("for", m.Now().Sub(r.missingSince)))
+			r.stopConfirmed, m.stopping[ref] = false, true
+			go m.cancelStart(m.vm.Incarnation, r, plantainrail.RefusedMissing)
+		}
+	}
+}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -116,9 +116,11 @@
 	pollFailed bool
 	// listingWanted is set while the next RenewLease call must not wait for a run end.
 	listingWanted bool
-	clock         workerClock
-	starts        startSlots
-	pacing        pacing
+	// runMissing is set while a run that has begun may be missing; see checkMissing.
+	runMissing bool
+	clock      workerClock
+	starts     startSlots
+	pacing     pacing
 	// session is the current session with the owner; nil if there is none.
 	session *linker.Session
 	// renewalSequence is the sequence number of the last renewal request.
@@ -152,6 +154,14 @@
 	reordered bool
 	// holdsRoom is set once the run counts against the worker's capacity.
 	holdsRoom bool
+	// begun is set once the worker has accepted or listed the run. Then begunPoll is the number
+	// of the RenewLease call at that time, and missingSince the time of the first later reply
+	// that shows neither the run nor its end; zero if there is none.
+	begun        bool
+	begunPoll    uint64
+	missingSince time.Time
+	// stopConfirmed is set while the worker has confirmed a stop and still lists the run.
+	stopConfirmed bool
 	// sizeUnknown is set for a run that the owner has only ordered to stop.
 	sizeUnknown bool
 }
--- a/minder/session.go
+++ b/minder/session.go
@@ -319,6 +319,7 @@
 	m.orderedRuns[ref] = r
 	if _, listed := m.running[ref]; listed {
 		r.holdsRoom = true
+		m.markBegun(r)
 		return
 	}
 	if r.reordered {
--- a/minder/start.go
+++ b/minder/start.go
@@ -115,6 +115,7 @@
 		}
 		if _, listed := m.running[ref]; listed {
 			// An earlier try was executed.
+			m.markBegun(r)
 			m.mu.Unlock()
 			return nil
 		}
@@ -145,6 +146,7 @@
 		switch {
 		case err == nil:
 			m.mu.Lock()
+			m.markBegun(r)
 			m.applyPace(r)
 			m.mu.Unlock()
 			return nil
@@ -277,6 +279,7 @@
 		return
 	}
 	if _, listed := m.running[ref]; listed {
+		r.stopConfirmed = m.stopping[ref]
 		return
 	}
 	delete(m.orderedRuns, ref)
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -101,6 +101,9 @@
 	unackedEnds []*endedRun
 	// lastEndNumber is the number of the newest end of this incarnation.
 	lastEndNumber int64
+	// forgottenThrough is the highest number that a lease renewal has acknowledged. Ends up to
+	// it are not listed, also if they occur later.
+	forgottenThrough int64
 	// state is what the heartbeats report: "ready" or "draining".
 	state   string
 	history []*Span
@@ -180,7 +183,7 @@
 	r.earlierMaxRuns = nil
 	r.startedAt, r.crashed, r.epoch, r.leased = time.Now(), false, 0, false
 	r.born = r.startedAt.Add(r.clockError).UnixMilli()
-	r.activeRuns, r.staleThrough, r.unackedEnds, r.lastEndNumber, r.state = map[string]*activeRun{}, map[string]int64{}, nil, 0, "ready"
+	r.activeRuns, r.staleThrough, r.unackedEnds, r.lastEndNumber, r.forgottenThrough, r.state = map[string]*activeRun{}, map[string]int64{}, nil, 0, 0, "ready"
 	r.signalChange()
 	select {
 	case r.restarted <- struct{}{}:
@@ -261,6 +264,10 @@
 		r.startRun(c)
 	case "/run-stop":
 		r.stopRun(c)
+	case "/hold":
+		r.extendLease(c.Deadline)
+		// The agent does not acknowledge what it has not seen.
+		r.forgetEnds(c.AckedThrough)
 	}
 }
 
@@ -554,7 +561,9 @@
 	delete(r.activeRuns, s.Task)
 	r.staleThrough[s.Task] = max(r.staleThrough[s.Task], s.Run)
 	r.lastEndNumber++
-	r.unackedEnds = append(r.unackedEnds, &endedRun{number: r.lastEndNumber, Span: s.Span})
+	if r.lastEndNumber > r.forgottenThrough {
+		r.unackedEnds = append(r.unackedEnds, &endedRun{number: r.lastEndNumber, Span: s.Span})
+	}
 	r.signalChange()
 }
 
@@ -578,6 +587,22 @@
 	})
 }
 
+// forgetEnds removes the ends up to the number from those that are listed, and returns them.
+// The caller holds the lock.
+func (r *Worker) forgetEnds(through int64) []*endedRun {
+	r.forgottenThrough = max(r.forgottenThrough, through)
+	var forgotten, kept []*endedRun
+	for _, e := range r.unackedEnds {
+		if e.number <= through {
+			forgotten = append(forgotten, e)
+		} else {
+			kept = append(kept, e)
+		}
+	}
+	r.unackedEnds = kept
+	return forgotten
+}
+
 // renewLease extends the lease, removes acknowledged ends, and replies with the
 // active runs and the remaining ends. It is a long poll: without an end to report it
 // waits for one, up to the time that the call allows. The caller holds the lock, which
@@ -585,15 +610,9 @@
 // status 503.
 func (r *Worker) renewLease(ctx context.Context, w http.ResponseWriter, c callBody) {
 	r.extendLease(c.Deadline)
-	unacked := r.unackedEnds[:0]
-	for _, e := range r.unackedEnds {
-		if e.number > c.AckedThrough {
-			unacked = append(unacked, e)
-			continue
-		}
+	for _, e := range r.forgetEnds(c.AckedThrough) {
 		e.Acknowledged = !e.leaseExpired
 	}
-	r.unackedEnds = unacked
 	incarnation, timeout := r.incarnation, time.NewTimer(time.Duration(c.Wait)*time.Millisecond)
 	defer timeout.Stop()
 	for waiting := true; waiting && len(r.unackedEnds) == 0 && r.incarnation == incarnation; {
--- a/work.go
+++ b/work.go
@@ -356,6 +356,9 @@
 	// RefusedNoResponse is set by the agent, not the worker: the worker did not respond,
 	// and the run was prevented from starting.
 	RefusedNoResponse RefusalReason = "silent"
+	// RefusedMissing is set by the agent, not the worker: the worker had accepted the run but
+	// lists neither it nor its end, and the run was prevented from starting again.
+	RefusedMissing RefusalReason = "missing"
 )
 
 // Heartbeat is the message that a worker sends at a fixed interval.
