Acknowledge no ends to a worker that may have restarted

Seen in a test: after a restart under the same ID, the first runs on the new incarnation are run twice in a row, since their ends are not listed (they count as missing).

Cause: after a failed call, the agent calls the worker with the number that it last acknowledged. If the worker has restarted meanwhile and its first heartbeat has not arrived, the number belongs to the earlier incarnation, and the new one forgets its own ends up to it.

Change: the call after a failed one acknowledges nothing. A worker that has not restarted lists the ends again, which the agent passes over, and gets the number with the next call.

--- a/minder/late_test.go
+++ b/minder/late_test.go
@@ -241,3 +241,18 @@
 		}
 	}
 }
+
+// Guards against ends that a restarted worker forgets, and tasks that are run again for it, because
+// the first call that reaches it acknowledges the ends of its earlier incarnation.
+func TestFirstCallToARestartedWorkerAcknowledgesNothing(t *testing.T) {
+	withLateFleet(t, func(f *lateFleet) {
+		f.run(time.Second)
+		f.worker.Mute(true)
+		f.restart(time.Second)
+		f.run(time.Second)
+		f.worker.Mute(false)
+		f.run(8 * time.Second)
+		assert.Equal(t, f.done, [lateTasks]bool{true, true, true})
+		assert.Equal(t, f.runs, [lateTasks]int64{2, 2, 2})
+	})
+}
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -45,6 +45,10 @@
 		incarnation := m.vm.Incarnation
 		epoch := m.epoch
 		renewal := plantainrail.LeaseRenewal{AckedThrough: m.acknowledged, DeadlineMS: m.leaseDeadline(), Wait: renewLeaseWait}
+		if m.pollFailed {
+			// The worker may have restarted, and its next incarnation numbers its ends anew.
+			renewal.AckedThrough = 0
+		}
 		switch {
 		case m.listingWanted:
 			renewal.Wait = 0
