Delete the records of ended jobs from store and memory

Cause: nothing deleted a record of a job, and the catalogs and the owner's book kept each job for ever, too. Class: state that grows without end.

Evidence: TestEndedJobsLeaveTheStore, TestForgottenDeletionsOfJobsAreNoticed and TestLateResubmissionIsANewJob failed before (records left 315 s and 360 s after the end; a late resubmission still got the ended state). The tests of planner and decider use what is new. Trials with parts of the change left out failed as they should: deletions that a list lacks are not applied to jobs or progress, an append of deletions without its condition, a catalog that keeps a job read in the other order, progress of a deleted job that counts for a new one.

Change: the owner deletes j/ID and c/ID of a job that ended status_s and three minutes ago, and its progress 30 s after it has read that. The order and the whole views of a takeover keep a submission without progress from being seen. Appends to the jobs topic depend on its end, since it is not fenced. Each follower counts from when it read the end, so a replica that takes over knows the time and no stored form changes. Both views now find deletions that have expired unread; what the owner wrote itself counts among their keys. Catalog and book forget a deleted job; its ID may then be used for a new one.

--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -72,7 +72,7 @@
 	store := relayer.New(platform.NewStore(s.StoreAddress, platform.NewClient()), peers, logger)
 	return o.Serve(decider.New(decider.Options{
 		Name: s.Name, Address: peerAddress, Store: hedger.New(store), Relay: store, SetPeers: store.SetPeers,
-		PeerClient: peers, Zone: s.Zone, Cores: s.Cores,
+		PeerClient: peers, Zone: s.Zone, Cores: s.Cores, StatusDuration: s.StatusDuration,
 		ApplyOperatorRecord: operator.Apply, OperatorTopic: platform.OperatorTopic,
 		Peers: listeners[0], Clients: listeners[1], Health: listeners[2],
 		ClientHandler: func(f plantainrail.JobService) http.Handler { return platform.JobHandler(f) },
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -89,6 +89,9 @@
 	// Zone is the entry's availability zone, and Cores its share of processors.
 	Zone  string
 	Cores float64
+	// StatusDuration is how long clients may ask for the state of an ended job; 0 stands for
+	// defaultStatusDuration.
+	StatusDuration time.Duration
 	// ApplyOperatorRecord applies a record of the operators' topic. It returns the
 	// resulting configuration and whether the record has changed it.
 	ApplyOperatorRecord func(r plantainrail.KeyedRecord) (plantainrail.OperatorConfig, bool, error)
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -31,11 +31,11 @@
 		},
 	}
 	d.jobs = &view{
-		topic: jobsTopic, wait: every(jobsPollWait), resumeSignal: d.waitToFollow,
+		topic: jobsTopic, wait: every(jobsPollWait), keys: topicKeys{}, resumeSignal: d.waitToFollow,
 		apply: func(_ context.Context, b plantainrail.KeyedBatch) { d.applyJobs(b) },
 	}
 	d.progress = &view{
-		topic: progressTopic, wait: d.progressWait, batchDelay: followDelay, resumeSignal: d.waitToReadProgress,
+		topic: progressTopic, wait: d.progressWait, batchDelay: followDelay, keys: topicKeys{}, resumeSignal: d.waitToReadProgress,
 		apply: func(_ context.Context, b plantainrail.KeyedBatch) { d.applyProgress(b) },
 		onError: func() {
 			// Without reads of progress the owner cannot be found to have timed out.
@@ -101,6 +101,7 @@
 	if len(b.Records) == 0 {
 		return
 	}
+	d.catalog.NoteEnds(d.Now())
 	d.broadcastChange()
 	if d.owner != nil {
 		d.owner.applyJobs(b.Records)
@@ -136,6 +137,7 @@
 		}
 	}
 	if len(b.Records) > 0 {
+		d.catalog.NoteEnds(d.Now())
 		d.broadcastChange()
 	}
 }
@@ -144,6 +146,7 @@
 func (d *Decider) applyWritten(b plantainrail.KeyedBatch) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.progress.keys.update(b.Records)
 	d.applyProgress(b)
 	d.progress.next = max(d.progress.next, b.Next)
 }
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -128,6 +128,7 @@
 		o.stop(err.Error())
 		return
 	}
+	go o.deleteJobs(ctx)
 	for ctx.Err() == nil {
 		if err := o.round(ctx); err != nil {
 			o.stop(err.Error())
@@ -213,10 +214,12 @@
 // heartbeat. It returns an error if the progress cannot be encoded, the write
 // fails or the context ends.
 func (o *owner) round(ctx context.Context) error {
+	deletions := o.progressDeletions()
 	o.mu.Lock()
 	now := o.decider.Now()
 	plan := o.planner.Tick(now)
-	records, err := encodeProgress(plan.Changed)
+	changed, err := encodeProgress(plan.Changed)
+	records := append(deletions, changed...)
 	// The plan includes all ends that were applied so far, so they are stored
 	// before dispatch acknowledges them. Ends that arrive during the write are
 	// acknowledged in a later round.
--- /dev/null
+++ b/decider/retention.go
@@ -0,0 +1,77 @@
+package decider
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
+)
+
+const (
+	// defaultStatusDuration is used if Options.StatusDuration is 0.
+	defaultStatusDuration = 2 * time.Minute
+	// retentionMargin is how much longer than the clients may ask for its state an ended job is
+	// kept. Requests and writes that were sent before its end may arrive that late; without
+	// the job they would make it run again.
+	retentionMargin = 3 * time.Minute
+	// progressGrace is the time from the deletion of a submission to that of the progress. An
+	// entry of an earlier build, which ignores deletions, reads the lists of both topics well
+	// within it.
+	progressGrace = 30 * time.Second
+	// deletionInterval is the time between two appends of deletions to the jobs topic.
+	deletionInterval = 2 * time.Second
+	// maxDeletions bounds the jobs of one append of deletions. It then takes at most 40 kB.
+	maxDeletions = 512
+)
+
+// retention is how long an ended job is kept.
+func (d *Decider) retention() time.Duration {
+	return cmp.Or(d.StatusDuration, defaultStatusDuration) + retentionMargin
+}
+
+// deleteJobs deletes the submissions of jobs that have ended long ago, until the context ends.
+//
+// The jobs topic is not fenced. So an append is done only if the topic still ends where this
+// entry has read it: one that is carried out late, or by a replaced owner, cannot delete a later
+// submission of the same ID. After a failure the same jobs are deleted by a later try.
+func (o *owner) deleteJobs(ctx context.Context) {
+	d := o.decider
+	for clocker.Sleep(ctx, deletionInterval) == nil {
+		d.mu.Lock()
+		records, at := d.catalog.JobDeletions(d.Now().Add(-d.retention()), maxDeletions), d.jobs.next
+		d.mu.Unlock()
+		if len(records) == 0 {
+			continue
+		}
+		_, err := d.Store.Append(ctx, plantainrail.AppendCall{Topic: jobsTopic, At: &at, Records: records})
+		var moved *plantainrail.OffsetMismatchError
+		switch {
+		case err == nil:
+			d.Logger.Info("ended jobs deleted", zap.Int("records", len(records)), zap.Int64("offset", int64(at)))
+		case !errors.As(err, &moved):
+			d.Logger.Warn("ended jobs not deleted", zap.Int("records", len(records)), zap.Error(err))
+		}
+	}
+}
+
+// progressDeletions returns the records that delete the progress of jobs whose submissions were
+// deleted. They must precede the other records of an append: a later submission of the same ID
+// may have progress among these. The submissions are gone for each later owner, since the views
+// of both topics are whole at a takeover.
+func (o *owner) progressDeletions() []plantainrail.KeyedRecord {
+	d := o.decider
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	records := d.catalog.ProgressDeletions(d.Now().Add(-progressGrace), maxDeletions)
+	if len(records) > 0 {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.planner.Book.ForgetDeleted(records)
+	}
+	return records
+}
--- a/decider/view.go
+++ b/decider/view.go
@@ -76,7 +76,10 @@
 }
 
 // reset forgets what was read.
-func (v *view) reset() { v.next, v.asOf = unread, time.Time{} }
+func (v *view) reset() {
+	v.next, v.asOf = unread, time.Time{}
+	clear(v.keys)
+}
 
 // follow reads the topic of a view until the context ends, beginning with the newest record
 // of each key, and retries failed reads. It returns the context's error.
--- a/planner/book.go
+++ b/planner/book.go
@@ -25,13 +25,15 @@
 	pendingProgress map[string][]byte
 	// pendingCancels holds cancellations whose job is not known yet.
 	pendingCancels map[string]bool
+	// deleted holds the jobs whose submission was deleted and whose progress may be stored.
+	deleted map[string]bool
 	// acceptedCount is the number of submissions decoded so far; it gives Job.arrival.
 	acceptedCount int64
 }
 
 // NewBook returns an empty Book.
 func NewBook() *Book {
-	return &Book{jobs: map[string]*Job{}, pendingProgress: map[string][]byte{}, pendingCancels: map[string]bool{}}
+	return &Book{jobs: map[string]*Job{}, pendingProgress: map[string][]byte{}, pendingCancels: map[string]bool{}, deleted: map[string]bool{}}
 }
 
 // NewJobRecord returns the record that makes a job accepted once it is stored. It
@@ -79,13 +81,17 @@
 	b.jobs[id] = j
 }
 
-// ApplyJob applies a record of the jobs topic, a submission or a cancellation,
-// and returns the job that it added or changed, or nil if there is none. It
+// ApplyJob applies a record of the jobs topic, a submission, a cancellation or the deletion of
+// one, and returns the job that it added or changed, or nil if there is none. It
 // returns an error, and adds no job, if the record or the progress that was read before
 // it cannot be decoded.
 func (b *Book) ApplyJob(r plantainrail.KeyedRecord) (*Job, error) {
 	if id, ok := strings.CutPrefix(r.Key, cancelKeyPrefix); ok {
 		j := b.jobs[id]
+		if len(r.Value) == 0 {
+			delete(b.pendingCancels, id)
+			return nil, nil
+		}
 		if j == nil {
 			b.pendingCancels[id] = true
 			return nil, nil
@@ -97,7 +103,11 @@
 		return j, nil
 	}
 	id, ok := strings.CutPrefix(r.Key, jobKeyPrefix)
-	if !ok || b.jobs[id] != nil || len(r.Value) == 0 {
+	switch {
+	case !ok || b.jobs[id] != nil && len(r.Value) > 0:
+		return nil, nil
+	case len(r.Value) == 0:
+		b.deleteJob(id)
 		return nil, nil
 	}
 	w, err := decodeWorkflow(id, r.Value)
--- a/planner/catalog.go
+++ b/planner/catalog.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -20,16 +21,22 @@
 	jobs map[string]*catalogJob
 	// acceptedCount is the number of submissions so far; it gives catalogJob.arrival.
 	acceptedCount int64
+	retention     retention
 }
 
 // catalogJob is a job of a Catalog. A cancellation or progress may be known before the
-// submission; accepted is set once the latter was read.
+// submission; submitted is set once the latter was read, and accepted if it can be decoded.
 type catalogJob struct {
-	queue           string
-	arrival         int64
-	accepted        bool
-	cancelRequested bool
-	progress        progressSummary
+	queue               string
+	arrival             int64
+	accepted, submitted bool
+	cancelRequested     bool
+	progress            progressSummary
+	// progressDeleted means that the progress is no longer stored. replaced means that it is
+	// that of a job whose submission was deleted, and a new submission begins anew.
+	progressDeleted, replaced bool
+	// notedAt is when the end, or the loss of the submission, was noted; see retention.
+	notedAt time.Time
 	// submission and progressRecord are the values of the records. They are dropped
 	// once the job has ended and none of its tasks is placed.
 	submission, progressRecord []byte
@@ -59,17 +66,26 @@
 	return j
 }
 
-// ApplyJob applies a record of the jobs topic, a submission or a cancellation. It returns
-// an error, and accepts no job, if a submission cannot be decoded.
+// ApplyJob applies a record of the jobs topic: a submission, a cancellation or the deletion of
+// one. It returns an error, and accepts no job, if a submission cannot be decoded.
 func (c *Catalog) ApplyJob(r plantainrail.KeyedRecord) error {
 	if id, ok := strings.CutPrefix(r.Key, cancelKeyPrefix); ok {
+		if len(r.Value) == 0 {
+			c.deleteCancellation(id)
+			return nil
+		}
 		c.job(id).cancelRequested = true
 		return nil
 	}
 	id, ok := strings.CutPrefix(r.Key, jobKeyPrefix)
-	if !ok || len(r.Value) == 0 || c.Accepted(id) {
+	switch {
+	case !ok || c.Accepted(id) && len(r.Value) > 0:
+		return nil
+	case len(r.Value) == 0:
+		c.deleteSubmission(id)
 		return nil
 	}
+	c.job(id).submitted = true
 	var submission struct {
 		Queue plantainrail.Queue `cbor:"1,keyasint"`
 	}
@@ -78,27 +94,39 @@
 	}
 	c.acceptedCount++
 	j := c.job(id)
+	if j.replaced {
+		j.resetProgress()
+	}
 	j.accepted, j.arrival, j.queue, j.submission = true, c.acceptedCount, submission.Queue.Name, r.Value
-	j.dropEnded()
+	c.dropEnded(id, j)
 	return nil
 }
 
-// ApplyProgress applies a record of the progress topic, whose key is the job's ID. It
-// returns an error if the record cannot be decoded.
+// ApplyProgress applies a record of the progress topic, whose key is the job's ID, or its
+// deletion. It returns an error if the record cannot be decoded.
 func (c *Catalog) ApplyProgress(r plantainrail.KeyedRecord) error {
+	if len(r.Value) == 0 {
+		c.deleteProgress(r.Key)
+		return nil
+	}
 	var summary progressSummary
 	if err := cbor.Unmarshal(r.Value, &summary); err != nil {
 		return errors.Wrapf(err, "decode progress of job %s", r.Key)
 	}
 	j := c.job(r.Key)
-	j.progress, j.progressRecord = summary, r.Value
-	j.dropEnded()
+	j.progress, j.progressRecord, j.progressDeleted = summary, r.Value, false
+	c.dropEnded(r.Key, j)
 	return nil
 }
 
-// dropEnded drops the records of a job that has ended and has no placed task.
-func (j *catalogJob) dropEnded() {
-	if j.accepted && j.progress.ended() {
+// dropEnded drops the records of a job that has ended and has no placed task, and has its end
+// noted.
+func (c *Catalog) dropEnded(id string, j *catalogJob) {
+	if !j.progress.ended() {
+		return
+	}
+	c.retention.unnoted = append(c.retention.unnoted, id)
+	if j.accepted {
 		j.submission, j.progressRecord = nil, nil
 	}
 }
@@ -148,14 +176,16 @@
 // addTo adds the job to a Book. It returns an error if a record cannot be decoded.
 func (j *catalogJob) addTo(b *Book, id string) error {
 	switch {
-	case j.accepted && j.progress.ended():
+	case isOrphan(j):
+		b.deleted[id] = true
+	case isEnded(j):
 		b.addEnded(id, j.progress.State)
 	case j.accepted:
 		if _, err := b.ApplyJob(plantainrail.KeyedRecord{Key: jobKeyPrefix + id, Value: j.submission}); err != nil {
 			return err
 		}
 	}
-	if len(j.progressRecord) > 0 {
+	if len(j.progressRecord) > 0 && !isOrphan(j) {
 		if err := b.ApplyProgress(plantainrail.KeyedRecord{Key: id, Value: j.progressRecord}); err != nil {
 			return err
 		}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -229,6 +229,12 @@
 		return err
 	}
 	p.activate(j, now)
+	if p.Book.deleted[j.ID] {
+		// The progress of an ended job with this ID may be stored, and a new owner would take
+		// it for that of this job.
+		delete(p.Book.deleted, j.ID)
+		p.markChanged(j)
+	}
 	return nil
 }
 
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -10,7 +10,9 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -139,6 +141,13 @@
 	s.topic(name).add(append(append([]byte{byte(len(key))}, key...), value...))
 }
 
+// Keys returns the keys of a topic that exist, in order.
+func (s *Store) Keys(name string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.topic(name).newest))
+}
+
 // topic returns the topic with this name and creates it if necessary. The caller
 // holds the lock.
 func (s *Store) topic(name string) *topic {
