Go on when the store is full, and refuse new jobs before

Cause: 507 was the same error as 503, a store that is away. The owner repeated its append and, without a stored write for 3 s, renewed no lease. Each 507 made the entry turn away from the store for 2 s. Nothing kept room for what must be stored for the jobs accepted so far, nothing dropped history, and nobody was told before.

Change: ErrFull is an error of its own, and an ErrRejected. An owner without room appends no records under its epoch before each further try; that shows that it is still the owner, so leases are renewed. It takes a sequence number, and is repeated until answered: otherwise the store could take the next append for a repeat, and ends would be acknowledged without being stored. The owner drops what was read 10 s ago from the topics of jobs and progress. From nine tenths of 400 MB on, estimated from the newest records that a follower knows, and for 4 s after a 507, new jobs get 503 and are not stored. A gauge and log lines at half and at nine tenths.

Weighed: a smaller reserve.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -190,11 +190,12 @@
 	assert.NilError(f.t, err)
 	clientListener, err := f.net.Listen(name)
 	assert.NilError(f.t, err)
-	store := relayer.New(platform.NewStore(f.storeAddress, f.client(name)), f.client(name), logger())
+	direct := platform.NewStore(f.storeAddress, f.client(name))
+	store := relayer.New(direct, f.client(name), logger())
 	silencer := newSilencer(store)
 	d := decider.New(decider.Options{
 		Name: name, Address: peerListener.Addr().String(), Store: hedger.New(silencer), Relay: store, SetPeers: store.SetPeers,
-		PeerClient: f.client(name), Zone: f.zoneOf(i), Cores: f.coresOf(i),
+		PeerClient: f.client(name), Zone: f.zoneOf(i), Cores: f.coresOf(i), Trim: direct.Trim,
 		ApplyOperatorRecord: (&platform.OperatorState{}).Apply, OperatorTopic: platform.OperatorTopic, Peers: peerListener, Clients: clientListener,
 		ClientHandler: platform.JobHandler, HealthHandler: platform.ReadyHandler, Now: time.Now, Logger: logger().Named(name),
 	})
--- a/command/factory/factory.go
+++ b/command/factory/factory.go
@@ -123,9 +123,9 @@
 const logCloseTimeout = 200 * time.Millisecond
 
 // AsyncLogger returns a logger that writes JSON lines to standard output without
-// blocking, a handler that serves its counters, and a function that writes the
+// blocking, the reporter that serves its counters, and a function that writes the
 // queued lines before the process stops.
-func (f *Factory) AsyncLogger() (*zap.Logger, http.Handler, func()) {
+func (f *Factory) AsyncLogger() (*zap.Logger, *reporter.Reporter, func()) {
 	logger, r := reporter.New(f.Out, zapcore.InfoLevel)
 	return logger, r, func() { r.Close(logCloseTimeout) }
 }
--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -69,10 +69,12 @@
 	o.ServeMetrics(s.IP, counters, logger)
 	operator := &platform.OperatorState{}
 	peers := platform.NewClient()
-	store := relayer.New(platform.NewStore(s.StoreAddress, platform.NewClient()), peers, logger)
+	direct := platform.NewStore(s.StoreAddress, platform.NewClient())
+	store := relayer.New(direct, peers, logger)
 	return o.Serve(decider.New(decider.Options{
 		Name: s.Name, Address: peerAddress, Store: hedger.New(store), Relay: store, SetPeers: store.SetPeers,
-		PeerClient: peers, Zone: s.Zone, Cores: s.Cores, StatusDuration: s.StatusDuration,
+		PeerClient: peers, Zone: s.Zone, Cores: s.Cores, StatusDuration: s.StatusDuration, Trim: direct.Trim,
+		ReportStoreBytes:    func(bytes int64) { counters.SetGauge("plantainrail_store_bytes_estimate", bytes) },
 		ApplyOperatorRecord: operator.Apply, OperatorTopic: platform.OperatorTopic,
 		Peers: listeners[0], Clients: listeners[1], Health: listeners[2],
 		ClientHandler: func(f plantainrail.JobService) http.Handler { return platform.JobHandler(f) },
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -92,6 +92,12 @@
 	// StatusDuration is how long clients may ask for the state of an ended job; 0 stands for
 	// defaultStatusDuration.
 	StatusDuration time.Duration
+	// Trim drops the records of a topic before the offset, but for the newest of each key. It may
+	// be nil; then a full store gets room only as records expire or are deleted.
+	Trim func(ctx context.Context, topic string, before plantainrail.Offset) error
+	// ReportStoreBytes, if set, gets an estimate of the bytes in the store every
+	// storeWatchInterval.
+	ReportStoreBytes func(bytes int64)
 	// ApplyOperatorRecord applies a record of the operators' topic. It returns the
 	// resulting configuration and whether the record has changed it.
 	ApplyOperatorRecord func(r plantainrail.KeyedRecord) (plantainrail.OperatorConfig, bool, error)
@@ -149,7 +155,8 @@
 	claim claim
 	// owner is set while this entry owns the jobs, from when its own claim is read
 	// until the ownership is released.
-	owner *owner
+	owner     *owner
+	storeSize storeSize
 	// stopping is set once the entry drains; it claims nothing from then on.
 	stopping bool
 	// nonce distinguishes this process's claims from those of earlier processes of
@@ -187,7 +194,7 @@
 	for _, v := range d.views() {
 		group.Go(func() error { return d.follow(background, v) })
 	}
-	for _, loop := range []func(context.Context) error{d.writer.run, d.register, d.campaign, d.maintainReplica} {
+	for _, loop := range []func(context.Context) error{d.writer.run, d.register, d.campaign, d.maintainReplica, d.watchStore} {
 		group.Go(func() error { return loop(background) })
 	}
 	group.Go(func() error {
--- a/decider/forward.go
+++ b/decider/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/clocker"
+	"github.com/plantainrail/plantainrail/planner"
 )
 
 const (
@@ -36,7 +37,9 @@
 func (d *Decider) write(ctx context.Context, record plantainrail.KeyedRecord) error {
 	address, ok := d.forwardAddress()
 	if !ok {
-		return d.writer.append(ctx, record)
+		err := d.writer.append(ctx, record)
+		d.noteFull(err)
+		return err
 	}
 	var tries plantainrail.WriteTries
 	err := d.forward(ctx, address, record)
@@ -101,7 +104,16 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	switch err := d.writer.append(req.Context(), record); {
+	d.mu.Lock()
+	room := d.storeHasRoom()
+	d.mu.Unlock()
+	if !room && planner.IsSubmission(record) {
+		http.Error(w, "the store has no room", http.StatusServiceUnavailable)
+		return
+	}
+	err := d.writer.append(req.Context(), record)
+	d.noteFull(err)
+	switch {
 	case err == nil:
 	case errors.Is(err, plantainrail.ErrRejected):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -55,14 +55,14 @@
 // the first record of an ID counts.
 func (d *Decider) Submit(ctx context.Context, w plantainrail.Workflow) plantainrail.Reply {
 	d.mu.Lock()
-	known, fresh := d.catalog.Accepted(w.ID), d.storeReadRecently()
+	known, fresh, room := d.catalog.Accepted(w.ID), d.storeReadRecently(), d.storeHasRoom()
 	d.mu.Unlock()
 	switch {
 	case known:
 		return plantainrail.Reply{Result: plantainrail.CallOK}
-	case !fresh:
-		// No read has succeeded within maxJobsAge, so the store is probably unreachable.
-		// The job is rejected without a try to write it.
+	case !fresh, !room:
+		// No read has succeeded within maxJobsAge, so the store is probably unreachable, or the
+		// store has no room. The job is rejected without a try to write it.
 		d.Logger.Info("job turned away", zap.String("job", w.ID), zap.String("queue", w.Queue.Name))
 		return plantainrail.Reply{Result: plantainrail.CallUnavailable, RetryAfter: storeRetryAfter}
 	}
--- a/decider/keys.go
+++ b/decider/keys.go
@@ -7,8 +7,23 @@
 	"github.com/plantainrail/plantainrail"
 )
 
-// topicKeys holds the keys of a topic that exist, with the offsets of their newest records.
-type topicKeys map[string]plantainrail.Offset
+// topicKeys holds the keys of a topic that exist, with their newest records.
+type topicKeys map[string]newestRecord
+
+// newestRecord is the newest record of a key. Its bytes are those of the key and the value.
+type newestRecord struct {
+	offset plantainrail.Offset
+	bytes  int
+}
+
+// bytes returns the size of the newest records.
+func (k topicKeys) bytes() int64 {
+	sum := int64(0)
+	for _, r := range k {
+		sum += int64(r.bytes)
+	}
+	return sum
+}
 
 // update applies records of the topic.
 func (k topicKeys) update(records []plantainrail.KeyedRecord) {
@@ -17,7 +32,7 @@
 			delete(k, r.Key)
 			continue
 		}
-		k[r.Key] = r.Offset
+		k[r.Key] = newestRecord{r.Offset, len(r.Key) + len(r.Value)}
 	}
 }
 
@@ -30,8 +45,8 @@
 		listed[r.Key] = true
 	}
 	var out []plantainrail.KeyedRecord
-	for key, offset := range k {
-		if !listed[key] && offset < next {
+	for key, known := range k {
+		if !listed[key] && known.offset < next {
 			out = append(out, plantainrail.KeyedRecord{Key: key, Offset: next - 1})
 		}
 	}
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -173,6 +173,9 @@
 			return 0, err
 		}
 		o.decider.Logger.Warn("progress not stored", zap.Int("records", len(records)), zap.Int64("sequence", o.sequence), zap.Error(err))
+		if err := o.confirmWithoutRoom(ctx, &call, err); err != nil {
+			return 0, err
+		}
 		if err := clocker.Sleep(ctx, retryDelay); err != nil {
 			return 0, err
 		}
--- a/decider/retention.go
+++ b/decider/retention.go
@@ -49,6 +49,7 @@
 			continue
 		}
 		_, err := d.Store.Append(ctx, plantainrail.AppendCall{Topic: jobsTopic, At: &at, Records: records})
+		d.noteFull(err)
 		var moved *plantainrail.OffsetMismatchError
 		switch {
 		case err == nil:
--- a/planner/book.go
+++ b/planner/book.go
@@ -62,6 +62,11 @@
 	return plantainrail.KeyedRecord{Key: cancelKeyPrefix + id, Value: []byte{1}}
 }
 
+// IsSubmission reports whether a record of the jobs topic submits a job.
+func IsSubmission(r plantainrail.KeyedRecord) bool {
+	return strings.HasPrefix(r.Key, jobKeyPrefix) && len(r.Value) > 0
+}
+
 // JobID returns the ID of the job that a record of the jobs topic belongs to.
 func JobID(r plantainrail.KeyedRecord) string {
 	return strings.TrimPrefix(strings.TrimPrefix(r.Key, jobKeyPrefix), cancelKeyPrefix)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -94,6 +94,8 @@
 	ExpectedSequence int64               `cbor:"4,keyasint,omitempty"`
 	// Text is the error message.
 	Text string `cbor:"5,keyasint,omitempty"`
+	// Full distinguishes plantainrail.ErrFull from other rejections. Earlier builds ignore it.
+	Full bool `cbor:"6,keyasint,omitempty"`
 }
 
 // decodeMode accepts keys of records that are no valid UTF-8, which other writers may append.
@@ -202,6 +204,9 @@
 // timeout. It returns false for nil and for the store's other errors, which every entry
 // would get.
 func isUnavailable(err error) bool {
+	if errors.Is(err, plantainrail.ErrFull) {
+		return false
+	}
 	code, _, _ := encodeError(err)
 	return code == errorRejected || code == errorUnknown
 }
@@ -303,7 +308,7 @@
 	result, err := perform(req.Context(), r.direct, c)
 	result.ErrorCode, result.End, result.ExpectedSequence = encodeError(err)
 	if err != nil {
-		result.Text = err.Error()
+		result.Text, result.Full = err.Error(), errors.Is(err, plantainrail.ErrFull)
 	}
 	raw, err = cbor.Marshal(result)
 	if err != nil {
@@ -342,6 +347,9 @@
 	case errorNone:
 		return nil
 	case errorRejected:
+		if r.Full {
+			return errors.Wrap(plantainrail.ErrFull, r.Text)
+		}
 		return errors.Wrap(plantainrail.ErrRejected, r.Text)
 	case errorFenced:
 		return plantainrail.ErrFenced
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -39,3 +39,35 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, batch)
 }
+
+// fullStore refuses appends for want of room.
+type fullStore struct {
+	fakeStore
+	appends int
+}
+
+func (s *fullStore) Append(context.Context, plantainrail.AppendCall) (plantainrail.Offset, error) {
+	s.appends++
+	return 0, plantainrail.ErrFull
+}
+
+// Guards against entries that turn away from a store that answers, and against an owner that does
+// not learn through another entry that the store is full.
+func TestFullStoreIsNotUnavailable(t *testing.T) {
+	far, near := &fullStore{}, &fullStore{}
+	peer := httptest.NewServer(relayer.New(far, nil, zap.NewNop()))
+	defer peer.Close()
+	r := relayer.New(near, peer.Client(), zap.NewNop())
+	r.SetPeers([]string{strings.TrimPrefix(peer.URL, "http://")})
+	for n := range 3 {
+		_, err := r.Append(t.Context(), plantainrail.AppendCall{})
+		assert.ErrorIs(t, err, plantainrail.ErrFull)
+		assert.Equal(t, near.appends, n+1)
+	}
+	// The failed read makes the next calls go through the other entry.
+	_, _ = r.Read(t.Context(), "jobs", 0, 0)
+	_, err := r.Append(t.Context(), plantainrail.AppendCall{})
+	assert.ErrorIs(t, err, plantainrail.ErrFull)
+	assert.Equal(t, near.appends, 3)
+	assert.Equal(t, far.appends, 1)
+}
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -39,6 +39,8 @@
 	// which is the message of the line. It is guarded by mu.
 	mu          sync.Mutex
 	eventCounts map[string]int64
+	// gauges holds the values of gauges by name. It is guarded by mu.
+	gauges map[string]int64
 	// stop ends the writer goroutine, which then closes done.
 	stop, done chan struct{}
 }
@@ -47,7 +49,7 @@
 // Close is called. Errors of w are ignored, since there is nowhere to report that
 // logging fails.
 func New(w io.Writer, level zapcore.Level) (*zap.Logger, *Reporter) {
-	r := &Reporter{eventCounts: map[string]int64{}, lines: make(chan []byte, maxQueuedLines), stop: make(chan struct{}), done: make(chan struct{})}
+	r := &Reporter{eventCounts: map[string]int64{}, gauges: map[string]int64{}, lines: make(chan []byte, maxQueuedLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go r.writeQueued(w)
 	config := zap.NewProductionEncoderConfig()
 	config.TimeKey, config.MessageKey = "at", "event"
@@ -71,14 +73,24 @@
 	r.eventCounts[event]++
 }
 
-// ServeHTTP writes the counters in the text format that metrics scrapers read.
+// SetGauge sets the value of a gauge. Names are constants of the code, so the map stays small.
+func (r *Reporter) SetGauge(name string, value int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gauges[name] = value
+}
+
+// ServeHTTP writes the counters and gauges in the text format that metrics scrapers read.
 func (r *Reporter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	r.mu.Lock()
-	counts := maps.Clone(r.eventCounts)
+	counts, gauges := maps.Clone(r.eventCounts), maps.Clone(r.gauges)
 	r.mu.Unlock()
 	for _, event := range slices.Sorted(maps.Keys(counts)) {
 		fmt.Fprintf(w, "plantainrail_events_total{event=%q} %d\n", event, counts[event])
 	}
+	for _, name := range slices.Sorted(maps.Keys(gauges)) {
+		fmt.Fprintf(w, "%s %d\n", name, gauges[name])
+	}
 	full, sampled := r.Dropped()
 	fmt.Fprintf(w, "plantainrail_lines_dropped_total{reason=\"full\"} %d\n", full)
 	fmt.Fprintf(w, "plantainrail_lines_dropped_total{reason=\"sampled\"} %d\n", sampled)
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -45,6 +45,8 @@
 	lossyAppends int
 	// appendTime is how long a topic takes for an append; see SetAppendTime.
 	appendTime time.Duration
+	// maxBytes is the size above which appends are rejected; see SetMaxBytes.
+	maxBytes int
 }
 
 // topic is an append-only list of records. The store's lock guards it.
@@ -97,6 +99,46 @@
 	s.appendTime = d
 }
 
+// SetMaxBytes makes the store reject appends with status 507 that would bring the records which
+// have not expired, and the newest record of each key, above the size. 0 ends it.
+func (s *Store) SetMaxBytes(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxBytes = n
+}
+
+// Bytes returns the size that SetMaxBytes bounds.
+func (s *Store) Bytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bytes()
+}
+
+// bytes is Bytes for a caller that holds the lock.
+func (s *Store) bytes() int {
+	sum := 0
+	for _, t := range s.topics {
+		for _, r := range t.records[t.firstOffset:] {
+			sum += len(r)
+		}
+		for _, offset := range t.newest {
+			if offset < t.firstOffset {
+				sum += len(t.records[offset])
+			}
+		}
+	}
+	return sum
+}
+
+// trim expires the records of a topic before an offset.
+func (s *Store) trim(w http.ResponseWriter, req *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(req.URL.Query().Get("topic"))
+	t.firstOffset = max(t.firstOffset, min(parseNumber(req.URL.Query().Get("before")), int64(len(t.records))))
+	w.WriteHeader(http.StatusOK)
+}
+
 // awaitTurn waits until the topic has processed the earlier appends and this one. It
 // returns false if the append must be rejected.
 func (s *Store) awaitTurn(name string) bool {
@@ -205,6 +247,8 @@
 		s.read(req.Context(), w, req)
 	case "/log-newest":
 		s.listNewest(w, req)
+	case "/log-trim":
+		s.trim(w, req)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -244,6 +288,10 @@
 		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"endOffset": endOffset})
 		return
 	}
+	if s.maxBytes > 0 && len(raw) > 0 && s.bytes()+len(raw) > s.maxBytes {
+		w.WriteHeader(http.StatusInsufficientStorage)
+		return
+	}
 	if name := query.Get("producer"); name != "" && !t.acceptAppend(w, name, parseNumber(query.Get("epoch")), parseNumber(query.Get("sequence")), len(raw) == 0) {
 		return
 	}
--- a/store.go
+++ b/store.go
@@ -71,6 +71,8 @@
 var (
 	// ErrRejected means that the store rejected a call and did nothing.
 	ErrRejected = errors.New("store rejected the call")
+	// ErrFull means that the store rejected an append for want of room. It is an ErrRejected.
+	ErrFull = errors.WithMessage(ErrRejected, "store is full")
 	// ErrFenced means that a writer of the same name with a higher epoch has written.
 	ErrFenced = errors.New("fenced by a higher epoch")
 	// ErrExpired means that retention has deleted the requested records.
