Delete ended jobs in smaller parts from a full store

Callers saw (in a test, not in the field) a full store of ended jobs that stayed full: new jobs were refused for good.

Cause: one append held the deletions of 512 jobs. They were refused for want of room that fewer of them would have found.

Change: after each 507 half as many jobs are deleted at a time, after a stored append twice as many; a round holds 64 deletions of progress at most.

--- a/assembler/fleet_full_test.go
+++ b/assembler/fleet_full_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/planner"
 )
 
 // Guards against tasks that lapse (LOST) because the store has no room, against a new job that is
@@ -44,3 +48,32 @@
 		f.checkRuns()
 	})
 }
+
+// Guards against a store that stays full of ended jobs (LOST) because their deletions need more room
+// at a time than there is.
+func TestFullStoreIsFreedOfEndedJobs(t *testing.T) {
+	runInFleet(t, smallFleet, func(f *fleet) {
+		for n := range 200 {
+			record, err := planner.NewJobRecord(plantainrail.Workflow{
+				ID: jobID(n), Spec: strings.Repeat("s", 2000), Steps: []plantainrail.Step{{Count: 1, CPU: 1000}},
+			})
+			assert.NilError(t, err)
+			job, err := planner.NewBook().ApplyJob(record)
+			assert.NilError(t, err)
+			job.State = planner.Completed
+			progress, err := job.Progress()
+			assert.NilError(t, err)
+			f.store.Put("keyed.jobs", record.Key, record.Value)
+			f.store.Put("keyed.runs", job.ID, progress)
+		}
+		// The owner does not read the progress of others.
+		f.killEntry(f.owner(), time.Second)
+		time.Sleep(5 * time.Second)
+		f.store.Expire()
+		f.store.SetMaxBytes(f.store.Bytes() + 1000)
+		time.Sleep(maxRetention + time.Minute)
+		assert.DeepEqual(t, f.jobRecords(), []string(nil))
+		f.submit(1000, "300", jobSteps)
+		f.waitForState(1000, "completed", finishTime)
+	})
+}
--- a/decider/retention.go
+++ b/decider/retention.go
@@ -25,8 +25,12 @@
 	progressGrace = 30 * time.Second
 	// deletionInterval is the time between two appends of deletions to the jobs topic.
 	deletionInterval = 2 * time.Second
-	// maxDeletions bounds the jobs of one append of deletions. It then takes at most 40 kB.
+	// maxDeletions bounds the jobs of one append of deletions to the jobs topic. It then takes at
+	// most 40 kB.
 	maxDeletions = 512
+	// maxProgressDeletions bounds the deletions among the records of a round: one kB, so that they
+	// find room in a full store.
+	maxProgressDeletions = 64
 )
 
 // retention is how long an ended job is kept.
@@ -38,12 +42,13 @@
 //
 // The jobs topic is not fenced. So an append is done only if the topic still ends where this
 // entry has read it: one that is carried out late, or by a replaced owner, cannot delete a later
-// submission of the same ID. After a failure the same jobs are deleted by a later try.
+// submission of the same ID. After a failure the same jobs are deleted by a later try, and fewer at
+// a time if the store has no room.
 func (o *owner) deleteJobs(ctx context.Context) {
-	d := o.decider
+	d, limit := o.decider, maxDeletions
 	for clocker.Sleep(ctx, deletionInterval) == nil {
 		d.mu.Lock()
-		records, at := d.catalog.JobDeletions(d.Now().Add(-d.retention()), maxDeletions), d.jobs.next
+		records, at := d.catalog.JobDeletions(d.Now().Add(-d.retention()), limit), d.jobs.next
 		d.mu.Unlock()
 		if len(records) == 0 {
 			continue
@@ -53,7 +58,11 @@
 		var moved *plantainrail.OffsetMismatchError
 		switch {
 		case err == nil:
+			limit = min(2*limit, maxDeletions)
 			d.Logger.Info("ended jobs deleted", zap.Int("records", len(records)), zap.Int64("offset", int64(at)))
+		case errors.Is(err, plantainrail.ErrFull):
+			limit = max(limit/2, 1)
+			fallthrough
 		case !errors.As(err, &moved):
 			d.Logger.Warn("ended jobs not deleted", zap.Int("records", len(records)), zap.Error(err))
 		}
@@ -68,7 +77,7 @@
 	d := o.decider
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	records := d.catalog.ProgressDeletions(d.Now().Add(-progressGrace), maxDeletions)
+	records := d.catalog.ProgressDeletions(d.Now().Add(-progressGrace), maxProgressDeletions)
 	if len(records) > 0 {
 		o.mu.Lock()
 		defer o.mu.Unlock()
