--- a/decider/owner.go
+++ b/decider/owner.go
@@ -128,6 +128,7 @@
 		o.stop(err.Error())
 		return
 	}
+	go o.deleteJobs(ctx)
 	for ctx.Err() == nil {
 		if err := o.round(ctx); err != nil {
 			o.stop(err.Error())
@@ -177,6 +178,9 @@
 		if errors.Is(err, plantainrail.ErrUnacceptable) && len(records) > 0 && records[0].Key != heartbeatKey {
 			return 0, err
 		}
+		if err := o.confirmWithoutRoom(ctx, &call, err); err != nil {
+			return 0, err
+		}
 		if err := clocker.Sleep(ctx, retryDelay); err != nil {
 			return 0, err
 		}
@@ -218,10 +222,12 @@
 // heartbeat. It returns an error if the progress cannot be encoded, the write
 // fails or the context ends.
 func (o *owner) round(ctx context.Context) error {
+	deletions := o.progressDeletions()
 	o.mu.Lock()
 	now := o.decider.Now()
 	plan := o.planner.Tick(now)
-	records, err := o.encodeProgress(&plan)
+	changed, err := o.encodeProgress(&plan)
+	records := append(deletions, changed...)
 	// The plan includes all ends that were applied so far, so they are stored
 	// before dispatch acknowledges them. Ends that arrive during the write are
 	// acknowledged in a later round.
@@ -286,6 +292,11 @@
 // have to abandon it again.
 func (o *owner) abandonRefused(ctx context.Context, refused []plantainrail.KeyedRecord, plan *planner.Plan) error {
 	for _, r := range refused {
+		if len(r.Value) == 0 {
+			// The deletion of progress is tried again by a later round.
+			o.decider.Logger.Error("progress not deleted", zap.String("job", r.Key))
+			continue
+		}
 		o.mu.Lock()
 		record, err := o.abandon(o.planner.Book.Job(r.Key), r.Size(), plan)
 		o.mu.Unlock()
--- a/decider/view.go
+++ b/decider/view.go
@@ -84,6 +84,7 @@
 func (v *view) reset() {
 	v.next, v.asOf = unread, time.Time{}
 	v.resets++
+	clear(v.keys)
 }
 
 // follow reads the topic of a view until the context ends, beginning with the newest record
--- a/planner/export_test.go
+++ b/planner/export_test.go
@@ -25,3 +25,6 @@
 	}
 	return nil
 }
+
+// Known returns the number of jobs that the catalog holds anything of.
+func (c *Catalog) Known() int { return len(c.jobs) }
--- a/store.go
+++ b/store.go
@@ -119,6 +119,8 @@
 	// ErrUnacceptable means that the store did nothing and will answer the same call in the
 	// same way at any time, for example since a record is too large.
 	ErrUnacceptable = errors.New("store never accepts the call")
+	// ErrFull means that the store rejected an append for want of room. It is an ErrRejected.
+	ErrFull = errors.WithMessage(ErrRejected, "store is full")
 	// ErrFenced means that a writer of the same name with a higher epoch has written.
 	ErrFenced = errors.New("fenced by a higher epoch")
 	// ErrExpired means that retention has deleted the requested records.
