Tell a new job from a deleted one of the same ID

Callers would see, with an ID used again five minutes after the first job's end, a task that runs twice or an accepted job that is never run; a review of the deletions showed it.

Cause: an entry that reads the progress of the new job before its submission, or before the deletion of the old one, took that progress for the old job's and forgot it.

Change: progress that has not ended cannot be that of a deleted job, since only ended jobs are deleted.

--- a/planner/catalog.go
+++ b/planner/catalog.go
@@ -115,6 +115,10 @@
 	}
 	j := c.job(r.Key)
 	j.progress, j.progressRecord, j.progressDeleted = summary, r.Value, false
+	if !summary.ended() {
+		// Progress that has not ended follows a deletion only if it is that of a new job.
+		j.replaced = false
+	}
 	c.dropEnded(r.Key, j)
 	return nil
 }
@@ -180,6 +184,8 @@
 		b.deleted[id] = true
 	case isEnded(j):
 		b.addEnded(id, j.progress.State)
+	case j.accepted && len(j.submission) == 0:
+		return errors.Errorf("submission of job %s was dropped with the end of an earlier job of its ID", id)
 	case j.accepted:
 		if _, err := b.ApplyJob(plantainrail.KeyedRecord{Key: jobKeyPrefix + id, Value: j.submission}); err != nil {
 			return err
--- a/planner/retention.go
+++ b/planner/retention.go
@@ -111,7 +111,8 @@
 	if j == nil || !j.submitted {
 		return
 	}
-	j.queue, j.submission, j.accepted, j.submitted, j.replaced = "", nil, false, false, true
+	// Progress that has not ended is that of a new job with the ID.
+	j.queue, j.submission, j.accepted, j.submitted, j.replaced = "", nil, false, false, j.progress.ended()
 	if j.progressDeleted {
 		j.resetProgress()
 	}
--- a/planner/retention_test.go
+++ b/planner/retention_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -118,3 +119,50 @@
 		assert.Assert(t, changed, name)
 	}
 }
+
+// Guards against a job that runs again (TWICE), or that no owner knows (LOST), on an entry that reads
+// the submission and progress of a new job with the ID of an ended one in an order of its own.
+func TestNewJobWithTheIDOfADeletedOne(t *testing.T) {
+	// d is the deletion of the submission, s the new submission, p the progress of the new job. The
+	// deletion of the old progress does not exist: p has replaced it.
+	for _, c := range []struct {
+		records string
+		// list means that the entry begins with lists of the newest records, which hold no d.
+		list bool
+	}{{"dsp", false}, {"dps", false}, {"pds", false}, {"sp", true}, {"sp", false}} {
+		t.Run(fmt.Sprint(c.records, c.list), func(t *testing.T) {
+			h := newHarness(t, newVM("vm-0", 64_000))
+			catalog, submission, old := completedJob(t, h)
+			if c.list {
+				catalog = planner.NewCatalog()
+			}
+			// The new job's progress: its task is placed.
+			other := newHarness(t, newVM("vm-0", 64_000))
+			other.submit("a", plantainrail.Step{Count: 1, CPU: 1_000})
+			assert.Equal(t, len(other.tick().Assignments), 1)
+			progress := plantainrail.KeyedRecord{Key: "a", Value: other.stored["a"]}
+			for _, r := range c.records {
+				switch r {
+				case 'd':
+					assert.NilError(t, catalog.ApplyJob(plantainrail.KeyedRecord{Key: submission.Key}))
+				case 's':
+					assert.NilError(t, catalog.ApplyJob(submission))
+					if c.list {
+						// The list of the progress is answered before the owner has stored the new job's.
+						assert.NilError(t, catalog.ApplyProgress(old))
+					}
+				case 'p':
+					assert.NilError(t, catalog.ApplyProgress(progress))
+				}
+				catalog.NoteEnds(h.now)
+			}
+			book, unreadable := catalog.Book()
+			assert.DeepEqual(t, unreadable, []error(nil))
+			assert.Assert(t, book.Job("a") != nil, "the new owner does not know the job")
+			assert.Equal(t, book.UnknownProgress(), 0)
+			next := planner.New(book, timeouts, h.now)
+			next.UpdateWorker(newVM("vm-0", 64_000), h.now)
+			assert.Equal(t, len(next.Tick(h.now).Assignments), 0, "the task is placed already")
+		})
+	}
+}
