Bound overdue fillers, and end probation by what has run

A review of the planner's changes found, each with a test that failed:

- Fillers of jobs that have waited for too long had no bound on a VM: 200 such jobs put 100 fillers of a core on a VM of four, 97 in one tick, and filled its memory, so that a service found no room.
They now leave half of the memory free and request four times the processors at most.
- A gang of fillers of which some members found room started its wait anew at each tick and was never overdue.
- Each ready step walked all occurrences of its job: a tick with 8,000 waiting occurrences took 1.7 s in place of 2 ms.
Each job is looked at once.
- A probation ended 1.5 s after an assignment, also if it was not stored or sent yet or the worker failed its runs after 1.6 s: 51 runs on a VM that fails all in 10 s, 41 of 250 sound jobs failed.
Now a run counts from when the agent reports it; after 1.5 s the VM gets another one, after 3 s the probation ends.
Two tests and the model say that the run has begun, as agents do within a second.

--- a/decider/session.go
+++ b/decider/session.go
@@ -149,7 +149,7 @@
 	if renewalGranted {
 		o.planner.Renew(a.incarnation, now)
 	}
-	o.planner.RecordCheckpoints(a.incarnation, r.Running)
+	o.planner.RecordCheckpoints(a.incarnation, r.Running, now)
 	if r.Measurements != nil {
 		tails := make(map[plantainrail.RunRef]int, len(r.Measurements.TailLatencies))
 		for _, t := range r.Measurements.TailLatencies {
--- a/planner/backlog_test.go
+++ b/planner/backlog_test.go
@@ -56,3 +56,96 @@
 		assert.Equal(t, len(h.tick().Assignments), 0)
 	}
 }
+
+// Load pattern: a burst of jobs of fillers. Guards against a gang of fillers that waits (LOST) for as
+// long as the fillers of earlier jobs request all that fillers may request, if there is room for some of
+// its members: the try of placing them must not start its wait anew.
+func TestBacklogOfFillersStarvesNoGang(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		count int
+	}{{"room for no member", 6}, {"room for one member", 5}} {
+		t.Run(c.name, func(t *testing.T) {
+			vms := []plantainrail.VM{newVM("a", 4000), newVM("b", 4000)}
+			h := newHarness(t, vms...)
+			h.submit("first", plantainrail.Step{Count: c.count, CPU: 1000, Filler: true})
+			assert.Equal(t, len(h.tick().Assignments), c.count)
+			h.submit("gang", plantainrail.Step{Count: 2, CPU: 1000, Filler: true, Gang: true})
+			placed := 0
+			for begin := h.now; h.now.Sub(begin) < 10*time.Second; h.now = h.now.Add(100 * time.Millisecond) {
+				for _, vm := range vms {
+					h.report(vm)
+				}
+				for range h.tick().Assignments {
+					placed++
+					assert.Assert(t, h.now.Sub(begin) < maxStarvation, "placed after %s", h.now.Sub(begin))
+				}
+			}
+			assert.Equal(t, placed, 2)
+		})
+	}
+}
+
+// Load pattern: a burst of jobs of fillers, and then a service that starts or moves. Guards against fillers
+// that go beyond maxFillerShare without a bound, so that they take all memory, and services, which have
+// processors for themselves, find no room.
+func TestOverdueFillersLeaveRoomForServices(t *testing.T) {
+	for _, paused := range []bool{false, true} {
+		t.Run(fmt.Sprint("fillers paused on the other VM: ", paused), func(t *testing.T) {
+			a, b := newVM("a", 4000), newVM("b", 4000)
+			b.FillersPaused = paused
+			h := newHarness(t, a, b)
+			for i := range 200 {
+				h.submit(fmt.Sprint("job", i), plantainrail.Step{Count: 5, CPU: 1000, Memory: 100, Filler: true})
+			}
+			onVM, most := map[string]int{}, 0
+			for range 60 {
+				h.report(a)
+				h.report(b)
+				placed := h.tick().Assignments
+				most = max(most, len(placed))
+				for _, assignment := range placed {
+					onVM[assignment.Incarnation.Node]++
+				}
+				h.now = h.now.Add(100 * time.Millisecond)
+			}
+			t.Logf("fillers of one core each on VMs of 4 cores after 6 s: %v, at most %d in one tick", onVM, most)
+			h.submit("service", plantainrail.Step{Count: 1, CPU: 1000, Memory: 500, Lasting: true})
+			h.report(a)
+			h.report(b)
+			placed := h.tick().Assignments
+			if paused {
+				// The other VM is free for the service; here the number on one VM counts: a service on it has
+				// them all beside it.
+				assert.Assert(t, onVM["a"] <= 20, "%d fillers on one VM of 4 cores", onVM["a"])
+				return
+			}
+			assert.Equal(t, len(placed), 1, "the service must be placed: no processor is reserved")
+		})
+	}
+}
+
+// Load pattern: a job of many occurrences that are all due and find no VM. Guards against a tick whose
+// time grows with the square of their number.
+func TestTickOfManyWaitingOccurrences(t *testing.T) {
+	took := func(n int) time.Duration {
+		h := newHarness(t, newVM("a", 4000))
+		record, err := planner.NewJobRecord(plantainrail.Workflow{
+			ID: "job", Queue: queue, Repetitions: n, IntervalMS: 1, FirstRunMS: 1,
+			Steps: []plantainrail.Step{{Count: 1, CPU: 9000}},
+		})
+		assert.NilError(t, err)
+		h.applyJob(record)
+		h.tick()
+		shortest := time.Hour
+		for range 5 {
+			begin := time.Now()
+			h.tick()
+			shortest = min(shortest, time.Since(begin))
+		}
+		return shortest
+	}
+	small, large := took(1000), took(8000)
+	t.Logf("1,000 occurrences: %s; 8,000: %s", small, large)
+	assert.Assert(t, large < 30*small, "%s and %s", small, large)
+}
--- a/planner/interference_test.go
+++ b/planner/interference_test.go
@@ -113,7 +113,7 @@
 	for _, a := range plan.Assignments {
 		m.assignments = append(m.assignments, fmt.Sprint(a.Order.Ref.Task, " on ", a.Incarnation.Node))
 		// The agent lists the run.
-		m.planner.RecordCheckpoints(a.Incarnation, []plantainrail.RunStatus{{Ref: a.Order.Ref}})
+		m.planner.RecordCheckpoints(a.Incarnation, []plantainrail.RunStatus{{Ref: a.Order.Ref}}, m.now)
 		step := m.planner.Book.Job(a.Order.Ref.Task.Job).Steps[a.Order.Ref.Task.Step]
 		vm := m.vms[a.Incarnation]
 		run := modelRun{ref: a.Order.Ref, image: step.Image, cores: float64(step.CPU) / 1000}
--- a/planner/place.go
+++ b/planner/place.go
@@ -19,7 +19,7 @@
 	// them, since waiting is worse than a run that may fail: most of the pool is free, or the
 	// tasks are long-running ones, whose failed runs are not counted.
 	urgent bool
-	// overdue means that one filler of the step may go beyond maxFillerShare.
+	// overdue means that one filler of the step, or one gang, may go beyond maxFillerShare.
 	overdue bool
 }
 
@@ -68,7 +68,9 @@
 	for i := range ready {
 		ready[i].urgent = ready[i].definition().Lasting || idle[p.vmPool(ready[i].job)]
 		ready[i].noTrial = ready[i].job.failing
-		ready[i].job.trackIdle(now)
+		if i == 0 || ready[i-1].job != ready[i].job {
+			ready[i].job.trackIdle(now)
+		}
 		out = append(out, p.placeReady(ready[i], now)...)
 	}
 	// The run of a job that fails tells little about a VM on probation, so such jobs get the
@@ -84,8 +86,9 @@
 
 // placeReady assigns waiting tasks of a step. The fillers of other jobs must not keep a job
 // waiting for longer than maxFillerWait: what maxFillerShare holds back is processors, which all
-// fillers share anyway. From then on the job has one filler beyond it at a time, until one of its
-// tasks is placed within it. VMs whose services are over their objectives still take none.
+// fillers share anyway. From then on the job has one filler or gang beyond it at a time, until one
+// of its tasks is placed within it. Such fillers leave half of a VM's memory to others, and VMs
+// whose services are over their objectives take none.
 func (p *Planner) placeReady(ready readyStep, now time.Time) []Assignment {
 	j := ready.job
 	out := p.placeTasks(ready, now)
@@ -218,7 +221,7 @@
 			checkpoint = t.Checkpoint
 		}
 	}
-	savedTasks := slices.Clone(tasks)
+	savedTasks, idleSince := slices.Clone(tasks), ready.job.idleSince
 	var out []Assignment
 	r := p.rate(ready, p.shapeOf(ready, now), now)
 	for index := range tasks {
@@ -232,6 +235,7 @@
 				memberVM.removeRun(memberVM.runs[a.Order.Ref])
 			}
 			copy(tasks, savedTasks)
+			ready.job.idleSince = idleSince
 			ready.job.occurrences[ready.occurrence][ready.step] = newStepTasks(tasks)
 			return nil
 		}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -305,7 +305,7 @@
 
 // RecordCheckpoints records the checkpoints of the runs that a worker lists, which have begun.
 // The checkpoints are stored with the job's next change.
-func (p *Planner) RecordCheckpoints(incarnation plantainrail.WorkerIncarnation, running []plantainrail.RunStatus) {
+func (p *Planner) RecordCheckpoints(incarnation plantainrail.WorkerIncarnation, running []plantainrail.RunStatus, now time.Time) {
 	v := p.vms[incarnation]
 	if v == nil {
 		return
@@ -316,6 +316,9 @@
 			continue
 		}
 		p.markStarted(run.job)
+		if run.begunAt.IsZero() {
+			run.begunAt = now
+		}
 		if status.Checkpoint != "" {
 			run.task.Checkpoint = status.Checkpoint
 		}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -100,6 +100,11 @@
 	h.planner.ApplyEnds(a.Incarnation, []plantainrail.RunEnd{{Number: number, Ref: a.Order.Ref, Outcome: outcome}}, h.now)
 }
 
+// begin reports that the worker runs an assignment.
+func (h *harness) begin(a planner.Assignment) {
+	h.planner.RecordCheckpoints(a.Incarnation, []plantainrail.RunStatus{{Ref: a.Order.Ref}}, h.now)
+}
+
 func (h *harness) state(id string) planner.State { return h.planner.Book.Job(id).PublicState() }
 
 func TestStepsRunInOrderAndComplete(t *testing.T) {
@@ -250,7 +255,7 @@
 	again := h.tick().Assignments
 	assert.Equal(t, len(again), 1)
 	assert.Equal(t, again[0].Incarnation, restarted.Incarnation)
-	h.planner.RecordCheckpoints(restarted.Incarnation, []plantainrail.RunStatus{{Ref: again[0].Order.Ref}})
+	h.planner.RecordCheckpoints(restarted.Incarnation, []plantainrail.RunStatus{{Ref: again[0].Order.Ref}}, h.now)
 	h.reportEnd(run, 1, plantainrail.RunDone)
 	assert.Equal(t, h.state("job"), planner.Running, "an end from the earlier incarnation must be ignored")
 }
@@ -405,7 +410,9 @@
 	}
 	assert.Equal(t, len(h.tick().Assignments), 0, "the VM must be paused")
 	h.now = h.now.Add(time.Second)
-	assert.Equal(t, len(h.tick().Assignments), 1, "one run must be placed on probation although a service runs there")
+	onProbation := h.tick().Assignments
+	assert.Equal(t, len(onProbation), 1, "one run must be placed on probation although a service runs there")
+	h.begin(onProbation[0])
 	h.now = h.now.Add(time.Second)
 	assert.Equal(t, len(h.tick().Assignments), 0, "the VM must get no other run while the one on probation may still fail")
 	h.now = h.now.Add(3 * time.Second)
@@ -561,7 +568,7 @@
 			h.report(reborn)
 		}, planner.Running},
 		{"lost while it ran", func(h *harness, first planner.Assignment) {
-			h.planner.RecordCheckpoints(first.Incarnation, []plantainrail.RunStatus{{Ref: first.Order.Ref}})
+			h.planner.RecordCheckpoints(first.Incarnation, []plantainrail.RunStatus{{Ref: first.Order.Ref}}, h.now)
 			h.planner.RemoveWorker(first.Incarnation, h.now)
 		}, planner.Running},
 		{"lapsed", func(h *harness, first planner.Assignment) {
--- a/planner/probation_test.go
+++ b/planner/probation_test.go
@@ -34,7 +34,9 @@
 		h.applyJob(planner.NewCancelRecord(fmt.Sprint("poison", i)))
 	}
 	h.submit("services", plantainrail.Step{Count: 5, CPU: 1000, Lasting: true})
-	assert.Equal(t, len(h.tick().Assignments), 1)
+	first := h.tick().Assignments
+	assert.Equal(t, len(first), 1)
+	h.begin(first[0])
 	h.now = h.now.Add(3 * time.Second)
 	h.report(newVM("a", 9000))
 	assert.Equal(t, len(h.tick().Assignments), 4)
@@ -111,3 +113,39 @@
 		h.reportEnd(placed[0], int64(run+1), plantainrail.RunFailed)
 	}
 }
+
+// Guards against sound jobs that fail (BUDGET, LOST) because a VM whose worker fails every run gets many
+// runs at once: while the store is slow, an assignment on probation is not even ordered, but counts
+// as a run that lasts.
+func TestUnstoredRunDoesNotEndProbation(t *testing.T) {
+	h := newProbationHarness(t)
+	for i := range 2 {
+		h.applyJob(planner.NewCancelRecord(fmt.Sprint("poison", i)))
+	}
+	for i := range 6 {
+		h.submit(fmt.Sprint("sound", i), plantainrail.Step{Count: 1, CPU: 1000})
+	}
+	// The round's append takes two seconds, so the assignment is neither stored nor sent meanwhile.
+	plan := h.planner.Tick(h.now)
+	assert.Equal(t, len(plan.Assignments), 1, "the VM takes one run on probation")
+	h.now = h.now.Add(2 * time.Second)
+	h.planner.MarkStored(plan.Assignments[0], h.now)
+	h.report(newVM("a", 9000))
+	assert.Equal(t, len(h.planner.Tick(h.now).Assignments), 0, "the run on probation is sent only now")
+}
+
+// Guards against the same with a start that the agent has not sent, or a worker that has not begun it.
+func TestRunThatHasNotBegunDoesNotEndProbation(t *testing.T) {
+	h := newProbationHarness(t)
+	for i := range 2 {
+		h.applyJob(planner.NewCancelRecord(fmt.Sprint("poison", i)))
+	}
+	for i := range 6 {
+		h.submit(fmt.Sprint("sound", i), plantainrail.Step{Count: 1, CPU: 1000})
+	}
+	assert.Equal(t, len(h.tick().Assignments), 1, "the VM takes one run on probation")
+	// The worker answers no start for 1.6 s, and lists no run.
+	h.now = h.now.Add(1600 * time.Millisecond)
+	h.report(newVM("a", 9000))
+	assert.Equal(t, len(h.tick().Assignments), 0, "no run has begun")
+}
--- a/planner/starvation_test.go
+++ b/planner/starvation_test.go
@@ -193,6 +193,7 @@
 		if w.fault != "disconnected" {
 			m.report(w.vm)
 			for _, r := range m.runsOf(w) {
+				m.begin(r.assignment)
 				if m.runs[r.assignment.Order.Ref] == nil || r.endsAt.After(m.now) {
 					continue
 				}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -22,10 +22,16 @@
 	// maxFillerShare bounds the share of a VM's processors that all its fillers
 	// together request.
 	maxFillerShare = 0.8
-	// probationRunTime is how long a run that was assigned on probation must last
-	// to end the probation. A worker that fails every run does so
-	// within a second.
+	// maxOverdueShare bounds the same where fillers of jobs that have waited for too long go
+	// beyond maxFillerShare, so that each still runs at a fair part of its speed.
+	maxOverdueShare = 4
+	// probationRunTime is how long a run that was assigned on probation must have run before the
+	// VM gets another one. With the second after which a begun run is known it is below the three
+	// seconds after which a job with nothing running counts as starved.
 	probationRunTime = 1500 * time.Millisecond
+	// trustRunTime is how long such a run must have run to end the probation. Most workers that
+	// fail every run do so within it.
+	trustRunTime = 3 * time.Second
 	// failedJobsToPause is the number of different jobs that must fail on a VM
 	// in a row before it is paused. A single failing job may be at fault
 	// itself.
@@ -47,6 +53,8 @@
 	// orderedSince is when the run could first be ordered: when its assignment was
 	// stored or this owner took it over.
 	orderedSince time.Time
+	// begunAt is when the worker was first known to run it; zero before that.
+	begunAt time.Time
 	// tailLatency is the latest tail latency of a service, in milliseconds.
 	tailLatency int
 }
@@ -58,6 +66,11 @@
 	return plantainrail.RunRef{Task: r.id, Run: r.task.Run}
 }
 
+// hasRunFor reports whether the worker is known to have run it for the given time.
+func (r *placedRun) hasRunFor(d time.Duration, now time.Time) bool {
+	return !r.begunAt.IsZero() && now.Sub(r.begunAt) >= d
+}
+
 func (r *placedRun) order() plantainrail.RunOrder {
 	step := r.step()
 	order := plantainrail.RunOrder{
@@ -102,7 +115,7 @@
 	noRoomUntil    time.Time
 	noRoomCapacity plantainrail.Resources
 	// probation is set after repeated failures until the next run that succeeds or lasts for
-	// probationRunTime. The VM then gets one run at a time. probationSince is the time of the
+	// trustRunTime. The VM then gets one run at a time. probationSince is the time of the
 	// newest of these failures.
 	probation      bool
 	probationSince time.Time
@@ -149,7 +162,7 @@
 // recordOutcome updates the failures of the VM after a run has ended.
 // Failed runs of failedJobsToPause different jobs, without a successful run in between,
 // pause the VM and put it on probation, which ends with the first run that succeeds or lasts
-// for probationRunTime. On probation each failed run pauses the VM again. Runs of a job that is
+// for trustRunTime. On probation each failed run pauses the VM again. Runs of a job that is
 // known to be faulty do not count.
 func (v *vm) recordOutcome(run *placedRun, outcome plantainrail.RunOutcome, now time.Time) {
 	j := run.job
@@ -264,6 +277,10 @@
 		return obstacleThrottled
 	case !step.Reservation().Fits(v.Capacity.Sub(v.reserved)):
 		return obstacleResources
+	case ready.overdue && 2*(v.reserved.Memory+step.Reservation().Memory) > v.Capacity.Memory:
+		return obstacleResources
+	case ready.overdue && v.fillerMillicores+step.CPU > maxOverdueShare*v.Capacity.Processors:
+		return obstacleFillers
 	// A single filler is admitted however large it is.
 	case step.Filler && !ready.overdue && v.fillerMillicores > 0 && v.fillerMillicores+step.CPU > int(float64(v.Capacity.Processors)*maxFillerShare):
 		return obstacleFillers
@@ -281,15 +298,15 @@
 func (v *vm) onTrial(step *plantainrail.Step, urgent bool, now time.Time) bool {
 	return v.probation && slices.ContainsFunc(v.orderedRuns, func(r *placedRun) bool {
 		fellow := urgent && step.Gang && r.step() == step && r.assignedAt.Equal(now)
-		return r.assignedAt.After(v.probationSince) && now.Sub(r.assignedAt) < probationRunTime && !fellow
+		return r.assignedAt.After(v.probationSince) && !r.hasRunFor(probationRunTime, now) && !fellow
 	})
 }
 
 // endProbation ends the probation of a VM on which a run that was assigned after the newest
-// failure has lasted for probationRunTime: the worker does not fail every run.
+// failure has lasted for trustRunTime: the worker does not fail every run.
 func (v *vm) endProbation(now time.Time) {
 	if v.probation && slices.ContainsFunc(v.orderedRuns, func(r *placedRun) bool {
-		return r.assignedAt.After(v.probationSince) && now.Sub(r.assignedAt) >= probationRunTime
+		return r.assignedAt.After(v.probationSince) && r.hasRunFor(trustRunTime, now)
 	}) {
 		v.trust()
 	}
