--- a/decider/decider.go
+++ b/decider/decider.go
@@ -141,9 +141,8 @@
 	// one was read.
 	configuration plantainrail.OperatorConfig
 	configured    bool
-	// operators, jobs, progress, members and claims are the views of the topics. The last
-	// holds the claims of replicas.
-	operators, jobs, progress, members, claims *view
+	// operators, jobs, progress, members and replicaClaims are the views of the topics.
+	operators, jobs, progress, members, replicaClaims *view
 	// entries maps the names of the other entries to their addresses.
 	entries map[string]string
 	// ownerSeenAt is when a claim or another write of the owner was last read, when
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -45,7 +45,7 @@
 		},
 	}
 	d.members = &view{topic: MembersTopic, wait: every(membersPollWait), apply: d.applyMembers}
-	d.claims = &view{
+	d.replicaClaims = &view{
 		topic: replicasTopic, wait: every(membersPollWait),
 		apply: func(_ context.Context, b plantainrail.KeyedBatch) { d.applyReplicas(b) },
 	}
@@ -56,7 +56,7 @@
 
 // views returns the views of all topics.
 func (d *Decider) views() []*view {
-	return []*view{d.operators, d.jobs, d.progress, d.members, d.claims}
+	return []*view{d.operators, d.jobs, d.progress, d.members, d.replicaClaims}
 }
 
 // progressWait returns the maximum wait of the next read of progress. It ends when the owner
--- a/decider/forward.go
+++ b/decider/forward.go
@@ -68,8 +68,8 @@
 func (d *Decider) replicaAnswers() bool { return d.Now().Sub(d.pendingReadAt) < maxReplicaSilence }
 
 // forward asks the replica at the address to store a record. After an error other than
-// plantainrail.ErrRejected and plantainrail.ErrUnacceptable the record may be stored. forward gives up early when the
-// replica stops answering pings.
+// plantainrail.ErrRejected and plantainrail.ErrUnacceptable the record may be stored. forward
+// gives up early when the replica stops answering pings.
 func (d *Decider) forward(ctx context.Context, address string, record plantainrail.KeyedRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -216,11 +216,11 @@
 	return nil
 }
 
-// round runs the planner once, stores the jobs that changed, in as many appends as
-// the limit of a call requires, sends the orders to the agents and waits for the next round. If there is nothing to store and the
-// newest confirmed write was sent at least heartbeatInterval ago, it stores a
-// heartbeat. It returns an error if the progress cannot be encoded, the write
-// fails or the context ends.
+// round runs the planner once, stores the jobs that changed, in as many appends as the
+// limit of a call requires, sends the orders to the agents and waits for the next round. If
+// there is nothing to store and the newest confirmed write was sent at least
+// heartbeatInterval ago, it stores a heartbeat. It returns an error if the progress cannot be
+// encoded, the write fails or the context ends.
 func (o *owner) round(ctx context.Context) error {
 	deletions := o.progressDeletions()
 	o.mu.Lock()
--- a/decider/session.go
+++ b/decider/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/coder/websocket"
 	"go.uber.org/zap"
@@ -159,14 +160,7 @@
 		// Such a report contains nothing else that is applied below.
 		return
 	}
-	for _, end := range o.planner.ApplyEnds(a.incarnation, r.Ended, now) {
-		o.decider.Logger.Warn("end dropped", zap.Stringer("task", end.Ref.Task), zap.Int64("run", end.Ref.Run), zap.String("how", string(end.Outcome)),
-			zap.String("node", a.incarnation.Node), zap.Int64("number", end.Number), zap.Bool("known", o.planner.Book.Job(end.Ref.Task.Job) != nil))
-	}
-	for _, end := range r.Ended {
-		o.decider.Logger.Info("run ended", zap.Stringer("task", end.Ref.Task), zap.Int64("run", end.Ref.Run),
-			zap.String("how", string(end.Outcome)), zap.String("node", a.incarnation.Node), zap.Int64("number", end.Number))
-	}
+	o.applyEnds(a, r.Ended, now)
 	for _, refusal := range r.Refused {
 		o.planner.ApplyRefusal(a.incarnation, refusal.Ref, refusal.Reason, now)
 		o.decider.Logger.Info("run refused", zap.Stringer("task", refusal.Ref.Task), zap.Int64("run", refusal.Ref.Run),
@@ -181,6 +175,24 @@
 	}
 }
 
+// applyEnds applies the ends of runs that a worker lists. One that changes nothing is logged as
+// dropped as well. The caller holds the lock.
+func (o *owner) applyEnds(a *agentSession, ends []plantainrail.RunEnd, now time.Time) {
+	fields := func(end plantainrail.RunEnd) []zap.Field {
+		return []zap.Field{
+			zap.Stringer("task", end.Ref.Task), zap.Int64("run", end.Ref.Run), zap.String("how", string(end.Outcome)),
+			zap.String("node", a.incarnation.Node), zap.Int64("number", end.Number),
+		}
+	}
+	for _, end := range o.planner.ApplyEnds(a.incarnation, ends, now) {
+		known := o.planner.Book.Job(end.Ref.Task.Job) != nil
+		o.decider.Logger.Warn("end dropped", append(fields(end), zap.Bool("known", known))...)
+	}
+	for _, end := range ends {
+		o.decider.Logger.Info("run ended", fields(end)...)
+	}
+}
+
 // registerAgent registers a worker incarnation that the session did not report
 // before, or that the planner has removed since, and closes an earlier session
 // that reported the same incarnation. It sends the agent all runs that the worker
--- a/planner/place.go
+++ b/planner/place.go
@@ -346,8 +346,8 @@
 }
 
 // avoidanceWait bounds how long a task waits for the end of another VM's pause or, in a pool that
-// is mostly free, for another VM's room, so that it need not run where it has failed. It is below the three seconds after which a job with
-// nothing running counts as starved.
+// is mostly free, for another VM's room, so that it need not run where it has failed. It is below
+// the three seconds after which a job with nothing running counts as starved.
 const avoidanceWait = 2 * time.Second
 
 // mayTakeLater reports whether a VM that the task does not avoid and that is large enough for it
