Order no start of a job whose cancellation was read

Cause: a cancellation that has been read takes effect in the next Tick.

Change: one rule (mayStart) for both places and both reasons. A run of such a job is not ordered, or only adopted, and the next Tick stops it.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -376,15 +376,15 @@
 // MarkStored records that an assignment is in the store, and reports whether it still holds.
 // If so, DesiredRuns returns its order from then on, until the run ends or is to be
 // stopped. Otherwise the run must not be ordered: since the assignment was decided, the worker
-// has gone, the run is to be stopped, or the VM's zone was evacuated. In the last case the task
-// waits again.
+// has gone, the run is to be stopped, the VM's zone was evacuated or the job's cancellation was
+// read. In the last two cases the task waits again.
 func (p *Planner) MarkStored(a Assignment, now time.Time) bool {
 	v := p.vms[a.Incarnation]
 	if v == nil || v.runs[a.Order.Ref] == nil || v.runs[a.Order.Ref].stopping {
 		return false
 	}
 	run := v.runs[a.Order.Ref]
-	if p.config.Out[v.Zone] {
+	if !p.mayStart(v, run) {
 		p.requeue(v, run)
 		return false
 	}
@@ -394,8 +394,9 @@
 
 // DesiredRuns returns the orders for the runs that a worker should have, and the
 // runs that the worker may still have and must stop. Runs whose assignments are
-// not stored yet are in neither list unless they are to be stopped. In an evacuated zone the
-// runs are only to be adopted, since it is not known which of them have begun.
+// not stored yet are in neither list unless they are to be stopped. In an evacuated zone, and of
+// a job whose cancellation was read, the runs are only to be adopted, since it is not known which
+// of them have begun.
 func (p *Planner) DesiredRuns(incarnation plantainrail.WorkerIncarnation) (orders []plantainrail.RunOrder, stops []plantainrail.RunRef) {
 	v := p.vms[incarnation]
 	if v == nil {
@@ -407,13 +408,18 @@
 			stops = append(stops, run.ref())
 		case run.stored:
 			order := run.order()
-			order.Adopt = p.config.Out[v.Zone]
+			order.Adopt = !p.mayStart(v, run)
 			orders = append(orders, order)
 		}
 	}
 	return orders, stops
 }
 
+// mayStart reports whether a run that is placed on a VM may still be started there.
+func (p *Planner) mayStart(v *vm, run *placedRun) bool {
+	return !p.config.Out[v.Zone] && !run.job.CancelRequested
+}
+
 // retryDelay is how long a long-running task waits after a failed run, since the number of its runs
 // is not limited. After the first one it does not wait, unless the job is known to be faulty.
 const retryDelay = 2 * time.Second
--- a/work.go
+++ b/work.go
@@ -271,8 +271,8 @@
 	// other start may be the cause. It is set only beside Alone.
 	Isolated bool `cbor:"8,keyasint,omitempty"`
 	// Adopt means that the run must not be started, but may go on if the worker runs it
-	// already: the operators have evacuated the worker's availability zone since the run was
-	// assigned.
+	// already: since the run was assigned, the operators have evacuated the worker's
+	// availability zone or a client has cancelled the job.
 	Adopt bool `cbor:"9,keyasint,omitempty"`
 }
 
@@ -350,8 +350,8 @@
 	RefusedInvalid RefusalReason = "invalid"
 	// RefusedDraining is set by the agent, not the worker: the worker is draining.
 	RefusedDraining RefusalReason = "draining"
-	// RefusedZone is set by the agent, not the worker: the run was only to be adopted, and the
-	// worker does not run it.
+	// RefusedZone is set by the agent, not the worker: the run was only to be adopted, for instance
+	// in an evacuated zone, and the worker does not run it.
 	RefusedZone RefusalReason = "zone"
 	// RefusedNoResponse is set by the agent, not the worker: the worker did not respond,
 	// and the run was prevented from starting.
