Bound the age of what a start rests on

Cause: a write that the store accepts proves that the entry is the owner, and nothing about what it has read. A takeover completes the views; an owner that goes on after an outage, a freeze or a silent long poll ordered starts before it had read what was written meanwhile. Nothing bounded the way of an order either.

Change: each order to start runs has a limit that follows from the ages of the operators' records, the jobs and the progress (bounds.evacuationMs and bounds.cancel_ms less half a second, and 2.5 s). An owner that would leave its agents less than half a second reads first; ends, acknowledgements and stops go on. An agent starts nothing after the limit, which counts from its own newest renewal request that the owner has received, so no two clocks are compared. Owners and agents of the build before ignore and omit the field. The logs tell the ages that a placement rested on, and when starts wait.

--- a/assembler/fleet_outage_test.go
+++ b/assembler/fleet_outage_test.go
@@ -47,6 +47,32 @@
 	}
 }
 
+// Guards against tasks that wait after an outage until reads that hang since then have timed out: the
+// owner reads at once what its starts rest on.
+func TestStartsGoOnSoonAfterOwnerOutage(t *testing.T) {
+	for _, outage := range ownerOutages[:3] {
+		t.Run(outage.name, func(t *testing.T) {
+			runInFleet(t, smallFleet, func(f *fleet) {
+				owner := f.darkenOthers()
+				f.submit(1, "700", []map[string]any{{"count": 400, "cpu": 1000}})
+				time.Sleep(300 * time.Millisecond)
+				outage.inject(f, f.entries[owner], 5500*time.Millisecond)
+				outageEnd := time.Now()
+				time.Sleep(maxRecoveryTime)
+				started := 0
+				for _, v := range f.vms {
+					for _, span := range v.worker.History() {
+						if span.Start.After(outageEnd) {
+							started++
+						}
+					}
+				}
+				assert.Check(t, started > 0, "nothing started within %s", maxRecoveryTime)
+			})
+		})
+	}
+}
+
 // accepts submits job n to entry i and reports whether it was accepted.
 func (f *fleet) accepts(i, n int) bool {
 	body, err := json.Marshal(map[string]any{"spec": "100", "steps": []map[string]any{{"count": 1, "cpu": 1000}}})
--- a/assembler/fleet_takeover_test.go
+++ b/assembler/fleet_takeover_test.go
@@ -13,15 +13,19 @@
 )
 
 // silencer is a store whose reads can be made to hang, as those on a connection that has gone
-// silent: their answers are lost, and new reads work. It can also be slowed down.
+// silent: their answers are lost, and new reads work. It can also be slowed down, refuse reads,
+// and return nothing for a while, as to a process that is frozen.
 type silencer struct {
 	plantainrail.Store
 
 	mu sync.Mutex
 	// silencedAt is when the reads of a topic that were open then became silent.
 	silencedAt map[string]time.Time
-	// delay is how much later each call returns.
-	delay time.Duration
+	// delay is how much later each call returns, and readDelay how much later than that a read.
+	delay, readDelay time.Duration
+	// unreadable makes all reads fail, and no call returns before thawsAt.
+	unreadable bool
+	thawsAt    time.Time
 }
 
 func newSilencer(store plantainrail.Store) *silencer {
@@ -42,16 +46,48 @@
 	s.delay = delay
 }
 
+// refuseReads makes all reads fail, or work again.
+func (s *silencer) refuseReads(refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreadable = refuse
+}
+
+// freeze makes all calls return only after the given time. Those that are open have been
+// executed by then, others begin after it.
+func (s *silencer) freeze(duration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.thawsAt = time.Now().Add(duration)
+}
+
+// slowDownReads makes each read return later than other calls.
+func (s *silencer) slowDownReads(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readDelay = delay
+}
+
 // wait delays the return of a call.
 func (s *silencer) wait() {
 	s.mu.Lock()
 	delay := s.delay
 	s.mu.Unlock()
 	time.Sleep(delay)
+	s.awaitThaw()
+}
+
+// awaitThaw returns when the calls are not frozen.
+func (s *silencer) awaitThaw() {
+	s.mu.Lock()
+	thawsAt := s.thawsAt
+	s.mu.Unlock()
+	time.Sleep(time.Until(thawsAt))
 }
 
 // Append implements plantainrail.Store.
 func (s *silencer) Append(ctx context.Context, call plantainrail.AppendCall) (plantainrail.Offset, error) {
+	s.awaitThaw()
 	defer s.wait()
 	return s.Store.Append(ctx, call)
 }
@@ -61,12 +97,17 @@
 
 // Read implements plantainrail.Store.
 func (s *silencer) Read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
+	s.awaitThaw()
 	sentAt := time.Now()
 	batch, err := s.Store.Read(ctx, topic, from, wait)
 	s.wait()
 	s.mu.Lock()
-	silent := !s.silencedAt[topic].Before(sentAt)
+	silent, unreadable, readDelay := !s.silencedAt[topic].Before(sentAt), s.unreadable, s.readDelay
 	s.mu.Unlock()
+	time.Sleep(readDelay)
+	if unreadable {
+		return plantainrail.KeyedBatch{}, errors.New("read refused")
+	}
 	if !silent {
 		return batch, err
 	}
--- a/assembler/network_test.go
+++ b/assembler/network_test.go
@@ -38,6 +38,8 @@
 	// stalled drops all further data on the connections that are open when the
 	// fault is injected; new ones work.
 	stalled
+	// repliesHeld keeps the data that listeners send back until the fault ends.
+	repliesHeld
 	// blackholed drops all data on open and new connections.
 	blackholed
 )
@@ -208,8 +210,8 @@
 	n.mu.Lock()
 	n.connections[c] = true
 	n.mu.Unlock()
-	go c.relay(clientRelay, serverRelay)
-	go c.relay(serverRelay, clientRelay)
+	go c.relay(clientRelay, serverRelay, false)
+	go c.relay(serverRelay, clientRelay, true)
 	return c
 }
 
@@ -233,7 +235,7 @@
 
 // relay copies data in one direction until either end closes, and then closes the
 // whole connection.
-func (c *connection) relay(source, destination net.Conn) {
+func (c *connection) relay(source, destination net.Conn, replies bool) {
 	defer c.close()
 	buffer := make([]byte, 32<<10)
 	for {
@@ -247,6 +249,9 @@
 		if delay > 0 {
 			time.Sleep(delay)
 		}
+		for replies && c.network.faultBetween(c.from, c.to) == repliesHeld {
+			time.Sleep(10 * time.Millisecond)
+		}
 		if c.dropsData() {
 			continue
 		}
--- a/cmd/plantainrail/main_test.go
+++ b/cmd/plantainrail/main_test.go
@@ -50,8 +50,15 @@
 // start starts the program with the given arguments. The process is killed when the
 // test ends; its output is logged if the test failed.
 func start(t *testing.T, args ...string) *exec.Cmd {
+	t.Helper()
+	return startWith(t, nil, args...)
+}
+
+// startWith is start with variables in addition to the environment of the test.
+func startWith(t *testing.T, variables []string, args ...string) *exec.Cmd {
 	t.Helper()
 	command := exec.Command(programPath, args...)
+	command.Env = append(os.Environ(), variables...)
 	output, err := os.CreateTemp(t.TempDir(), "output")
 	assert.NilError(t, err)
 	command.Stdout = output
--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -73,7 +73,8 @@
 	store := relayer.New(direct, peers, logger)
 	return o.Serve(decider.New(decider.Options{
 		Name: s.Name, Address: peerAddress, Store: hedger.New(store), StoreLimits: s.StoreLimits, Relay: store, SetPeers: store.SetPeers,
-		PeerClient: peers, Zone: s.Zone, Cores: s.Cores, StatusDuration: s.StatusDuration, Trim: direct.Trim,
+		PeerClient: peers, Zone: s.Zone, Cores: s.Cores, StatusDuration: s.StatusDuration,
+		EvacuationBound: s.EvacuationBound, CancelBound: s.CancelBound, Trim: direct.Trim,
 		ReportStoreBytes:    func(bytes int64) { counters.SetGauge("plantainrail_store_bytes_estimate", bytes) },
 		ApplyOperatorRecord: operator.Apply, OperatorTopic: platform.OperatorTopic,
 		Peers: listeners[0], Clients: listeners[1], Health: listeners[2],
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -94,6 +94,10 @@
 	// StatusDuration is how long clients may ask for the state of an ended job; 0 stands for
 	// defaultStatusDuration.
 	StatusDuration time.Duration
+	// EvacuationBound is how long after an evacuation was stored tasks may still start in the
+	// availability zone, and CancelBound how long after a job's cancellation its tasks may; 0
+	// stands for defaultEvacuationBound and defaultCancelBound.
+	EvacuationBound, CancelBound time.Duration
 	// Trim drops the records of a topic before the offset, but for the newest of each key. It may
 	// be nil; then a full store gets room only as records expire or are deleted.
 	Trim func(ctx context.Context, topic string, before plantainrail.Offset) error
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -22,8 +22,9 @@
 // newViews returns the views of the topics that the entry follows.
 func (d *Decider) newViews() {
 	every := func(wait time.Duration) func() time.Duration { return func() time.Duration { return wait } }
+	operatorsBound, jobsBound, _ := d.startBounds()
 	d.operators = &view{
-		topic: d.OperatorTopic, wait: every(configurationPollWait), confirm: true, keys: topicKeys{},
+		topic: d.OperatorTopic, wait: every(operatorsBound.pollWait(configurationPollWait)), confirm: true, keys: topicKeys{},
 		apply: func(_ context.Context, b plantainrail.KeyedBatch) {
 			for _, r := range b.Records {
 				d.applyOperatorRecord(r)
@@ -31,7 +32,7 @@
 		},
 	}
 	d.jobs = &view{
-		topic: jobsTopic, wait: every(jobsPollWait), keys: topicKeys{}, resumeSignal: d.waitToFollow, wanted: d.follows,
+		topic: jobsTopic, wait: every(jobsBound.pollWait(jobsPollWait)), keys: topicKeys{}, resumeSignal: d.waitToFollow, wanted: d.follows,
 		apply: func(_ context.Context, b plantainrail.KeyedBatch) { d.applyJobs(b) },
 	}
 	d.progress = &view{
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -35,7 +35,7 @@
 	// roundRequested holds at most one request for a round.
 	roundRequested chan struct{}
 
-	// mu guards the fields up to confirmedWriteAt.
+	// mu guards the fields up to reading.
 	mu sync.Mutex
 	// ended is set when the ownership ends.
 	ended bool
@@ -45,6 +45,13 @@
 	// confirmedWriteAt is when the newest write that the store has accepted was
 	// sent.
 	confirmedWriteAt time.Time
+	// operatorsAsOf and jobsAsOf are when the views were whole that the planner knows.
+	operatorsAsOf, jobsAsOf time.Time
+	// waitingStarts are assignments that are stored but not ordered, since startsWaitSince,
+	// because the views are too old. reading is set while they are read for that reason.
+	waitingStarts   []planner.Assignment
+	startsWaitSince time.Time
+	reading         bool
 	// sequence is the sequence number of the next write. Only the goroutine of run
 	// uses it.
 	sequence int64
@@ -252,7 +259,7 @@
 			return err
 		}
 	}
-	o.dispatch(plan, appliedEnds)
+	o.dispatch(ctx, plan, appliedEnds)
 	return o.waitForRound(ctx)
 }
 
@@ -366,8 +373,9 @@
 }
 
 // dispatch sends the agents the orders of a plan whose changes are stored, and
-// acknowledges the run ends up to the numbers in appliedEnds, which are stored too.
-func (o *owner) dispatch(plan planner.Plan, appliedEnds map[plantainrail.WorkerIncarnation]int64) {
+// acknowledges the run ends up to the numbers in appliedEnds, which are stored too. Starts wait
+// while what they rest on may have changed.
+func (o *owner) dispatch(ctx context.Context, plan planner.Plan, appliedEnds map[plantainrail.WorkerIncarnation]int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	orders := map[plantainrail.WorkerIncarnation]*linker.WorkOrders{}
@@ -381,13 +389,14 @@
 		o.decider.Logger.Info("run lost", zap.Stringer("task", lost.Ref.Task), zap.Int64("run", lost.Ref.Run), zap.String("node", lost.Node),
 			zap.String("cause", string(lost.Cause)), zap.Int64("age", lost.Age.Milliseconds()), zap.Int("crashes", lost.Crashes))
 	}
-	for _, a := range plan.Assignments {
+	for _, a := range o.releaseStarts(ctx, plan.Assignments) {
 		if !o.planner.MarkStored(a, o.decider.Now()) {
 			o.decider.Logger.Info("placement dropped", zap.Stringer("task", a.Order.Ref.Task), zap.Int64("run", a.Order.Ref.Run), zap.String("node", a.Incarnation.Node))
 			continue
 		}
 		ordersFor(a.Incarnation).Starts = append(ordersFor(a.Incarnation).Starts, a.Order)
-		o.decider.Logger.Info("task placed", zap.Stringer("task", a.Order.Ref.Task), zap.Int64("run", a.Order.Ref.Run), zap.String("node", a.Incarnation.Node))
+		o.decider.Logger.Info("task placed", append(o.ageFields(),
+			zap.Stringer("task", a.Order.Ref.Task), zap.Int64("run", a.Order.Ref.Run), zap.String("node", a.Incarnation.Node))...)
 	}
 	for _, s := range plan.Stops {
 		ordersFor(s.Incarnation).Stops = append(ordersFor(s.Incarnation).Stops, s.Ref)
@@ -405,8 +414,7 @@
 	}
 	for incarnation, workerOrders := range orders {
 		if a := o.agents[incarnation]; a != nil {
-			// If the session has ended, the agent gets all runs again when it reconnects.
-			_ = a.session.Send(linker.Frame{Orders: workerOrders})
+			o.sendOrders(a, workerOrders)
 		}
 	}
 }
--- a/decider/session.go
+++ b/decider/session.go
@@ -32,6 +32,10 @@
 	// ackedThrough is the number up to which run ends were acknowledged to the agent
 	// as stored.
 	ackedThrough int64
+	// heard is the sequence of the newest renewal request, which arrived at heardAt at the latest.
+	// Before the first one it is 0, and heardAt is when the agent was connecting.
+	heard   uint64
+	heardAt time.Time
 }
 
 // peerHandler serves agents' sessions and the store calls that other entries
@@ -57,13 +61,14 @@
 		http.Error(w, "this entry does not own the jobs", http.StatusMisdirectedRequest)
 		return
 	}
+	connectedAt := d.Now()
 	connection, err := websocket.Accept(w, req, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		d.Logger.Warn("agent's session refused", zap.Error(err))
 		return
 	}
 	session := linker.New(connection)
-	a := &agentSession{owner: o, session: session}
+	a := &agentSession{owner: o, session: session, heardAt: connectedAt}
 	err = session.Run(context.WithoutCancel(req.Context()), a)
 	o.removeAgent(a, err)
 }
@@ -127,6 +132,9 @@
 		return
 	}
 	now := o.decider.Now()
+	if r.Sequence > 0 {
+		a.heard, a.heardAt = r.Sequence, now
+	}
 	if r.Departed {
 		o.planner.RemoveWorker(r.VM.Incarnation, now)
 		o.decider.Logger.Info("VM gone", zap.String("node", r.VM.Incarnation.Node), zap.String("worker", r.VM.Incarnation.ID))
@@ -211,8 +219,6 @@
 	o.decider.Logger.Info("VM seen", zap.String("node", vm.Incarnation.Node), zap.String("worker", vm.Incarnation.ID), zap.Int64("born", vm.Incarnation.StartedMS),
 		zap.String("service", vm.Pool), zap.Strings("labels", vm.Labels), zap.Any("capacity", vm.Capacity), zap.Bool("draining", vm.Draining))
 	starts, stops := o.planner.DesiredRuns(vm.Incarnation)
-	_ = a.session.Send(linker.Frame{Orders: &linker.WorkOrders{
-		Epoch: o.epoch, Incarnation: vm.Incarnation, Complete: true, Starts: starts, Stops: stops,
-	}})
+	o.sendOrders(a, &linker.WorkOrders{Epoch: o.epoch, Incarnation: vm.Incarnation, Complete: true, Starts: starts, Stops: stops})
 	o.requestRound()
 }
--- a/decider/view.go
+++ b/decider/view.go
@@ -170,6 +170,9 @@
 	}
 	v.apply(ctx, r.batch)
 	v.next = max(v.next, r.batch.Next)
+	if d.owner != nil {
+		d.owner.noteRead(d.operators.asOf, d.jobs.asOf)
+	}
 	return !asOf.IsZero()
 }
 
--- a/linker/work.go
+++ b/linker/work.go
@@ -67,4 +67,20 @@
 	Renewed uint64 `cbor:"6,keyasint,omitempty"`
 	// DepartureAcked acknowledges a report with Departed set.
 	DepartureAcked bool `cbor:"7,keyasint,omitempty"`
+	// StartLimit bounds when Starts may be carried out. Owners of an earlier build leave it out.
+	StartLimit *StartLimit `cbor:"8,keyasint,omitempty"`
+}
+
+// StartLimit is the time until which a worker may be told to start the runs of an order. After
+// it, what the order rests on may have changed, so the agent only adopts runs that the worker runs
+// already. Clocks of different VMs are not comparable, so the time is counted from a message that
+// both sides know.
+type StartLimit struct {
+	_ struct{} `cbor:",toarray"`
+	// Heard is the WorkReport.Sequence of the newest renewal request that the owner has received
+	// in the session; 0 stands for the opening of the session.
+	Heard uint64
+	// WithinMS is how long after the agent sent that request the limit is, in milliseconds. It is
+	// negative if the limit has passed by then.
+	WithinMS int64
 }
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -125,9 +125,11 @@
 	session *linker.Session
 	// renewalSequence is the sequence number of the last renewal request.
 	renewalSequence uint64
-	// renewalSentAt holds the send times of the renewal requests that the owner has not
-	// granted yet, by sequence number.
+	// renewalSentAt holds the send times of the session's last maxRenewals renewal requests, by
+	// sequence number.
 	renewalSentAt map[uint64]time.Time
+	// dialedAt is when the agent began to open the current session.
+	dialedAt time.Time
 	// reportedStatus is the status of the runs at the last renewal request of this
 	// session.
 	reportedStatus map[plantainrail.RunRef]plantainrail.RunStatus
@@ -150,6 +152,9 @@
 	// at that time.
 	orderedAt   time.Time
 	orderedPoll uint64
+	// startUntil is when the order expires: from then on the run is not started. It is zero if
+	// the owner has set no limit.
+	startUntil time.Time
 	// reordered is set for a run of a complete list, which may have been ordered before.
 	reordered bool
 	// holdsRoom is set once the run counts against the worker's capacity.
--- a/minder/session.go
+++ b/minder/session.go
@@ -21,9 +21,9 @@
 	membersWait = 20 * time.Second
 	// retryDelay is the delay after a failed read of the store.
 	retryDelay = 300 * time.Millisecond
-	// maxPendingRenewals bounds the renewal requests that the owner has not granted yet.
-	// If there are more, all of them are discarded, and a late grant renews nothing.
-	maxPendingRenewals = 16
+	// maxRenewals bounds the renewal requests whose send times are kept. A later grant of an
+	// earlier request renews nothing.
+	maxRenewals = 16
 )
 
 // directory holds the known addresses of the entries.
@@ -150,6 +150,7 @@
 			_ = clocker.Sleep(ctx, redialDelay)
 			continue
 		}
+		dialedAt := m.Now()
 		session, owner, err := m.Dial(ctx, address)
 		if err != nil {
 			m.Logger.Debug("owner not reached", zap.String("address", address), zap.String("owner", owner), zap.Error(err))
@@ -161,7 +162,7 @@
 			continue
 		}
 		ownerHint = ""
-		m.openSession(session, address)
+		m.openSession(session, address, dialedAt)
 		err = session.Run(ctx, m)
 		m.closeSession(session, err)
 		_ = clocker.Sleep(ctx, redialDelay)
@@ -172,10 +173,10 @@
 // openSession makes the session the current one. It reports the unacknowledged run
 // ends and the checkpoints of all runs to the owner and asks for a renewal of the lease.
 // If the worker has departed, it reports only that.
-func (m *Minder) openSession(session *linker.Session, address string) {
+func (m *Minder) openSession(session *linker.Session, address string, dialedAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.session, m.reported, m.ordersComplete = session, m.acknowledged, false
+	m.session, m.dialedAt, m.reported, m.ordersComplete = session, dialedAt, m.acknowledged, false
 	m.reportedStatus = nil
 	clear(m.renewalSentAt)
 	m.Logger.Info("session opened", zap.String("address", address))
@@ -218,10 +219,10 @@
 		return
 	}
 	m.renewalSequence++
-	if len(m.renewalSentAt) > maxPendingRenewals {
-		clear(m.renewalSentAt)
-	}
 	m.renewalSentAt[m.renewalSequence] = m.Now()
+	if m.renewalSequence > maxRenewals {
+		delete(m.renewalSentAt, m.renewalSequence-maxRenewals)
+	}
 	current := make(map[plantainrail.RunRef]plantainrail.RunStatus, len(m.running))
 	var changed []plantainrail.RunStatus
 	for ref, status := range m.running {
@@ -264,15 +265,15 @@
 	m.departureAcked = m.departureAcked || o.DepartureAcked
 	if o.Renewed > 0 {
 		if at, ok := m.renewalSentAt[o.Renewed]; ok {
-			delete(m.renewalSentAt, o.Renewed)
-			m.leaseUntil = at.Add(m.Lease)
+			m.leaseUntil = later(m.leaseUntil, at.Add(m.Lease))
 		}
 	}
+	startUntil := m.startUntil(o.StartLimit)
 	if o.Complete {
-		m.replaceOrderedRuns(o.Starts)
+		m.replaceOrderedRuns(o.Starts, startUntil)
 	} else {
 		for _, order := range o.Starts {
-			m.addOrderedRun(&run{order: order})
+			m.addOrderedRun(&run{order: order, startUntil: startUntil})
 		}
 	}
 	for _, ref := range o.Stops {
@@ -283,9 +284,27 @@
 	}
 }
 
+// startUntil returns the time until which the runs of an order may be started; zero if there is no
+// limit. A limit that counts from a request whose send time is not known any more has passed. The
+// caller holds the lock.
+func (m *Minder) startUntil(limit *linker.StartLimit) time.Time {
+	if limit == nil {
+		return time.Time{}
+	}
+	within := time.Duration(limit.WithinMS) * time.Millisecond
+	if limit.Heard == 0 {
+		return m.dialedAt.Add(within)
+	}
+	if at, known := m.renewalSentAt[limit.Heard]; known {
+		return at.Add(within)
+	}
+	return m.Now()
+}
+
 // replaceOrderedRuns applies the owner's complete list of the runs that it wants: it
-// stops the other ordered runs and adds the missing ones. The caller holds the lock.
-func (m *Minder) replaceOrderedRuns(orders []plantainrail.RunOrder) {
+// stops the other ordered runs and adds the missing ones, which may be started until the given
+// time. The caller holds the lock.
+func (m *Minder) replaceOrderedRuns(orders []plantainrail.RunOrder, startUntil time.Time) {
 	keep := map[plantainrail.RunRef]bool{}
 	for _, order := range orders {
 		keep[order.Ref] = true
@@ -297,7 +316,7 @@
 	}
 	m.ordersComplete = true
 	for _, order := range orders {
-		m.addOrderedRun(&run{order: order, reordered: true, holdsRoom: true})
+		m.addOrderedRun(&run{order: order, reordered: true, holdsRoom: true, startUntil: startUntil})
 	}
 	// The owner may have removed the worker and registered it again. In that case it
 	// needs another report of all ends that it has not acknowledged.
--- a/minder/start.go
+++ b/minder/start.go
@@ -168,9 +168,12 @@
 	// A run that was ordered before may be running until a newer list shows that it is not.
 	mayRun := r.reordered && m.listedPoll <= r.orderedPoll
 	fits := m.fits(r)
+	expired := !r.startUntil.IsZero() && !now.Before(r.startUntil)
 	switch {
 	case r.order.Adopt && !mayRun:
 		return plantainrail.RefusedZone, false
+	case expired && !mayRun:
+		return plantainrail.RefusedExpired, false
 	case m.vm.Draining:
 		return plantainrail.RefusedDraining, false
 	case now.After(until):
@@ -181,7 +184,7 @@
 		return plantainrail.RefusedCapacity, false
 	}
 	// Without a deadline, the start waits for a renewal of the lease.
-	return "", r.order.Adopt || m.pollFailed || !capacityKnown || !fits || m.leaseDeadline() == 0
+	return "", r.order.Adopt || expired || m.pollFailed || !capacityKnown || !fits || m.leaseDeadline() == 0
 }
 
 // capacityKnown reports whether the current incarnation has sent a heartbeat recently. The caller
@@ -216,7 +219,7 @@
 // owner may place the next run on the VM at once.
 func (m *Minder) refuseStart(incarnation plantainrail.WorkerIncarnation, r *run, refusal startRefusal) {
 	switch refusal.reason {
-	case plantainrail.RefusedCapacity, plantainrail.RefusedUnhealthy, plantainrail.RefusedDraining, plantainrail.RefusedNoResponse:
+	case plantainrail.RefusedCapacity, plantainrail.RefusedUnhealthy, plantainrail.RefusedDraining, plantainrail.RefusedNoResponse, plantainrail.RefusedExpired:
 		if !refusal.unanswered {
 			m.reportRefusal(incarnation, r, refusal.reason)
 			return
--- a/minder/start_test.go
+++ b/minder/start_test.go
@@ -27,6 +27,18 @@
 	return nil
 }
 
+// Stop implements plantainrail.Worker. It confirms the stop.
+func (w *startingWorker) Stop(context.Context, plantainrail.WorkerIncarnation, int64, plantainrail.RunRef) error {
+	return nil
+}
+
+// count returns the number of starts.
+func (w *startingWorker) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.starts
+}
+
 // orderStarts orders runs to be started alone, and once they wait for their turn one that is not.
 func orderStarts(m *Minder, alone int) (last plantainrail.RunRef) {
 	order := func(o plantainrail.RunOrder) {
@@ -75,10 +87,7 @@
 		m.mu.Unlock()
 		time.Sleep(batchTime)
 		synctest.Wait()
-		worker.mu.Lock()
-		starts := worker.starts
-		worker.mu.Unlock()
-		assert.Check(t, starts == 1, "the one start that is wanted must not wait")
+		assert.Check(t, worker.count() == 1, "the one start that is wanted must not wait")
 		time.Sleep(10 * time.Second)
 	})
 }
--- a/work.go
+++ b/work.go
@@ -353,6 +353,9 @@
 	// RefusedZone is set by the agent, not the worker: the run was only to be adopted, for instance
 	// in an evacuated zone, and the worker does not run it.
 	RefusedZone RefusalReason = "zone"
+	// RefusedExpired is set by the agent, not the worker: the order was too old to be carried
+	// out, and the worker does not run it.
+	RefusedExpired RefusalReason = "expired"
 	// RefusedNoResponse is set by the agent, not the worker: the worker did not respond,
 	// and the run was prevented from starting.
 	RefusedNoResponse RefusalReason = "silent"
