Keep the submission of a job of which only the end was read

Cause: a catalog drops a job's submission with its end. Topics are listed one after the other, so the new submission was read beside the progress of the earlier job with the ID; the end that it showed was taken for that of the new job, and the new job's progress then found no submission.

Change: a submission after which no progress was read that has not ended is kept for 30 s after the end was noted, also one that arrives for a job known to have ended. The usual job, whose progress the entry has followed, is dropped at once as before.

TestSubmissionsOfEndedJobsAreDropped bounds the memory.

--- a/planner/catalog.go
+++ b/planner/catalog.go
@@ -38,8 +38,11 @@
 	// notedAt is when the end, or the loss of the submission, was noted; see retention.
 	notedAt time.Time
 	// submission and progressRecord are the values of the records. They are dropped
-	// once the job has ended and none of its tasks is placed.
+	// once the job has ended and none of its tasks is placed. begun is set once progress of the
+	// submission was read that has not ended. Before that the end may be the one of an earlier
+	// job with the same ID, so the submission is kept for submissionGrace.
 	submission, progressRecord []byte
+	begun                      bool
 }
 
 // progressSummary is the part of the stored progress that is reported to clients. Its
@@ -79,11 +82,14 @@
 	}
 	id, ok := strings.CutPrefix(r.Key, jobKeyPrefix)
 	switch {
-	case !ok || c.Accepted(id) && len(r.Value) > 0:
+	case !ok:
 		return nil
 	case len(r.Value) == 0:
 		c.deleteSubmission(id)
 		return nil
+	case c.Accepted(id):
+		c.keepLaterSubmission(id, r)
+		return nil
 	}
 	c.job(id).submitted = true
 	var submission struct {
@@ -97,7 +103,7 @@
 	if j.replaced {
 		j.resetProgress()
 	}
-	j.accepted, j.arrival, j.queue, j.submission = true, c.acceptedCount, submission.Queue.Name, r.Value
+	j.accepted, j.arrival, j.queue, j.submission, j.begun = true, c.acceptedCount, submission.Queue.Name, r.Value, false
 	c.dropEnded(id, j)
 	return nil
 }
@@ -117,12 +123,21 @@
 	j.progress, j.progressRecord, j.progressDeleted = summary, r.Value, false
 	if !summary.ended() {
 		// Progress that has not ended follows a deletion only if it is that of a new job.
-		j.replaced = false
+		j.replaced, j.begun = false, true
 	}
 	c.dropEnded(r.Key, j)
 	return nil
 }
 
+// keepLaterSubmission keeps a submission of a job that is known to have ended, which may be that of a
+// new job with its ID.
+func (c *Catalog) keepLaterSubmission(id string, r plantainrail.KeyedRecord) {
+	if j := c.jobs[id]; isEnded(j) {
+		j.submission, j.begun = r.Value, false
+		c.dropEnded(id, j)
+	}
+}
+
 // dropEnded drops the records of a job that has ended and has no placed task, and has its end
 // noted.
 func (c *Catalog) dropEnded(id string, j *catalogJob) {
@@ -130,8 +145,12 @@
 		return
 	}
 	c.retention.unnoted = append(c.retention.unnoted, id)
-	if j.accepted {
-		j.submission, j.progressRecord = nil, nil
+	if !j.accepted {
+		return
+	}
+	j.progressRecord = nil
+	if j.begun {
+		j.submission = nil
 	}
 }
 
--- a/planner/retention.go
+++ b/planner/retention.go
@@ -12,11 +12,16 @@
 type retention struct {
 	// unnoted holds the jobs that have ended, or lost their submission, since the last NoteEnds.
 	unnoted []string
-	// ended holds the ended jobs, and orphans those without a submission, by the time of
-	// NoteEnds. An entry whose job has changed since is stale.
-	ended, orphans []endedJob
+	// ended holds the ended jobs, orphans those without a submission, and kept those whose
+	// submissions are kept, by the time of NoteEnds. An entry whose job has changed since is stale.
+	ended, orphans, kept []endedJob
 }
 
+// submissionGrace is how long the submission of a job is kept of which only the end was read. The
+// end may be that of an earlier job with the same ID; the first progress of a new one is stored
+// within a few seconds, also by the next owner.
+const submissionGrace = 30 * time.Second
+
 // endedJob is a job that has ended, with the time at which this was noted.
 type endedJob struct {
 	id      string
@@ -35,6 +40,9 @@
 		switch {
 		case j.accepted:
 			c.retention.ended = append(c.retention.ended, endedJob{id, now})
+			if len(j.submission) > 0 {
+				c.retention.kept = append(c.retention.kept, endedJob{id, now})
+			}
 		case !j.submitted:
 			c.retention.orphans = append(c.retention.orphans, endedJob{id, now})
 		}
@@ -42,6 +50,20 @@
 	c.retention.unnoted = nil
 	c.retention.ended = c.dropStale(c.retention.ended, isEnded)
 	c.retention.orphans = c.dropStale(c.retention.orphans, isOrphan)
+	c.dropSubmissions(now.Add(-submissionGrace))
+}
+
+// dropSubmissions drops the kept submissions of the jobs whose end was noted at the given time or
+// before.
+func (c *Catalog) dropSubmissions(until time.Time) {
+	kept := c.retention.kept
+	for len(kept) > 0 && !kept[0].notedAt.After(until) {
+		if c.holds(kept[0], isEnded) {
+			c.jobs[kept[0].id].submission = nil
+		}
+		kept = kept[1:]
+	}
+	c.retention.kept = kept
 }
 
 func isEnded(j *catalogJob) bool { return j.accepted && j.progress.ended() }
--- a/planner/retention_test.go
+++ b/planner/retention_test.go
@@ -166,3 +166,22 @@
 		})
 	}
 }
+
+// Guards against an entry whose memory keeps the submissions of ended jobs that it has only listed.
+func TestSubmissionsOfEndedJobsAreDropped(t *testing.T) {
+	h := newHarness(t, newVM("vm-0", 64_000))
+	_, submission, ended := completedJob(t, h)
+	other := newHarness(t, newVM("vm-0", 64_000))
+	other.submit("a", plantainrail.Step{Count: 1, CPU: 1_000})
+	other.tick()
+	for wait, dropped := range map[time.Duration]bool{20 * time.Second: false, 31 * time.Second: true} {
+		c := planner.NewCatalog()
+		assert.NilError(t, c.ApplyJob(submission))
+		assert.NilError(t, c.ApplyProgress(ended))
+		c.NoteEnds(h.now)
+		c.NoteEnds(h.now.Add(wait))
+		assert.NilError(t, c.ApplyProgress(plantainrail.KeyedRecord{Key: "a", Value: other.stored["a"]}))
+		book, _ := c.Book()
+		assert.Equal(t, book.Job("a") == nil, dropped, "after %s", wait)
+	}
+}
