Let two nodes agree before a job counts as faulty everywhere

Cause: a job counted as faulty for every VM once one VM that had failed it ran something else well. After a fault of that VM that has passed, this holds for all jobs that it had failed, and a second VM that fails everything was then not paused by any of them.

Change: a job is faulty on the nodes that have shown it, and everywhere only once two have.

--- a/planner/job.go
+++ b/planner/job.go
@@ -122,10 +122,11 @@
 	// for a job of fillers; see Planner.placeReady. Neither is stored.
 	idleSince time.Time
 	overdue   bool
-	// failing is set from a failed run until the next successful one. faulty is set once a run
-	// has failed on a VM where a later run of another job succeeded, until the job's next
-	// successful run. Neither is stored.
-	failing, faulty bool
+	// failing is set from a failed run until the next successful one. faultyOn holds the nodes on
+	// which a run has failed before a later run of another job succeeded there, until the job's
+	// next successful run. Neither is stored.
+	failing  bool
+	faultyOn map[string]bool
 	// crashed is set once a crash was counted against a task of the job.
 	crashed bool
 	// stateOnly means that the tasks of the job, which has ended, are not stored; see
@@ -376,3 +377,16 @@
 		j.idleSince = now
 	}
 }
+
+// noteFaultyOn records that the job has failed on a node for a reason that is not the node's.
+func (j *Job) noteFaultyOn(node string) {
+	if j.faultyOn == nil {
+		j.faultyOn = map[string]bool{}
+	}
+	j.faultyOn[node] = true
+}
+
+// isFaultyOn reports whether a failed run on the node counts against the job and not against the
+// node. A fault of one node that has passed looks like one of its jobs, so a second node has to
+// agree before the job counts as faulty everywhere.
+func (j *Job) isFaultyOn(node string) bool { return j.faultyOn[node] || len(j.faultyOn) >= 2 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -442,7 +442,7 @@
 	v.recordOutcome(run, end.Outcome, now)
 	switch {
 	case end.Outcome == plantainrail.RunFailed && step.Lasting:
-		again := j.faulty || !t.retryAt.IsZero()
+		again := len(j.faultyOn) > 0 || !t.retryAt.IsZero()
 		t.retryAt = now
 		if again {
 			t.retryAt = now.Add(retryDelay)
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -163,20 +163,22 @@
 // Failed runs of failedJobsToPause different jobs, without a successful run in between,
 // pause the VM and put it on probation, which ends with the first run that succeeds or lasts
 // for trustRunTime. On probation each failed run pauses the VM again. Runs of a job that is
-// known to be faulty do not count.
+// known to be faulty there do not count.
 func (v *vm) recordOutcome(run *placedRun, outcome plantainrail.RunOutcome, now time.Time) {
 	j := run.job
 	switch outcome {
 	case plantainrail.RunDone:
-		j.failing, j.faulty = false, false
+		j.failing, j.faultyOn = false, nil
 		for failed, at := range v.failedJobs {
 			// The worker began a run later that succeeded, so the fault is not the worker's.
-			failed.faulty = failed.faulty || failed != j && run.assignedAt.After(at)
+			if failed != j && run.assignedAt.After(at) {
+				failed.noteFaultyOn(v.Incarnation.Node)
+			}
 		}
 		v.trust()
 	case plantainrail.RunFailed:
 		j.failing = true
-		if j.faulty {
+		if j.isFaultyOn(v.Incarnation.Node) {
 			return
 		}
 		v.failedJobs[j] = now
