Make the limit of starts a pure function

A rule belongs into a function that takes the time and does no I/O. The limit of starts was computed inside a method with the owner's state in it, which a reader had to take apart first. No change of behaviour: the tests of the limit are unchanged and pass.

--- a/decider/freshness.go
+++ b/decider/freshness.go
@@ -50,6 +50,27 @@
 // window returns the time that an order must leave to its agent.
 func (b startBound) window() time.Duration { return min(maxStartWindow, time.Duration(b)/4) }
 
+// knowledge is something that starts rest on: all that was stored until asOf is known, and the bound
+// tells within what time starts must follow a change.
+type knowledge struct {
+	asOf  time.Time
+	bound startBound
+}
+
+// startLimit returns the time until which workers may be told to start what rests on all of this,
+// and whether this leaves the agents enough time.
+func startLimit(now time.Time, known ...knowledge) (until time.Time, enough bool) {
+	enough = true
+	for i, k := range known {
+		limit := k.bound.limit(k.asOf)
+		if i == 0 || limit.Before(until) {
+			until = limit
+		}
+		enough = enough && limit.Sub(now) >= k.bound.window()
+	}
+	return until, enough
+}
+
 // startBounds are the bounds of what starts rest on. An owner's progress is as old as the newest
 // write that the store has accepted.
 func (d *Decider) startBounds() (operators, jobs, progress startBound) {
@@ -70,23 +91,12 @@
 	o.operatorsAsOf, o.jobsAsOf = operators, jobs
 }
 
-// startLimit returns the time until which workers may be told to start what the owner orders now,
-// and whether this leaves the agents enough time. The caller holds the lock.
+// startLimit is the limit of what the owner orders now; see the function of this name. The caller
+// holds the lock.
 func (o *owner) startLimit() (until time.Time, enough bool) {
-	now := o.decider.Now()
 	operators, jobs, progress := o.decider.startBounds()
-	enough = true
-	for _, known := range []struct {
-		bound startBound
-		asOf  time.Time
-	}{{operators, o.operatorsAsOf}, {jobs, o.jobsAsOf}, {progress, o.confirmedWriteAt}} {
-		limit := known.bound.limit(known.asOf)
-		if until.IsZero() || limit.Before(until) {
-			until = limit
-		}
-		enough = enough && limit.Sub(now) >= known.bound.window()
-	}
-	return until, enough
+	return startLimit(o.decider.Now(),
+		knowledge{o.operatorsAsOf, operators}, knowledge{o.jobsAsOf, jobs}, knowledge{o.confirmedWriteAt, progress})
 }
 
 // sendOrders sends orders to an agent, with the limit of the starts among them. If the session has
