Name the outages that several tests share

Tests of the fleet took outages of the owner by their position in a list, so a new one would have changed what they test. They have names now; the cases stay the same.

--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -87,9 +87,9 @@
 		f.submit(50, "800", jobSteps)
 		f.killEntry(owner, time.Second)
 	}},
-	{"others without power, owner cut off from the store", func(f *fleet) { f.separateOwner(ownerOutages[0]) }},
-	{"others without power, owner frozen", func(f *fleet) { f.separateOwner(ownerOutages[2]) }},
-	{"others without power, store answers writes only", func(f *fleet) { f.separateOwner(ownerOutages[3]) }},
+	{"others without power, owner cut off from the store", func(f *fleet) { f.separateOwner(ownerCutOff) }},
+	{"others without power, owner frozen", func(f *fleet) { f.separateOwner(ownerFrozen) }},
+	{"others without power, store answers writes only", func(f *fleet) { f.separateOwner(writesOnly) }},
 	{"store busy", func(f *fleet) { f.breakStore(keeper.Unavailable, 3*time.Second) }},
 	{"store hangs", func(f *fleet) { f.breakStore(keeper.Unresponsive, 4*time.Second) }},
 	{"store replies lost", func(f *fleet) { f.breakStore(keeper.LosesReplies, 4*time.Second) }},
--- a/assembler/fleet_outage_test.go
+++ b/assembler/fleet_outage_test.go
@@ -50,7 +50,7 @@
 // Guards against tasks that wait after an outage until reads that hang since then have timed out: the
 // owner reads at once what its starts rest on.
 func TestStartsGoOnSoonAfterOwnerOutage(t *testing.T) {
-	for _, outage := range ownerOutages[:3] {
+	for _, outage := range []ownerOutage{ownerCutOff, ownerRefused, ownerFrozen} {
 		t.Run(outage.name, func(t *testing.T) {
 			runInFleet(t, smallFleet, func(f *fleet) {
 				owner := f.darkenOthers()
--- a/assembler/fleet_stale_test.go
+++ b/assembler/fleet_stale_test.go
@@ -26,25 +26,29 @@
 	inject func(f *fleet, owner *fleetEntry, duration time.Duration)
 }
 
-var ownerOutages = []ownerOutage{
-	{"owner cut off from the store", func(f *fleet, owner *fleetEntry, duration time.Duration) {
+var (
+	ownerCutOff = ownerOutage{"owner cut off from the store", func(f *fleet, owner *fleetEntry, duration time.Duration) {
 		f.cutFromStore([]*fleetEntry{owner}, duration)
-	}},
-	{"owner refused by the store", func(f *fleet, owner *fleetEntry, duration time.Duration) {
+	}}
+	ownerRefused = ownerOutage{"owner refused by the store", func(f *fleet, owner *fleetEntry, duration time.Duration) {
 		link := linkName(owner.name, "store")
 		f.net.setFault(link, down)
 		time.Sleep(duration)
 		f.net.setFault(link, healthy)
-	}},
-	{"owner frozen", func(_ *fleet, owner *fleetEntry, duration time.Duration) {
+	}}
+	ownerFrozen = ownerOutage{"owner frozen", func(_ *fleet, owner *fleetEntry, duration time.Duration) {
 		owner.store.freeze(duration)
 		time.Sleep(duration)
-	}},
-	{"store answers writes only", func(_ *fleet, owner *fleetEntry, duration time.Duration) {
+	}}
+	writesOnly = ownerOutage{"store answers writes only", func(_ *fleet, owner *fleetEntry, duration time.Duration) {
 		owner.store.refuseReads(true)
 		time.Sleep(duration)
 		owner.store.refuseReads(false)
-	}},
+	}}
+)
+
+var ownerOutages = []ownerOutage{
+	ownerCutOff, ownerRefused, ownerFrozen, writesOnly,
 	{"reads hang again and again", func(_ *fleet, owner *fleetEntry, duration time.Duration) {
 		for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 			for _, topic := range []string{"op", "jobs"} {
