--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -67,6 +67,8 @@
 	entries, zones, vms int
 	// cores are the processors of the entries; a missing one stands for one core.
 	cores []float64
+	// maxRuns is the maximum number of concurrent runs on a worker, if it is not fleetMaxRuns.
+	maxRuns int
 	// unguarded means that the workers accept starts beyond their capacity.
 	unguarded bool
 	// heartbeatInterval is the time between two heartbeats of a worker, if it is not 1.5 s.
@@ -182,10 +184,7 @@
 }
 
 // client returns an HTTP client that dials as the named component.
-func (f *fleet) client(name string) *http.Client {
-	transport := &http.Transport{DialContext: f.net.Dial(name), IdleConnTimeout: 30 * time.Second}
-	return &http.Client{Transport: transport}
-}
+func (f *fleet) client(name string) *http.Client { return platform.NewClientOn(f.net.Dial(name)) }
 
 // startEntry starts entry i, or starts a new process of it after the earlier one was
 // stopped.
@@ -231,7 +230,7 @@
 	v.workerAddress = calls.Addr().String()
 	v.worker = runner.New(runner.Options{
 		ID: "w-" + name, Service: "desk", Zone: "z", Address: v.workerAddress, AgentAddress: registry.Addr().String(),
-		Client: f.client(name + workerSuffix), MaxRuns: fleetMaxRuns, Unguarded: f.shape.unguarded, HeartbeatInterval: cmp.Or(f.shape.heartbeatInterval, heartbeatInterval),
+		Client: f.client(name + workerSuffix), MaxRuns: cmp.Or(f.shape.maxRuns, fleetMaxRuns), Unguarded: f.shape.unguarded, HeartbeatInterval: cmp.Or(f.shape.heartbeatInterval, heartbeatInterval),
 	})
 	f.serveOn(f.ctx, calls.(*listener), v.worker)
 	f.vms = append(f.vms, v)
