Bound the age of the progress that a replica answers from

Callers could be told an old state of a job, and too many pending jobs, for as long as their replica's reads of progress hung: an answer counted as fresh by the age of the jobs alone.

A replica whose own reads are older asks the other replicas before it answers, and keeps to its own answer if none of them has read more.

The new row of TestReplicaAnswersOnlyFromWhatItHasRead failed before.

--- a/decider/query.go
+++ b/decider/query.go
@@ -98,10 +98,11 @@
 	return d.follows() && !d.jobs.asOf.IsZero() && !d.progress.asOf.IsZero()
 }
 
-// catalogFresh reports whether the catalog holds what was stored until maxJobsAge ago. The
-// caller holds the lock.
+// catalogFresh reports whether the catalog holds what was stored until maxJobsAge ago: the jobs, and
+// their progress, which the owner does not read but writes. The caller holds the lock.
 func (d *Decider) catalogFresh() bool {
-	return d.Now().Sub(d.jobs.asOf) < maxJobsAge && (d.owner != nil || !d.ownerSeenAt.IsZero())
+	recent := func(v *view) bool { return d.Now().Sub(v.asOf) < maxJobsAge }
+	return recent(d.jobs) && (d.owner != nil || !d.ownerSeenAt.IsZero() && recent(d.progress))
 }
 
 // awaitJob returns the state of a job from the entry's own catalog. It waits for an
@@ -131,18 +132,25 @@
 }
 
 // findJob answers a query: from the entry's own catalog if it follows the jobs and has read
-// them, and otherwise through a replica. If no replica answers, the result is CallUnavailable.
+// them, and otherwise, or if what it has read is too old, through a replica. If no replica answers,
+// the result is the entry's own answer or, without one, CallUnavailable.
 func (d *Decider) findJob(ctx context.Context, q jobQuery) jobAnswer {
 	d.mu.Lock()
 	answers, addresses := d.catalogRead(), d.replicaAddresses()
 	d.mu.Unlock()
+	own := jobAnswer{Result: plantainrail.CallUnavailable}
 	if answers {
-		return d.answer(ctx, q)
+		if own = d.answer(ctx, q); own.Fresh || len(addresses) == 0 {
+			return own
+		}
 	}
 	answer, err := d.askReplicas(ctx, addresses, q)
-	if err != nil {
+	switch {
+	case answers && (err != nil || !answer.Fresh):
+		return own
+	case err != nil:
 		d.Logger.Warn("no replica answers", zap.String("job", q.ID), zap.Int("replicas", len(addresses)), zap.Error(err))
-		return jobAnswer{Result: plantainrail.CallUnavailable}
+		return own
 	}
 	return answer
 }
--- a/decider/replica_test.go
+++ b/decider/replica_test.go
@@ -82,6 +82,7 @@
 		{"only the jobs read, pinged", func(d *Decider) []*view { return []*view{d.jobs} }, 0, true, 40, false},
 		{"only progress read", func(d *Decider) []*view { return []*view{d.progress} }, 0, false, 0, true},
 		{"both read", func(d *Decider) []*view { return []*view{d.jobs, d.progress} }, 0, true, 1, false},
+		{"progress read long ago", func(d *Decider) []*view { d.jobs.asOf = now; return []*view{d.progress} }, maxJobsAge, true, 0, true},
 		{"both read long ago", func(d *Decider) []*view { return []*view{d.jobs, d.progress} }, maxJobsAge, true, 0, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
