Leave out rows of a worker's answer that cannot be decoded

No such row has been seen; the class is that one odd item hides all others, as with heartbeats and stored records.

--- a/minder/lease.go
+++ b/minder/lease.go
@@ -201,6 +201,9 @@
 	for _, status := range reply.Running {
 		m.running[status.Ref] = status
 	}
+	if reply.Malformed > 0 {
+		m.Logger.Error("runs unreadable", zap.String("worker", incarnation.ID), zap.Int("rows", reply.Malformed))
+	}
 	m.listedPoll = poll
 	m.applyEnds(reply.Ended)
 	m.reconcile()
--- a/work.go
+++ b/work.go
@@ -315,6 +315,9 @@
 	StartedMS int64
 	Running   []RunStatus
 	Ended     []RunEnd
+	// Malformed is the number of rows that were left out since they do not tell which run they
+	// are of.
+	Malformed int
 }
 
 // RefusedError means that a worker refused a call and did nothing.
