Agents read the members again while nobody renews their lease

An agent that had lost its owner waited for up to 21 s for a read of the members topic whose answer was lost, and did not learn that the entries had new addresses.

Cause: the long poll of 20 s had no other end than its time-out, and nothing tied it to the need for what it reads. Restarted entries usually keep their addresses; entries that replace others do not.

An agent that needs a lease and has had none granted for 2.5 s ends such a read and polls with waits of one second until an owner renews its lease. A usual change of the owner takes less, so it causes no further calls.

The rule on waiting tasks (LOST) is now one check of the fleet tests, checkNothingWaits, which reads the workers' runs. The fault matrix applies it after each fault and has 15 more faults: silent connections, loss of all power, agents restarted, cut off from their workers or from the store, late orders, answers, stops and renewals, no heartbeats, workers that return smaller or shrink to nothing, a route that is removed for a while. TestNothingWaitsAfterSeededFaults plays three random faults.

--- a/assembler/fleet_lost_test.go
+++ b/assembler/fleet_lost_test.go
@@ -1,8 +1,11 @@
 package assembler_test
 
 import (
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,6 +19,8 @@
 	// how long a job may then have nothing running while its tasks could.
 	calmTime = 4 * time.Second
 	idleTime = 3 * time.Second
+	// askTime is how long after the end of the traffic the platform asks for the jobs.
+	askTime = 14 * time.Second
 	// restartTime is how long after its last run a long-running task may wait.
 	restartTime = 6 * time.Second
 )
@@ -70,21 +75,44 @@
 }
 
 // checkNothingWaits fails the test if the rule on waiting tasks is broken after the end of a
-// disruption: something has waited for idleTime within the given time. The workers must have more than
-// twice the room that the jobs need.
-func (f *fleet) checkNothingWaits(jobs []acceptedJob, duration time.Duration) {
+// disruption: from the end of the grace period on, for the given time, something has waited for
+// idleTime while less than half of the workers' room was in use. Long-running tasks have calmTime at
+// most, and no room excuses their waiting.
+func (f *fleet) checkNothingWaits(jobs []acceptedJob, grace, duration time.Duration) {
 	f.t.Helper()
-	calm, reported := time.Now().Add(calmTime), map[string]bool{}
-	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	ended, reported := time.Now(), map[string]bool{}
+	full := ended
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
+		if f.halfFull() {
+			full = time.Now()
+		}
 		for what, since := range f.waiting(jobs) {
-			if waited := time.Since(later(since, calm)); waited >= idleTime && !reported[what] {
+			calm := later(ended.Add(grace), full)
+			if strings.Contains(what, ".") {
+				calm = ended.Add(calmTime)
+			}
+			if time.Since(later(since, calm)) >= idleTime && !reported[what] {
 				reported[what] = true
-				f.t.Errorf("%s could run and does not, %s after the disruption", what, time.Since(calm.Add(-calmTime)))
+				f.t.Errorf("%s could run and does not, %s after the disruption", what, time.Since(ended))
 			}
 		}
 	}
 }
 
+// halfFull reports whether at least half of the workers' room is in use.
+func (f *fleet) halfFull() bool {
+	room, used := 0, 0
+	for _, v := range f.vms {
+		room += v.worker.MaxRuns()
+		for _, s := range v.worker.History() {
+			if s.End.IsZero() {
+				used++
+			}
+		}
+	}
+	return 2*used >= room
+}
+
 // Guards against a fleet that stands still (LOST) after all open connections have gone silent, since each
 // failed call used up one of the many idle connections that a burst of starts had left.
 func TestSilentConnectionsAreGivenUpTogether(t *testing.T) {
@@ -95,7 +123,7 @@
 		f.waitForState(2, "completed", 10*time.Second)
 		f.silence()
 		f.submit(3, "2000", []map[string]any{{"count": 1, "cpu": 1000}})
-		f.checkNothingWaits([]acceptedJob{{1, 1, 3, true}, {3, 1, 1, false}}, 20*time.Second)
+		f.checkNothingWaits([]acceptedJob{{1, 1, 3, true}, {3, 1, 1, false}}, calmTime, 20*time.Second)
 		for _, v := range f.vms {
 			for _, s := range v.worker.History() {
 				assert.Check(t, s.Outcome != "lapsed", "run %d of %s has lost its lease", s.Run, s.Task)
@@ -114,3 +142,60 @@
 		f.net.setFault(v.name, stalled)
 	}
 }
+
+var (
+	lostSeed  = flag.Uint64("lost.seed", 1, "first seed of TestNothingWaitsAfterSeededFaults")
+	lostSeeds = flag.Uint64("lost.seeds", 8, "number of seeds of TestNothingWaitsAfterSeededFaults")
+)
+
+// Guards against tasks that could run and do not (LOST): jobs are accepted before, between and after three
+// random faults, and connections go silent or agents restart meanwhile.
+func TestNothingWaitsAfterSeededFaults(t *testing.T) {
+	// recoveryTime is how long the jobs may take to complete after the faults.
+	const recoveryTime = 30 * time.Second
+	for seed := *lostSeed; seed < *lostSeed+*lostSeeds; seed++ {
+		random := rand.New(rand.NewPCG(seed, 0))
+		shape := fleetShapes[random.IntN(len(fleetShapes))]
+		faults := make([]fleetFault, 3)
+		name := fmt.Sprint(seed, " ", shape.name)
+		for i := range faults {
+			faults[i] = fleetFaults[random.IntN(len(fleetFaults))]
+			name += ", " + faults[i].name
+		}
+		t.Run(name, func(t *testing.T) {
+			runInFleet(t, shape, func(f *fleet) {
+				jobs := []acceptedJob{{1000, 1, 3, true}}
+				f.submit(1000, "", []map[string]any{{"count": 3, "cpu": 1000, "longRunning": true}})
+				for i, fault := range faults {
+					for n := 10 * i; n < 10*i+4; n++ {
+						f.submit(n, fmt.Sprint(200+random.IntN(3000)), jobSteps)
+						jobs = append(jobs, acceptedJob{n, 2, 3, false})
+					}
+					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+					if random.IntN(3) == 0 {
+						time.AfterFunc(time.Duration(random.IntN(3000))*time.Millisecond, f.silence)
+					}
+					fault.inject(f)
+				}
+				f.checkNothingWaits(jobs, askTime-idleTime, recoveryTime)
+				for _, j := range jobs[1:] {
+					assert.Check(t, f.jobState(j.number) == "completed", "job %d has not completed: %v", j.number, f.runsOf(j.number))
+				}
+				f.checkRuns()
+			})
+		})
+	}
+}
+
+// runsOf describes the runs of job n.
+func (f *fleet) runsOf(n int) []string {
+	var out []string
+	for _, v := range f.vms {
+		for _, s := range v.worker.History() {
+			if runner.JobID(s.Task) == jobID(n) {
+				out = append(out, fmt.Sprintf("run %d of %s on %s: %q, %s ago for %s", s.Run, s.Task, v.name, s.Outcome, time.Since(s.Start), s.End.Sub(s.Start)))
+			}
+		}
+	}
+	return out
+}
--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -137,6 +138,69 @@
 			f.net.setFault(e.name, stalled)
 		}
 	}},
+	{"all connections silent", func(f *fleet) { f.silence() }},
+	{"connections to the store silent, all entries killed", func(f *fleet) {
+		f.net.setFault("store", stalled)
+		for i := range f.entries {
+			f.killEntry(i, 10*time.Millisecond)
+		}
+	}},
+	{"agents without the store, all entries killed", func(f *fleet) {
+		f.setAgentLinks("store", blackholed)
+		for i := range f.entries {
+			f.killEntry(i, 10*time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		f.setAgentLinks("store", healthy)
+	}},
+	{"everything without power", func(f *fleet) { f.loseAll(2 * time.Second) }},
+	{"agents restarted", func(f *fleet) {
+		for _, v := range f.vms {
+			f.restartAgent(v)
+		}
+	}},
+	{"agent cut off from its worker", func(f *fleet) { f.cutFromWorker(f.vms[0], blackholed, 2500*time.Millisecond) }},
+	{"agent cut off from its worker for longer than its lease", func(f *fleet) { f.cutFromWorker(f.vms[0], blackholed, 9*time.Second) }},
+	{"worker refuses connections", func(f *fleet) { f.cutFromWorker(f.vms[0], down, 4*time.Second) }},
+	{"answers of a worker late", func(f *fleet) { f.cutFromWorker(f.vms[0], repliesHeld, 2*time.Second) }},
+	{"orders late", func(f *fleet) {
+		f.setAgentLinks(f.entries[f.owner()].name, repliesHeld)
+		time.Sleep(2800 * time.Millisecond)
+		for _, e := range f.entries {
+			f.setAgentLinks(e.name, healthy)
+		}
+	}},
+	{"stops and renewals executed late", func(f *fleet) {
+		for _, path := range []string{"/run-stop", "/hold"} {
+			f.vms[0].worker.DelayCalls(path, 2*time.Second)
+		}
+		time.Sleep(3 * time.Second)
+		for _, path := range []string{"/run-stop", "/hold"} {
+			f.vms[0].worker.DelayCalls(path, 0)
+		}
+	}},
+	{"heartbeats stop", func(f *fleet) {
+		f.vms[0].worker.Mute(true)
+		time.Sleep(6 * time.Second)
+		f.vms[0].worker.Mute(false)
+	}},
+	{"workers return smaller under their IDs", func(f *fleet) {
+		for _, v := range f.vms {
+			v.worker.SetMaxRuns(3)
+			v.worker.Restart()
+		}
+	}},
+	{"workers shrink to nothing and grow", func(f *fleet) {
+		setMaxRuns(f.vms, 0)
+		time.Sleep(6 * time.Second)
+		setMaxRuns(f.vms, fleetMaxRuns)
+	}},
+	{"route removed and added again", func(f *fleet) {
+		f.store.Put("keyed.op", "config", []byte(`{"version":2,"routes":[],"services":[{"name":"desk","rejectsOverload":true}]}`))
+		time.Sleep(3 * time.Second)
+		f.store.Put("keyed.op", "config", []byte(strings.Replace(fleetConfig, `"version":1`, `"version":3`, 1)))
+		time.Sleep(2 * time.Second)
+	}},
 	{"odd records of another writer, owner killed", func(f *fleet) {
 		f.putOddRecords()
 		f.killEntry(f.owner(), time.Second)
@@ -186,10 +250,38 @@
 	f.store.SetFault(keeper.Healthy)
 }
 
-// loseZone cuts the power of a zone: its entries, agents and workers end at once and start
-// again after the downtime.
+// setAgentLinks sets the fault of the links between all agents and a component.
+func (f *fleet) setAgentLinks(name string, state fault) {
+	for _, v := range f.vms {
+		f.net.setFault(linkName(v.name, name), state)
+	}
+}
+
+// cutFromWorker injects a fault between an agent and its worker, and returns when it is over.
+func (f *fleet) cutFromWorker(v *fleetVM, state fault, duration time.Duration) {
+	link := linkName(v.name, v.name+workerSuffix)
+	f.net.setFault(link, state)
+	time.Sleep(duration)
+	f.net.setFault(link, healthy)
+}
+
+// loseZone cuts the power of a zone; see losePower.
 func (f *fleet) loseZone(zone string, downtime time.Duration) {
 	entries, vms := f.inZone(zone)
+	f.losePower(entries, vms, downtime)
+}
+
+// loseAll cuts the power of all zones; see losePower.
+func (f *fleet) loseAll(downtime time.Duration) {
+	var entries []int
+	for i := range f.entries {
+		entries = append(entries, i)
+	}
+	f.losePower(entries, f.vms, downtime)
+}
+
+// losePower ends entries, agents and workers at once and starts them again after the downtime.
+func (f *fleet) losePower(entries []int, vms []*fleetVM, downtime time.Duration) {
 	for _, i := range entries {
 		f.net.setFault(f.entries[i].name, down)
 		f.entries[i].stop()
@@ -266,11 +358,14 @@
 		t.Run(c.String(), func(t *testing.T) {
 			runInFleet(t, c.shape, func(f *fleet) {
 				f.submit(lastingJob, "", []map[string]any{{"count": 2, "cpu": 1000, "longRunning": true}})
+				accepted := []acceptedJob{{lastingJob, 1, 2, true}}
 				for n := range jobs {
 					f.submit(n, "800", jobSteps)
+					accepted = append(accepted, acceptedJob{n, 2, 3, false})
 				}
 				time.Sleep(300 * time.Millisecond)
 				c.fault.inject(f)
+				f.checkNothingWaits(accepted, askTime-idleTime, askTime)
 				for n := range jobs {
 					f.waitForState(n, "completed", recoveryTime)
 				}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -139,6 +139,9 @@
 	// waits for it.
 	changed chan struct{}
 	entries directory
+	// endLongRead ends a read of the members topic that may last for membersWait; nil if there is
+	// none.
+	endLongRead context.CancelFunc
 	// stopped is closed when the agent stops.
 	stopped chan struct{}
 }
--- a/minder/session.go
+++ b/minder/session.go
@@ -17,8 +17,13 @@
 	renewInterval = time.Second
 	// redialDelay is the delay before the agent tries again to reach the owner.
 	redialDelay = 100 * time.Millisecond
-	// membersWait is the maximum wait of a long-polled read of the members topic.
+	// membersWait is the maximum wait of a long-polled read of the members topic, and seekWait the
+	// one while the agent seeks the owner: nothing else ends a read whose answer was lost.
 	membersWait = 20 * time.Second
+	seekWait    = time.Second
+	// renewalDelay is how long after a granted request for a renewal the owner counts as found. Most
+	// changes of the owner take less, so that they cause no reads.
+	renewalDelay = 2500 * time.Millisecond
 	// retryDelay is the delay after a failed read of the store.
 	retryDelay = 300 * time.Millisecond
 	// maxRenewals bounds the renewal requests whose send times are kept. A later grant of an
@@ -48,10 +53,14 @@
 	for ctx.Err() == nil {
 		var batch plantainrail.KeyedBatch
 		var err error
+		ended := false
 		if next < 0 {
 			batch, err = m.Store.Newest(ctx, m.MembersTopic)
 		} else {
-			batch, err = m.Store.Read(ctx, m.MembersTopic, next, membersWait)
+			batch, ended, err = m.readMembers(ctx, next)
+		}
+		if ended {
+			continue
 		}
 		if err != nil {
 			if !storeLost && ctx.Err() == nil {
@@ -77,6 +86,40 @@
 	return ctx.Err()
 }
 
+// readMembers reads the members topic from an offset on. Ended is set if seekOwner has ended the
+// read.
+func (m *Minder) readMembers(ctx context.Context, from plantainrail.Offset) (batch plantainrail.KeyedBatch, ended bool, err error) {
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.mu.Lock()
+	wait := membersWait
+	m.endLongRead = cancel
+	if m.ownerSought() {
+		wait, m.endLongRead = seekWait, nil
+	}
+	m.mu.Unlock()
+	batch, err = m.Store.Read(readCtx, m.MembersTopic, from, wait)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.endLongRead = nil
+	return batch, err != nil && readCtx.Err() != nil && ctx.Err() == nil, err
+}
+
+// ownerSought reports whether the agent has to find the owner: its worker needs a lease, and nobody
+// renews it. The caller holds the lock.
+func (m *Minder) ownerSought() bool {
+	needed := !m.vm.Incarnation.IsZero() && !m.unreachable && !m.departed
+	return needed && m.leaseUntil.Before(m.Now().Add(m.Lease-renewalDelay))
+}
+
+// seekOwner ends a long read of the members topic if the owner has to be found. The caller holds the
+// lock.
+func (m *Minder) seekOwner() {
+	if m.endLongRead != nil && m.ownerSought() {
+		m.endLongRead()
+	}
+}
+
 // applyMember records the address of an entry or a newer owner. If a newer owner
 // has succeeded the one that the agent has a session with, that session is closed.
 func (m *Minder) applyMember(r plantainrail.KeyedRecord) {
@@ -205,6 +248,7 @@
 	for clocker.Sleep(ctx, renewInterval) == nil {
 		m.mu.Lock()
 		m.renew()
+		m.seekOwner()
 		m.mu.Unlock()
 	}
 	return ctx.Err()
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -279,6 +279,16 @@
 	r.maxRuns = n
 }
 
+// MaxRuns returns the maximum number of concurrent runs, which is 0 while the worker is down or drains.
+func (r *Worker) MaxRuns() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.crashed || r.state != "ready" {
+		return 0
+	}
+	return r.maxRuns
+}
+
 // Overloads describes the starts that brought the worker over its capacity. Runs that are
 // being stopped count, and a smaller capacity counts once it is older than the heartbeat
 // that shows it and shrinkDelay.
