A new owner does not grant a lost worker its lease anew

With an owner that changes every few seconds they waited for ever.

Cause: a new owner does not know when a lease was renewed last, so it counted a whole lease from the moment at which the agent connected, although the agent had renewed nothing since its worker stopped to reply. The agent knows: it reports how long the lease lasts that was granted last, and the owner limits its own figure by that. No deadline that the worker got is later. Agents of earlier builds report nothing and get the whole lease.

--- a/assembler/fleet_lost_test.go
+++ b/assembler/fleet_lost_test.go
@@ -148,8 +148,8 @@
 	lostSeeds = flag.Uint64("lost.seeds", 8, "number of seeds of TestNothingWaitsAfterSeededFaults")
 )
 
-// Guards against tasks that could run and do not (LOST): jobs are accepted before, between and after three
-// random faults, and connections go silent or agents restart meanwhile.
+// Guards against tasks that could run and do not (LOST): jobs are accepted before and between three random
+// faults, connections go silent meanwhile, and all processes end right after a job was accepted.
 func TestNothingWaitsAfterSeededFaults(t *testing.T) {
 	// recoveryTime is how long the jobs may take to complete after the faults.
 	const recoveryTime = 30 * time.Second
@@ -177,6 +177,11 @@
 					}
 					fault.inject(f)
 				}
+				if last := random.IntN(4); last < 2 {
+					f.submit(100, "500", jobSteps)
+					jobs = append(jobs, acceptedJob{100, 2, 3, false})
+					[]fleetFault{everythingWithoutPower, allProcessesKilled}[last].inject(f)
+				}
 				f.checkNothingWaits(jobs, askTime-idleTime, recoveryTime)
 				for _, j := range jobs[1:] {
 					assert.Check(t, f.jobState(j.number) == "completed", "job %d has not completed: %v", j.number, f.runsOf(j.number))
@@ -199,3 +204,25 @@
 	}
 	return out
 }
+
+// Guards against tasks of a lost worker that wait for a whole lease after each change of the owner
+// (LOST), although nobody has renewed that lease since.
+func TestLostWorkerIsGivenUpDespiteTakeovers(t *testing.T) {
+	for _, shape := range fleetShapes {
+		t.Run(shape.name, func(t *testing.T) {
+			runInFleet(t, shape, func(f *fleet) {
+				f.submit(1, "", []map[string]any{{"count": 4, "cpu": 1000, "longRunning": true}})
+				time.Sleep(time.Second)
+				f.vms[0].worker.Crash()
+				lostAt := time.Now()
+				for range 2 {
+					time.Sleep(1500 * time.Millisecond)
+					f.killEntry(f.owner(), time.Second)
+				}
+				time.Sleep(time.Until(lostAt.Add(restartTime + idleTime)))
+				assert.Check(t, f.runningCount(1) == 4, "only %d of 4 tasks run", f.runningCount(1))
+				f.checkRuns()
+			})
+		})
+	}
+}
--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -40,6 +40,13 @@
 	return out
 }
 
+// everythingWithoutPower and allProcessesKilled hit all entries and agents. The workers go on after the
+// second one.
+var (
+	everythingWithoutPower = fleetFault{"everything without power", func(f *fleet) { f.stopAll(true) }}
+	allProcessesKilled     = fleetFault{"all processes killed", func(f *fleet) { f.stopAll(false) }}
+)
+
 var fleetFaults = []fleetFault{
 	{"none", func(*fleet) {}},
 	{"owner killed", func(f *fleet) { f.killEntry(f.owner(), time.Second) }},
@@ -153,7 +160,7 @@
 		time.Sleep(3 * time.Second)
 		f.setAgentLinks("store", healthy)
 	}},
-	{"everything without power", func(f *fleet) { f.loseAll(2 * time.Second) }},
+	everythingWithoutPower, allProcessesKilled,
 	{"agents restarted", func(f *fleet) {
 		for _, v := range f.vms {
 			f.restartAgent(v)
@@ -265,23 +272,26 @@
 	f.net.setFault(link, healthy)
 }
 
-// loseZone cuts the power of a zone; see losePower.
+// loseZone cuts the power of a zone: its entries, agents and workers end at once and start
+// again after the downtime.
 func (f *fleet) loseZone(zone string, downtime time.Duration) {
 	entries, vms := f.inZone(zone)
-	f.losePower(entries, vms, downtime)
+	f.stopProcesses(entries, vms, true, downtime)
 }
 
-// loseAll cuts the power of all zones; see losePower.
-func (f *fleet) loseAll(downtime time.Duration) {
+// stopAll ends all entries and agents at once, and the workers if they lose power as well, and starts
+// them again two seconds later.
+func (f *fleet) stopAll(workers bool) {
 	var entries []int
 	for i := range f.entries {
 		entries = append(entries, i)
 	}
-	f.losePower(entries, f.vms, downtime)
+	f.stopProcesses(entries, f.vms, workers, 2*time.Second)
 }
 
-// losePower ends entries, agents and workers at once and starts them again after the downtime.
-func (f *fleet) losePower(entries []int, vms []*fleetVM, downtime time.Duration) {
+// stopProcesses ends entries and agents at once, and the agents' workers if they end as well, and starts
+// them again after the downtime.
+func (f *fleet) stopProcesses(entries []int, vms []*fleetVM, workers bool, downtime time.Duration) {
 	for _, i := range entries {
 		f.net.setFault(f.entries[i].name, down)
 		f.entries[i].stop()
@@ -289,7 +299,9 @@
 	for _, v := range vms {
 		f.net.setFault(v.name, down)
 		v.stop()
-		v.worker.Crash()
+		if workers {
+			v.worker.Crash()
+		}
 	}
 	time.Sleep(downtime)
 	for _, i := range entries {
@@ -300,7 +312,9 @@
 		f.net.setFault(v.name, healthy)
 		v.registry = f.net.relisten(v.registry)
 		f.startAgent(v)
-		v.worker.Restart()
+		if workers {
+			v.worker.Restart()
+		}
 	}
 }
 
--- a/decider/session.go
+++ b/decider/session.go
@@ -158,6 +158,9 @@
 	if renewalGranted {
 		o.planner.Renew(a.incarnation, now)
 	}
+	if r.LeaseLeftMS != nil {
+		o.planner.LimitLease(a.incarnation, now.Add(time.Duration(*r.LeaseLeftMS)*time.Millisecond))
+	}
 	o.planner.RecordCheckpoints(a.incarnation, r.Running, now)
 	if r.Measurements != nil {
 		tails := make(map[plantainrail.RunRef]int, len(r.Measurements.TailLatencies))
--- a/linker/work.go
+++ b/linker/work.go
@@ -21,6 +21,9 @@
 	// Measurements holds measurements of services and the fillers beside them; nil if
 	// there are none.
 	Measurements *Measurements `cbor:"6,keyasint,omitempty"`
+	// LeaseLeftMS is how long the lease of a worker that does not reply still lasts, in
+	// milliseconds; nil if the worker replies or the agent does not know.
+	LeaseLeftMS *int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Measurements holds a worker's measurements of the services with a tail latency
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -423,6 +423,10 @@
 	// An unreachable worker, or one of unknown capacity, is reported as draining, so that it
 	// gets no new runs.
 	r.VM.Draining = r.VM.Draining || m.unreachable || !m.capacityKnown()
+	if m.unreachable && !m.leaseUntil.IsZero() {
+		left := max(m.leaseUntil.Sub(m.Now()), 0).Milliseconds()
+		r.LeaseLeftMS = &left
+	}
 	r.VM.StartedLast = m.crashes.startedLast(m.unreachable, m.ordersComplete)
 	r.VM.FillersPaused = m.pacing.pacer.Pace() != pacer.FullPace
 	// Send fails only if the session has ended. The next session begins with the
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -249,6 +249,14 @@
 	}
 }
 
+// LimitLease records that the lease of a worker ends at the given time, unless it is renewed: the
+// agent knows what the earlier owner has granted.
+func (p *Planner) LimitLease(incarnation plantainrail.WorkerIncarnation, end time.Time) {
+	if v := p.vms[incarnation]; v != nil {
+		v.renewedAt = earlier(v.renewedAt, end.Add(-p.timeouts.Lease))
+	}
+}
+
 // ApplyPredecessorEnds applies ends of runs that belong to an earlier incarnation of a
 // worker but were reported by a new one with the same ID. It must be called
 // before the first UpdateWorker of the new incarnation, which requeues all other runs
