Limit a lost worker's lease only before the first renewal of a session

Found by review: a renewal request that is under way when the agent finds its worker lost is granted after the owner has noted the older end of the lease. The worker may still take the longer lease, since calls without an answer may be executed, while the owner gives its runs to others (TWICE).

The owner now takes the agent's figure only in a session in which it has heard no request, which is the case it is for: a takeover after the worker was lost. TestLostWorkerIsGivenUpDespiteTakeovers holds.

--- a/decider/session.go
+++ b/decider/session.go
@@ -158,7 +158,9 @@
 	if renewalGranted {
 		o.planner.Renew(a.incarnation, now)
 	}
-	if r.LeaseLeftMS != nil {
+	// Once this owner has heard a request for a renewal, it knows better than the agent, which may not
+	// have its answer yet.
+	if r.LeaseLeftMS != nil && a.heard == 0 {
 		o.planner.LimitLease(a.incarnation, now.Add(time.Duration(*r.LeaseLeftMS)*time.Millisecond))
 	}
 	o.planner.RecordCheckpoints(a.incarnation, r.Running, now)
