Count a crash against all runs that were started alone just before

On a fleet of one worker, a task that crashed it 150 to 280 ms after its start was started up to six times (BUDGET). Suspects are started 140 ms apart, and the crash counted against the newest start only, so against the next suspect in place of the cause. Now it counts against all runs that were started alone within 290 ms before it. The third count still needs an isolated start, so no sound job fails.

The new row of TestCrashWatchNamesTheNewestStarts failed before.

--- a/minder/crash.go
+++ b/minder/crash.go
@@ -57,6 +57,8 @@
 // startRecord is a start that the worker has received, or may have received.
 type startRecord struct {
 	ref plantainrail.RunRef
+	// alone is set for a run that was started alone.
+	alone bool
 	// sentAt is when the call was sent, and at when it ended.
 	sentAt, at time.Time
 }
@@ -74,10 +76,10 @@
 }
 
 // withStart returns the watch after a start. It may have been under way at the break.
-func (c crashWatch) withStart(ref plantainrail.RunRef, sentAt, now time.Time) crashWatch {
-	kept := slices.DeleteFunc(slices.Clone(c.recent), func(s startRecord) bool { return now.Sub(s.at) > breakDelay })
-	c.recent = append(kept, startRecord{ref, sentAt, now})
-	if !c.brokenAt.IsZero() && !sentAt.After(c.brokenAt) {
+func (c crashWatch) withStart(started startRecord) crashWatch {
+	kept := slices.DeleteFunc(slices.Clone(c.recent), func(s startRecord) bool { return started.at.Sub(s.at) > breakDelay })
+	c.recent = append(kept, started)
+	if !c.brokenAt.IsZero() && !started.sentAt.After(c.brokenAt) {
 		c.suspects = c.newestBefore(c.brokenAt)
 	}
 	return c
@@ -92,7 +94,9 @@
 	return c
 }
 
-// newestBefore returns the runs whose starts were sent last before the break.
+// newestBefore returns the runs whose starts were sent last before the break, and those that were
+// started alone just before: aloneTime may be too short for the cause to show, and the next run
+// that is started alone would be blamed in its place.
 func (c crashWatch) newestBefore(brokenAt time.Time) []plantainrail.RunRef {
 	var refs []plantainrail.RunRef
 	var newest time.Time
@@ -103,7 +107,7 @@
 		if newest.IsZero() {
 			newest = s.at
 		}
-		if newest.Sub(s.at) <= batchTime {
+		if s.alone || newest.Sub(s.at) <= batchTime {
 			refs = append(refs, s.ref)
 		}
 	}
@@ -143,7 +147,8 @@
 		return
 	}
 	if err == nil || brokenOff(err) && !dialFailed(err) {
-		m.crashes = m.crashes.withStart(ref, sentAt, m.Now())
+		r := m.orderedRuns[ref]
+		m.crashes = m.crashes.withStart(startRecord{ref: ref, alone: r != nil && r.order.Alone, sentAt: sentAt, at: m.Now()})
 	}
 	if brokenOff(err) {
 		m.crashes = m.crashes.withBreak(m.Now())
--- a/minder/crash_test.go
+++ b/minder/crash_test.go
@@ -18,14 +18,17 @@
 	after := func(d time.Duration) time.Time { return now.Add(d) }
 	started := crashWatch{}
 	for i, at := range []time.Time{now, after(100 * time.Millisecond), after(110 * time.Millisecond)} {
-		started = started.withStart([]plantainrail.RunRef{early, first, second}[i], at, at)
+		started = started.withStart(startRecord{ref: []plantainrail.RunRef{early, first, second}[i], sentAt: at, at: at})
 	}
+	alone := crashWatch{}.withStart(startRecord{ref: early, alone: true, sentAt: now, at: now}).
+		withStart(startRecord{ref: second, alone: true, sentAt: after(110 * time.Millisecond), at: after(110 * time.Millisecond)})
 	for _, c := range []struct {
 		name  string
 		watch crashWatch
 		want  []plantainrail.RunRef
 	}{
 		{"just after the starts", started.withBreak(after(120 * time.Millisecond)), []plantainrail.RunRef{first, second}},
+		{"a start alone before", alone.withBreak(after(120 * time.Millisecond)), []plantainrail.RunRef{early, second}},
 		{"long after the starts", started.withBreak(after(time.Minute)), nil},
 		{"the first break counts", started.withBreak(after(time.Minute)).withBreak(after(120 * time.Millisecond)), nil},
 		{"the worker has answered since", started.withBreak(after(120 * time.Millisecond)).withAnswer(), nil},
