Count crashes that come long after the start of their cause

A task that crashed its worker 300 ms or more after its start was never given up (BUDGET): it was started 13 times in 45 s, with 2 s 9 times. Only runs that had just begun counted.

The agent now also reports the runs that had begun within the last 10 s, with their ages. If none had just begun, the owner counts the crash against all of them. A job fails after four such crashes in a row at about the same age, if its task has three more than the tasks of all other jobs there. After two, the task prefers VMs without other such tasks; nothing is kept from running.

TestLateDeadlyTaskIsGivenUp fails with the count off.

--- a/decider/owner.go
+++ b/decider/owner.go
@@ -387,7 +387,7 @@
 	}
 	for _, lost := range plan.Lost {
 		o.decider.Logger.Info("run lost", zap.Stringer("task", lost.Ref.Task), zap.Int64("run", lost.Ref.Run), zap.String("node", lost.Node),
-			zap.String("cause", string(lost.Cause)), zap.Int64("age", lost.Age.Milliseconds()), zap.Int("crashes", lost.Crashes))
+			zap.String("cause", string(lost.Cause)), zap.Int64("age", lost.Age.Milliseconds()), zap.Int("crashes", lost.Crashes), zap.Int("lateCrashes", lost.LateCrashes))
 	}
 	for _, a := range o.releaseStarts(ctx, plan.Assignments) {
 		if !o.planner.MarkStored(a, o.decider.Now()) {
--- a/minder/crash.go
+++ b/minder/crash.go
@@ -73,6 +73,8 @@
 	// suspects are the runs that had just begun then. predecessorSuspects are those of the
 	// incarnation before.
 	suspects, predecessorSuspects []plantainrail.RunRef
+	// present are the runs that were there then and had begun less than LateCrashTime before.
+	present, predecessorPresent []plantainrail.RunAge
 }
 
 // withStart returns the watch after a start. It may have been under way at the break.
@@ -85,11 +87,11 @@
 	return c
 }
 
-// withBreak returns the watch after a call that the worker has broken off. The newest starts
-// are suspects if the call is the first such one.
-func (c crashWatch) withBreak(now time.Time) crashWatch {
+// withBreak returns the watch after a call that the worker has broken off, with the runs that were
+// present. The newest starts are suspects if the call is the first such one.
+func (c crashWatch) withBreak(present []plantainrail.RunAge, now time.Time) crashWatch {
 	if c.brokenAt.IsZero() {
-		c.brokenAt, c.suspects = now, c.newestBefore(now)
+		c.brokenAt, c.suspects, c.present = now, c.newestBefore(now), present
 	}
 	return c
 }
@@ -117,25 +119,25 @@
 
 // withAnswer returns the watch after an answer of the worker.
 func (c crashWatch) withAnswer() crashWatch {
-	c.brokenAt, c.suspects = time.Time{}, nil
+	c.brokenAt, c.suspects, c.present = time.Time{}, nil, nil
 	return c
 }
 
 // withNewIncarnation returns the watch for the next incarnation of the worker.
 func (c crashWatch) withNewIncarnation() crashWatch {
-	return crashWatch{predecessorSuspects: c.suspects}
+	return crashWatch{predecessorSuspects: c.suspects, predecessorPresent: c.present}
 }
 
-// startedLast returns the runs to report: those of a worker that does not answer, or those of
-// the incarnation before until the owner has sent its orders for this one.
-func (c crashWatch) startedLast(unreachable, ordersComplete bool) []plantainrail.RunRef {
+// last returns the suspects and the runs present to report: those of a worker that does not answer,
+// or those of the incarnation before until the owner has sent its orders for this one.
+func (c crashWatch) last(unreachable, ordersComplete bool) (suspects []plantainrail.RunRef, present []plantainrail.RunAge) {
 	switch {
 	case unreachable:
-		return c.suspects
+		return c.suspects, c.present
 	case !ordersComplete:
-		return c.predecessorSuspects
+		return c.predecessorSuspects, c.predecessorPresent
 	}
-	return nil
+	return nil, nil
 }
 
 // noteStart records a call that starts a run, which was sent at the given time and ended with
@@ -151,10 +153,21 @@
 		m.crashes = m.crashes.withStart(startRecord{ref: ref, alone: r != nil && r.order.Alone, sentAt: sentAt, at: m.Now()})
 	}
 	if brokenOff(err) {
-		m.crashes = m.crashes.withBreak(m.Now())
+		m.noteBreak()
 	}
 }
 
+// noteBreak records a call that the worker has broken off. The caller holds the lock.
+func (m *Minder) noteBreak() {
+	var present []plantainrail.RunAge
+	for ref, r := range m.orderedRuns {
+		if age := m.Now().Sub(r.begunAt); !r.begunAt.IsZero() && age < plantainrail.LateCrashTime {
+			present = append(present, plantainrail.RunAge{Ref: ref, Age: age})
+		}
+	}
+	m.crashes = m.crashes.withBreak(present, m.Now())
+}
+
 // brokenOff reports whether a call failed although the worker neither refused it nor let it
 // time out.
 func brokenOff(err error) bool {
--- a/minder/crash_test.go
+++ b/minder/crash_test.go
@@ -27,15 +27,18 @@
 		watch crashWatch
 		want  []plantainrail.RunRef
 	}{
-		{"just after the starts", started.withBreak(after(120 * time.Millisecond)), []plantainrail.RunRef{first, second}},
-		{"a start alone before", alone.withBreak(after(120 * time.Millisecond)), []plantainrail.RunRef{early, second}},
-		{"long after the starts", started.withBreak(after(time.Minute)), nil},
-		{"the first break counts", started.withBreak(after(time.Minute)).withBreak(after(120 * time.Millisecond)), nil},
-		{"the worker has answered since", started.withBreak(after(120 * time.Millisecond)).withAnswer(), nil},
+		{"just after the starts", started.withBreak(nil, after(120*time.Millisecond)), []plantainrail.RunRef{first, second}},
+		{"a start alone before", alone.withBreak(nil, after(120*time.Millisecond)), []plantainrail.RunRef{early, second}},
+		{"long after the starts", started.withBreak(nil, after(time.Minute)), nil},
+		{"the first break counts", started.withBreak(nil, after(time.Minute)).withBreak(nil, after(120*time.Millisecond)), nil},
+		{"the worker has answered since", started.withBreak(nil, after(120*time.Millisecond)).withAnswer(), nil},
 	} {
-		assert.DeepEqual(t, c.watch.startedLast(true, false), c.want)
-		assert.DeepEqual(t, c.watch.withNewIncarnation().startedLast(false, false), c.want)
-		assert.Equal(t, len(c.watch.withNewIncarnation().startedLast(false, true)), 0, c.name)
+		got, _ := c.watch.last(true, false)
+		assert.DeepEqual(t, got, c.want)
+		got, _ = c.watch.withNewIncarnation().last(false, false)
+		assert.DeepEqual(t, got, c.want)
+		got, _ = c.watch.withNewIncarnation().last(false, true)
+		assert.Equal(t, len(got), 0, c.name)
 	}
 }
 
@@ -56,7 +59,8 @@
 				// The worker has crashed before this one is sent.
 				m.noteStart(current, refForJob("later"), m.Now(), io.ErrUnexpectedEOF)
 				m.renewLeaseFailed(current, 2, io.ErrUnexpectedEOF)
-				assert.DeepEqual(t, m.crashes.startedLast(true, true), []plantainrail.RunRef{refForJob("cause")})
+				suspects, _ := m.crashes.last(true, true)
+				assert.DeepEqual(t, suspects, []plantainrail.RunRef{refForJob("cause")})
 			})
 		})
 	}
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -158,7 +158,7 @@
 	}
 	m.pollFailed = true
 	if brokenOff(err) {
-		m.crashes = m.crashes.withBreak(m.Now())
+		m.noteBreak()
 	}
 	if m.leaving && !m.departed && showsEnd(err) {
 		m.departed = true
@@ -272,6 +272,9 @@
 
 // markBegun records that the worker has accepted or listed a run. The caller holds the lock.
 func (m *Minder) markBegun(r *run) {
+	if !r.begun && !r.reordered {
+		r.begunAt = m.Now()
+	}
 	r.begun, r.begunPoll, r.missingSince = true, m.polls, time.Time{}
 }
 
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -165,7 +165,10 @@
 	// begun is set once the worker has accepted or listed the run. Then begunPoll is the number
 	// of the RenewLease call at that time, and missingSince the time of the first later reply
 	// that shows neither the run nor its end; zero if there is none.
+	// begunAt is when that was first known; it stays zero for a run that may have begun before
+	// it was ordered.
 	begun        bool
+	begunAt      time.Time
 	begunPoll    uint64
 	missingSince time.Time
 	// stopConfirmed is set while the worker has confirmed a stop and still lists the run.
@@ -427,7 +430,7 @@
 		left := max(m.leaseUntil.Sub(m.Now()), 0).Milliseconds()
 		r.LeaseLeftMS = &left
 	}
-	r.VM.StartedLast = m.crashes.startedLast(m.unreachable, m.ordersComplete)
+	r.VM.StartedLast, r.VM.RunningLast = m.crashes.last(m.unreachable, m.ordersComplete)
 	r.VM.FillersPaused = m.pacing.pacer.Pace() != pacer.FullPace
 	// Send fails only if the session has ended. The next session begins with the
 	// unacknowledged ends and the owner's complete list of the runs that it wants.
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -10,11 +10,19 @@
 const (
 	// maxCrashes is the number of workers that may crash under a task before its job fails.
 	maxCrashes = 3
+	// maxLateCrashes is the same for crashes that may be due to other tasks or to the workers.
+	maxLateCrashes = maxCrashes + 1
 	// suspectTime is how long other suspects avoid a VM after a suspect was ordered there.
 	suspectTime = time.Second
 	// crashedNodeTime is how long suspects avoid a node after a crash there, whose cause
 	// may be the node.
 	crashedNodeTime = 30 * time.Second
+	// crashAgeTolerance is the time by which the ages of a task's runs at crashes may differ, beside
+	// an eighth of the age. The time until a crash is noticed varies.
+	crashAgeTolerance = 250 * time.Millisecond
+	// soundRunTime is how long a run must have lasted to show that its task does not crash workers.
+	// It exceeds LateCrashTime by more than a crash takes to be noticed.
+	soundRunTime = plantainrail.LateCrashTime + 10*time.Second
 	// crashedNodeWeight and suspectWeight are what the score of a VM is lowered by for a
 	// suspect; see suspectPenalty. Each exceeds the sum of those that follow and of the
 	// other parts of the score.
@@ -26,19 +34,31 @@
 // agent starts its next run alone, so that a further crash shows whether it is the cause.
 func (t *Task) suspect() bool { return t.Crashes > 0 }
 
+// lateSuspect reports whether one more crash would be the third one in a row beside which the task
+// was there, though none had just begun. Its next run avoids other such tasks, so that
+// a further crash shows which of them is the cause.
+func (t *Task) lateSuspect() bool { return t.lateCrashes >= maxCrashes-1 }
+
 // hasSuspects reports whether a waiting task of the step is a suspect.
 func (r readyStep) hasSuspects() bool {
-	return r.job.crashed && slices.ContainsFunc(r.tasks(), func(t Task) bool { return t.Phase == Waiting && t.suspect() })
+	return r.job.crashed && slices.ContainsFunc(r.tasks(), func(t Task) bool {
+		return t.Phase == Waiting && (t.suspect() || t.lateSuspect())
+	})
+}
+
+// mayCrash reports whether the run is one of a suspect and the worker may still crash because of it.
+func (r *placedRun) mayCrash(now time.Time) bool {
+	return r.task.suspect() && now.Sub(r.orderedSince) < suspectTime || r.task.lateSuspect() && !r.hasRunFor(plantainrail.LateCrashTime, now)
 }
 
 // suspectPenalty returns what the score of a VM is lowered by for a suspect. Suspects avoid
-// nodes where a worker has crashed, and each other, since they are started one by one.
+// nodes where a worker has crashed, and each other, so that a crash has one possible cause.
 func (p *Planner) suspectPenalty(v *vm, now time.Time) float64 {
 	penalty := 0.0
 	if at, crashed := p.crashedAt[v.Incarnation.Node]; crashed && now.Sub(at) < crashedNodeTime {
 		penalty += crashedNodeWeight
 	}
-	if slices.ContainsFunc(v.orderedRuns, func(r *placedRun) bool { return r.task.suspect() && now.Sub(r.orderedSince) < suspectTime }) {
+	if slices.ContainsFunc(v.orderedRuns, func(r *placedRun) bool { return r.mayCrash(now) }) {
 		penalty += suspectWeight
 	}
 	return penalty
@@ -70,6 +90,55 @@
 	return failed
 }
 
+// clearSound forgets the late crashes of tasks that have run here for soundRunTime.
+func (v *vm) clearSound(now time.Time) {
+	for _, run := range v.orderedRuns {
+		if run.hasRunFor(soundRunTime, now) {
+			run.task.lateCrashes = 0
+		}
+	}
+}
+
+// noteLateCrash counts the crash of a worker at the given age of the task's run. A task that crashes
+// workers does so at about the same age, so the count begins anew at another one.
+func (t *Task) noteLateCrash(age time.Duration) {
+	if difference := (age - t.lateCrashAge).Abs(); difference > crashAgeTolerance+max(age, t.lateCrashAge)/8 {
+		t.lateCrashes = 0
+	}
+	t.lateCrashes, t.lateCrashAge = t.lateCrashes+1, age
+}
+
+// countLateCrash counts the crash of a VM's worker against the tasks of the runs that were there,
+// of which none had just begun. Any of them may be the cause. It returns the job that fails because
+// of it, or nil: one with a task that has maxLateCrashes, and maxCrashes more than the tasks of all
+// other jobs there.
+func (p *Planner) countLateCrash(v *vm, present []plantainrail.RunAge, now time.Time) *Job {
+	p.crashedAt[v.Incarnation.Node] = now
+	counts := map[*Job]int{}
+	for _, was := range present {
+		run := v.runs[was.Ref]
+		if run == nil {
+			continue
+		}
+		run.task.noteLateCrash(was.Age)
+		run.job.crashed = true
+		p.markStarted(run.job)
+		counts[run.job] = max(counts[run.job], run.task.lateCrashes)
+	}
+	for j, count := range counts {
+		others := 0
+		for other, n := range counts {
+			if other != j {
+				others = max(others, n)
+			}
+		}
+		if count >= maxLateCrashes && count-others >= maxCrashes && !j.State.Final() {
+			return j
+		}
+	}
+	return nil
+}
+
 // crashRecord is the stored form of Task.Crashes.
 type crashRecord struct {
 	_                       struct{} `cbor:",toarray"`
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,6 +25,8 @@
 	starts map[string]int
 	// submitted is the number of jobs.
 	submitted int
+	// crashDelay is the time from the start of a deadly task to the crash.
+	crashDelay time.Duration
 }
 
 type crashWorker struct {
@@ -33,7 +36,8 @@
 	orders      []planner.Assignment
 	startedLast []plantainrail.RunRef
 	runs        []planner.Assignment
-	// ends are the times at which the runs end, and endNumber that of the newest end.
+	// begun and ends are the times at which the runs begin and end, and endNumber that of the newest end.
+	begun     []time.Time
 	ends      []time.Time
 	endNumber int64
 	// crashAt and returnAt are when the worker will crash and be back; zero if not.
@@ -47,7 +51,7 @@
 )
 
 func newCrashModel(t *testing.T, workers int, seed uint64) *crashModel {
-	m := &crashModel{harness: newHarness(t), random: rand.New(rand.NewPCG(seed, 0)), deadly: map[string]bool{}, starts: map[string]int{}}
+	m := &crashModel{harness: newHarness(t), random: rand.New(rand.NewPCG(seed, 0)), deadly: map[string]bool{}, starts: map[string]int{}, crashDelay: crashDelay}
 	for i := range workers {
 		w := &crashWorker{vm: newVM(fmt.Sprintf("vm-%02d", i), 32_000)}
 		m.workers = append(m.workers, w)
@@ -100,17 +104,23 @@
 }
 
 func (m *crashModel) startRun(w *crashWorker, a planner.Assignment) {
-	w.runs = append(w.runs, a)
+	w.runs, w.begun = append(w.runs, a), append(w.begun, m.now)
 	w.ends = append(w.ends, m.now.Add(500*time.Millisecond+time.Duration(m.random.IntN(1500))*time.Millisecond))
 	if id := a.Order.Ref.Task; m.deadly[id.Job] && id.Index == 0 {
 		m.starts[id.Job]++
-		w.crashAt = m.now.Add(crashDelay)
+		w.crashAt, w.ends[len(w.ends)-1] = m.now.Add(m.crashDelay), m.now.Add(time.Hour)
 	}
 }
 
 // crash ends a worker's runs. It is back after crashDowntime.
 func (m *crashModel) crash(w *crashWorker) {
-	w.runs, w.ends, w.crashAt, w.returnAt = nil, nil, time.Time{}, m.now.Add(crashDowntime)
+	w.vm.RunningLast = nil
+	for i, a := range w.runs {
+		if age := m.now.Sub(w.begun[i]); age < plantainrail.LateCrashTime {
+			w.vm.RunningLast = append(w.vm.RunningLast, plantainrail.RunAge{Ref: a.Order.Ref, Age: age})
+		}
+	}
+	w.runs, w.begun, w.ends, w.crashAt, w.returnAt = nil, nil, nil, time.Time{}, m.now.Add(crashDowntime)
 	w.vm.Draining, w.vm.StartedLast, w.orders = true, w.startedLast, nil
 	m.planner.UpdateWorker(w.vm, m.now)
 }
@@ -123,7 +133,7 @@
 	case !w.returnAt.IsZero() && m.now.Before(w.returnAt):
 		return
 	case !w.returnAt.IsZero():
-		w.returnAt, w.endNumber, w.vm.Draining, w.vm.StartedLast = time.Time{}, 0, false, nil
+		w.returnAt, w.endNumber, w.vm.Draining, w.vm.StartedLast, w.vm.RunningLast = time.Time{}, 0, false, nil, nil
 		w.vm.Incarnation.StartedMS++
 	}
 	m.report(w.vm)
@@ -134,7 +144,7 @@
 		}
 		w.endNumber++
 		m.reportEnd(w.runs[i], w.endNumber, plantainrail.RunDone)
-		w.runs, w.ends = append(w.runs[:i], w.runs[i+1:]...), append(w.ends[:i], w.ends[i+1:]...)
+		w.runs, w.begun, w.ends = slices.Delete(w.runs, i, i+1), slices.Delete(w.begun, i, i+1), slices.Delete(w.ends, i, i+1)
 	}
 }
 
@@ -171,6 +181,22 @@
 	}
 }
 
+// Guards against a task that crashes its workers long after each start (BUDGET), and against sound
+// jobs that are given up in its place (LOST), since they were there each time.
+func TestLateDeadlyTaskIsGivenUp(t *testing.T) {
+	for seed := range uint64(20) {
+		m := newCrashModel(t, 11, seed)
+		m.crashDelay = time.Second
+		for step := range 1600 {
+			if step < 400 && step%10 == 0 {
+				m.submitJob(step == 100)
+			}
+			m.advance()
+		}
+		m.checkEnds()
+	}
+}
+
 // Guards against sound jobs that are given up (LOST) because workers crash for another
 // cause, some of them again and again.
 func TestFailingWorkersDoNotFailJobs(t *testing.T) {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -71,8 +71,9 @@
 	Cause LossCause
 	// Age is the time from the order, or the takeover by this owner, to the loss.
 	Age time.Duration
-	// Crashes is the number of crashes that count against the task.
-	Crashes int
+	// Crashes is the number of crashes that count against the task, and LateCrashes that of those
+	// that may be due to it or to others beside it.
+	Crashes, LateCrashes int
 }
 
 // Plan is the result of one Tick. The progress of the jobs in Changed must be
@@ -283,6 +284,9 @@
 			if len(reported.StartedLast) > 0 {
 				v.StartedLast = reported.StartedLast
 			}
+			if len(reported.RunningLast) > 0 {
+				v.RunningLast = reported.RunningLast
+			}
 			p.removeVM(v, LostReplaced, now)
 		}
 	}
@@ -443,7 +447,7 @@
 	if end.Checkpoint != "" {
 		t.Checkpoint = end.Checkpoint
 	}
-	t.Crashes = 0
+	t.Crashes, t.lateCrashes = 0, 0
 	v.removeRun(run)
 	j.setPhase(run.id, Waiting)
 	p.markChanged(j)
@@ -535,12 +539,17 @@
 // all its runs. If its worker has crashed just after a start, this counts against the task.
 func (p *Planner) removeVM(v *vm, cause LossCause, now time.Time) {
 	var failed *Job
-	if len(v.StartedLast) > 0 {
+	v.clearSound(now)
+	switch {
+	case len(v.StartedLast) > 0:
 		failed = p.countCrash(v, v.StartedLast, now)
+	case len(v.RunningLast) > 0:
+		failed = p.countLateCrash(v, v.RunningLast, now)
 	}
 	for _, run := range slices.Clone(v.orderedRuns) {
 		p.lost = append(p.lost, LostRun{
-			Ref: run.ref(), Node: v.Incarnation.Node, Cause: cause, Age: now.Sub(run.orderedSince), Crashes: run.task.Crashes,
+			Ref: run.ref(), Node: v.Incarnation.Node, Cause: cause, Age: now.Sub(run.orderedSince),
+			Crashes: run.task.Crashes, LateCrashes: run.task.lateCrashes,
 		})
 		p.requeue(v, run)
 	}
--- a/work.go
+++ b/work.go
@@ -192,6 +192,9 @@
 // IsZero reports whether w identifies no worker, which means that its ID is empty.
 func (w WorkerIncarnation) IsZero() bool { return w.ID == "" }
 
+// LateCrashTime is how long after the start of a run a crash of the worker may be due to it.
+const LateCrashTime = 10 * time.Second
+
 // VM is a worker's description of itself and its VM.
 type VM struct {
 	Incarnation WorkerIncarnation `cbor:"0,keyasint"`
@@ -206,6 +209,15 @@
 	// StartedLast holds the runs that had just begun when the worker, or its incarnation
 	// before this one, broke off its calls.
 	StartedLast []RunRef `cbor:"7,keyasint,omitempty"`
+	// RunningLast holds the runs that were there then and had begun less than LateCrashTime before.
+	RunningLast []RunAge `cbor:"8,keyasint,omitempty"`
+}
+
+// RunAge is the time since a run has begun.
+type RunAge struct {
+	_   struct{} `cbor:",toarray"`
+	Ref RunRef
+	Age time.Duration
 }
 
 // RunOutcome is the outcome of a run, as reported by the worker.
