Have one start under way at a time, and tell by its reply who executed it

A worker that restarted under its ID with a smaller capacity executed all starts that were under way in that instant (LIMIT): they name only the ID, so nothing refuses them. Now the agent sends the next start only after the outcome of the one before. A reply whose clock is behind the one read before comes from another incarnation; after it, or after a broken call, starts wait until the worker has listed its runs.

TestStartsUnderWayFitARestartedWorker failed before (3 runs on a worker for 1), and fails without the comparison of clocks.

--- a/minder/crash.go
+++ b/minder/crash.go
@@ -25,10 +25,19 @@
 	breakDelay = acknowledgmentWait + batchTime
 )
 
-// startSlots lets runs start together, or one of them alone.
-type startSlots struct{ slots *semaphore.Weighted }
+// startSlots lets runs start together, or one of them alone. Their calls are sent in turn.
+type startSlots struct{ slots, turn *semaphore.Weighted }
 
-func newStartSlots() startSlots { return startSlots{semaphore.NewWeighted(maxConcurrentStarts)} }
+func newStartSlots() startSlots {
+	return startSlots{slots: semaphore.NewWeighted(maxConcurrentStarts), turn: semaphore.NewWeighted(1)}
+}
+
+// takeTurn waits until no other start is under way, and returns the function that lets the next one
+// be sent.
+func (s startSlots) takeTurn() (release func()) {
+	_ = s.turn.Acquire(context.Background(), 1)
+	return func() { s.turn.Release(1) }
+}
 
 // quietTimes returns how long before and after the start of a run no other run is started. An
 // isolated start is the only one that a break can count against.
--- a/minder/late_test.go
+++ b/minder/late_test.go
@@ -64,6 +64,8 @@
 	known plantainrail.WorkerIncarnation
 	// elsewhere is set if the owner places tasks on another worker after their first run here.
 	elsewhere bool
+	// latency is how long each call to the worker takes to arrive.
+	latency time.Duration
 	// restarted is set while the owner does not know the worker's newest incarnation.
 	restarted bool
 	// strays are the runs of earlier placements that were seen on an incarnation that the owner
@@ -81,7 +83,10 @@
 			Client:  &http.Client{Transport: handlerTransport{http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.agent.ServeHTTP(w, req) })}},
 			MaxRuns: lateTasks, Unguarded: true,
 		})
-		worker := platform.NewWorker("127.0.0.1:1", &http.Client{Transport: handlerTransport{f.worker}})
+		worker := platform.NewWorker("127.0.0.1:1", &http.Client{Transport: handlerTransport{http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			time.Sleep(f.latency)
+			f.worker.ServeHTTP(w, req)
+		})}})
 		f.m = New(Options{Node: "node", Worker: worker, HeartbeatInterval: heartbeatInterval, Now: time.Now, Logger: zap.NewNop()})
 		f.agent = platform.RegistryHandler("node", "127.0.0.1:1", func() string { return "s" }, f.m, zap.NewNop())
 		go f.worker.Run(t.Context())
@@ -249,6 +254,28 @@
 	}
 }
 
+// Guards against starts under way that bring a worker over its capacity (LIMIT), because it restarts
+// under its ID with a smaller one before they arrive.
+func TestStartsUnderWayFitARestartedWorker(t *testing.T) {
+	for offset := range time.Duration(10) {
+		withLateFleet(t, func(f *lateFleet) {
+			f.latency = 3 * time.Millisecond
+			// The worker restarts while the starts, or a RenewLease call too, are under way.
+			f.m.mu.Lock()
+			f.m.wantListing()
+			f.m.mu.Unlock()
+			time.Sleep(offset * time.Millisecond)
+			f.act()
+			time.Sleep(time.Millisecond)
+			f.worker.SetMaxRuns(1)
+			f.restart(0)
+			f.run(20 * time.Second)
+			assert.Equal(t, f.done, [lateTasks]bool{true, true, true})
+			assert.DeepEqual(t, f.worker.Overloads(), []string(nil))
+		})
+	}
+}
+
 // Guards against ends that a restarted worker forgets, and tasks that are run again for it, because
 // the first call that reaches it acknowledges the ends of its earlier incarnation.
 func TestFirstCallToARestartedWorkerAcknowledgesNothing(t *testing.T) {
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -114,6 +114,10 @@
 	// pollFailed is set while the newest RenewLease call has failed. The worker may have
 	// restarted.
 	pollFailed bool
+	// unconfirmedPoll is the number of the RenewLease call at the time of the newest start after which
+	// the worker may have restarted; 0 if there was none. The next start waits for the reply to a
+	// later call.
+	unconfirmedPoll uint64
 	// listingWanted is set while the next RenewLease call must not wait for a run end.
 	listingWanted bool
 	// runMissing is set while a run that has begun may be missing; see checkMissing.
--- a/minder/start.go
+++ b/minder/start.go
@@ -103,60 +103,80 @@
 // and otherwise nil. The time limit also bounds the wait for a lease renewal: a start must
 // not be sent after the owner has declared the worker lost.
 func (m *Minder) startRun(incarnation plantainrail.WorkerIncarnation, r *run, until time.Time) *startRefusal {
-	ref := r.order.Ref
 	// unanswered is set if the worker may still execute an earlier try. A run that was
 	// ordered again may have been tried by a previous process of this agent.
 	unanswered := r.reordered
 	for {
-		m.mu.Lock()
-		if m.superseded(incarnation) || m.orderedRuns[ref] != r || m.stopping[ref] {
-			m.mu.Unlock()
-			return nil
-		}
-		if _, listed := m.running[ref]; listed {
-			// An earlier try was executed.
-			m.markBegun(r)
-			m.mu.Unlock()
-			return nil
-		}
-		epoch, deadline := m.epoch, m.leaseDeadline()
-		reason, wait := m.startObstacle(r, until, unanswered)
-		if reason == "" && !wait {
-			m.lateStarts.add(ref, m.Now())
+		refusal, settled := m.tryStart(incarnation, r, until, unanswered)
+		if settled {
+			return refusal
 		}
+		unanswered = unanswered || refusal != nil
+		_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
+	}
+}
+
+// tryStart sends a start to the worker unless it has to wait. It reports whether the start is
+// settled, and then returns the refusal, if any. If it is not settled, the result is not nil after
+// a try without an answer. Only one start is under way at a time, and the next one waits for the
+// outcome: a worker that restarts with a smaller capacity executes what reaches it.
+func (m *Minder) tryStart(incarnation plantainrail.WorkerIncarnation, r *run, until time.Time, unanswered bool) (refusal *startRefusal, settled bool) {
+	defer m.starts.takeTurn()()
+	ref := r.order.Ref
+	m.mu.Lock()
+	if m.superseded(incarnation) || m.orderedRuns[ref] != r || m.stopping[ref] {
 		m.mu.Unlock()
-		switch {
-		case reason != "":
-			return &startRefusal{reason, unanswered}
-		case wait:
-			_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
-			continue
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		sentAt := m.Now()
-		err := m.Worker.Start(ctx, incarnation, epoch, r.order, deadline)
-		cancel()
-		m.noteStart(incarnation, ref, sentAt, err)
-		var refusal *plantainrail.RefusedError
-		if !unanswered && (err == nil || errors.As(err, &refusal) || dialFailed(err)) {
-			m.mu.Lock()
+		return nil, true
+	}
+	if _, listed := m.running[ref]; listed {
+		// An earlier try was executed.
+		m.markBegun(r)
+		m.mu.Unlock()
+		return nil, true
+	}
+	epoch, deadline, clock := m.epoch, m.leaseDeadline(), m.clock
+	reason, wait := m.startObstacle(r, until, unanswered)
+	if reason == "" && !wait {
+		m.lateStarts.add(ref, m.Now())
+	}
+	m.mu.Unlock()
+	switch {
+	case reason != "":
+		return &startRefusal{reason, unanswered}, true
+	case wait:
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	sentAt := m.Now()
+	reply, err := m.Worker.Start(ctx, incarnation, epoch, r.order, deadline)
+	cancel()
+	m.noteStart(incarnation, ref, sentAt, err)
+	var refused *plantainrail.RefusedError
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err == nil && executedBy(incarnation, clock, reply) || errors.As(err, &refused) || dialFailed(err) {
+		if !unanswered {
 			delete(m.lateStarts, ref)
-			m.mu.Unlock()
-		}
-		switch {
-		case err == nil:
-			m.mu.Lock()
-			m.markBegun(r)
-			m.applyPace(r)
-			m.mu.Unlock()
-			return nil
-		case errors.As(err, &refusal):
-			return &startRefusal{refusal.Reason, unanswered}
 		}
-		unanswered = true
-		m.Logger.Warn("start not answered", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Error(err))
-		_ = clocker.Sleep(context.Background(), workerRetryDelay/3)
+	} else if !m.superseded(incarnation) && !errors.Is(err, context.DeadlineExceeded) {
+		m.unconfirmedPoll = m.wantListing()
+	}
+	switch {
+	case err == nil:
+		m.markBegun(r)
+		m.applyPace(r)
+		return nil, true
+	case refused != nil:
+		return &startRefusal{refused.Reason, unanswered}, true
 	}
+	m.Logger.Warn("start not answered", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Error(err))
+	return &startRefusal{unanswered: true}, false
+}
+
+// executedBy reports whether the incarnation has executed a start, given its clock as read before
+// the start was sent, and the reply.
+func executedBy(incarnation plantainrail.WorkerIncarnation, clock workerClock, reply plantainrail.StartReply) bool {
+	return reply.ClockMS >= clock.reading && (reply.StartedMS == 0 || reply.StartedMS == incarnation.StartedMS)
 }
 
 // startObstacle returns the reason for which a run must be refused now, if any, or reports
@@ -184,7 +204,13 @@
 		return plantainrail.RefusedCapacity, false
 	}
 	// Without a deadline, the start waits for a renewal of the lease.
-	return "", r.order.Adopt || expired || m.pollFailed || !capacityKnown || !fits || m.leaseDeadline() == 0
+	return "", r.order.Adopt || expired || m.pollFailed || m.unconfirmed() || !capacityKnown || !fits || m.leaseDeadline() == 0
+}
+
+// unconfirmed reports whether the worker may have restarted since it last listed its runs, as the
+// outcome of a start shows. The caller holds the lock.
+func (m *Minder) unconfirmed() bool {
+	return m.unconfirmedPoll > 0 && m.listedPoll <= m.unconfirmedPoll
 }
 
 // capacityKnown reports whether the current incarnation has sent a heartbeat recently. The caller
--- a/minder/start_test.go
+++ b/minder/start_test.go
@@ -20,11 +20,11 @@
 	starts int
 }
 
-func (w *startingWorker) Start(context.Context, plantainrail.WorkerIncarnation, int64, plantainrail.RunOrder, int64) error {
+func (w *startingWorker) Start(context.Context, plantainrail.WorkerIncarnation, int64, plantainrail.RunOrder, int64) (plantainrail.StartReply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts++
-	return nil
+	return plantainrail.StartReply{ClockMS: time.Hour.Milliseconds()}, nil
 }
 
 // Stop implements plantainrail.Worker. It confirms the stop.
--- a/work.go
+++ b/work.go
@@ -295,8 +295,9 @@
 type Worker interface {
 	// Start starts a run. The worker ends it at the deadline, in milliseconds on the
 	// worker's clock, unless the lease is extended. It returns a *RefusedError if the
-	// worker refuses the call.
-	Start(ctx context.Context, incarnation WorkerIncarnation, epoch int64, order RunOrder, deadline int64) error
+	// worker refuses the call. A worker that has restarted under its ID does not refuse it, so the
+	// reply tells which incarnation has executed it.
+	Start(ctx context.Context, incarnation WorkerIncarnation, epoch int64, order RunOrder, deadline int64) (StartReply, error)
 	// Stop stops a run, or prevents it from starting later.
 	Stop(ctx context.Context, incarnation WorkerIncarnation, epoch int64, ref RunRef) error
 	// RenewLease extends the lease of all runs, deletes the ends that are acknowledged as
@@ -318,6 +319,16 @@
 	Wait         time.Duration
 }
 
+// StartReply is a worker's response to Worker.Start.
+type StartReply struct {
+	// ClockMS is the time of the response on the worker's clock, in milliseconds. The clock of
+	// each incarnation begins with 0.
+	ClockMS int64
+	// StartedMS is the start of the worker's incarnation in Unix milliseconds; 0 if the
+	// worker did not report it.
+	StartedMS int64
+}
+
 // LeaseReply is a worker's response to Worker.RenewLease.
 type LeaseReply struct {
 	// ClockMS is the time of the response on the worker's clock, in milliseconds.
