A start without an answer holds up the next one for 25 ms at most

A worker that has just restarted answers at once or breaks the call off, which is what the turn is for, so it ends after 25 ms.

--- a/minder/crash.go
+++ b/minder/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,11 +33,20 @@
 	return startSlots{slots: semaphore.NewWeighted(maxConcurrentStarts), turn: semaphore.NewWeighted(1)}
 }
 
-// takeTurn waits until no other start is under way, and returns the function that lets the next one
-// be sent.
+// maxTurn bounds how long a start without an answer holds up the next one. A worker that has just
+// restarted answers, or breaks the call off, sooner.
+const maxTurn = 25 * time.Millisecond
+
+// takeTurn waits until no other start is under way, or only ones that have had no answer for
+// maxTurn, and returns the function that lets the next one be sent.
 func (s startSlots) takeTurn() (release func()) {
 	_ = s.turn.Acquire(context.Background(), 1)
-	return func() { s.turn.Release(1) }
+	free := sync.OnceFunc(func() { s.turn.Release(1) })
+	timer := time.AfterFunc(maxTurn, free)
+	return func() {
+		timer.Stop()
+		free()
+	}
 }
 
 // quietTimes returns how long before and after the start of a run no other run is started. An
