Do not blame tasks for crashes of workers that had none of them

Found by review of the late crash count: where all workers crash together every few seconds, the runs of a sound job are of the same age at each crash, and its job was failed (LOST).

A late crash now counts against a task only if no worker without its job has restarted within five seconds before or after it. Deadly jobs whose workers crash at the same time shield each other.

TestLateDeadlyTaskIsGivenUp and TestCrashLongAfterStartIsCounted hold.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -20,6 +20,9 @@
 	// crashAgeTolerance is the time by which the ages of a task's runs at crashes may differ, beside
 	// an eighth of the age. The time until a crash is noticed varies.
 	crashAgeTolerance = 250 * time.Millisecond
+	// unrelatedTime is how close together workers crash that have a cause in common, other than their
+	// tasks. It covers the time until the owner learns of a crash.
+	unrelatedTime = 5 * time.Second
 	// soundRunTime is how long a run must have lasted to show that its task does not crash workers.
 	// It exceeds LateCrashTime by more than a crash takes to be noticed.
 	soundRunTime = plantainrail.LateCrashTime + 10*time.Second
@@ -117,9 +120,10 @@
 	counts := map[*Job]int{}
 	for _, was := range present {
 		run := v.runs[was.Ref]
-		if run == nil {
+		if run == nil || p.restartedWithout(run.job, now) {
 			continue
 		}
+		run.job.lateCrashAt = now
 		run.task.noteLateCrash(was.Age)
 		run.job.crashed = true
 		p.markStarted(run.job)
@@ -139,6 +143,34 @@
 	return nil
 }
 
+// restart is the restart of a worker, with the jobs that had runs on it.
+type restart struct {
+	at   time.Time
+	jobs map[*Job]bool
+}
+
+// noteRestart records that the worker of a VM has restarted. It clears the jobs that had no run
+// there of the late crashes that came at about the same time: workers crash without them as well.
+func (p *Planner) noteRestart(v *vm, now time.Time) {
+	r := restart{at: now, jobs: map[*Job]bool{}}
+	for _, run := range v.orderedRuns {
+		r.jobs[run.job] = true
+	}
+	recent := slices.DeleteFunc(p.restarts, func(r restart) bool { return now.Sub(r.at) > unrelatedTime })
+	p.restarts = append(recent, r)
+	for _, j := range p.active {
+		if !r.jobs[j] && !j.lateCrashAt.IsZero() && now.Sub(j.lateCrashAt) <= unrelatedTime {
+			j.lateCrashAt = time.Time{}
+			j.eachTask(func(_ plantainrail.TaskID, t *Task) { t.lateCrashes = 0 })
+		}
+	}
+}
+
+// restartedWithout reports whether a worker that had no run of the job has restarted recently.
+func (p *Planner) restartedWithout(j *Job, now time.Time) bool {
+	return slices.ContainsFunc(p.restarts, func(r restart) bool { return !r.jobs[j] && now.Sub(r.at) <= unrelatedTime })
+}
+
 // crashRecord is the stored form of Task.Crashes.
 type crashRecord struct {
 	_                       struct{} `cbor:",toarray"`
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -197,6 +198,47 @@
 	}
 }
 
+// Guards against sound jobs that are given up (LOST) because all workers crash at the same time, again
+// and again, so that their runs are always of the same age.
+func TestWorkersThatCrashTogetherFailNoJobs(t *testing.T) {
+	for _, c := range []struct {
+		jobs, tasks int
+		every       time.Duration
+		lasting     bool
+	}{{4, 2, 3 * time.Second, false}, {2, 1, 2500 * time.Millisecond, true}} {
+		for seed := range uint64(10) {
+			m := newCrashModel(t, 6, seed)
+			for i := range c.jobs {
+				m.submit(fmt.Sprintf("long-%d", i), plantainrail.Step{Count: c.tasks, CPU: 1000, Lasting: c.lasting})
+			}
+			for step, last := 0, m.now; step < 1000; step++ {
+				if step%25 == 0 {
+					m.submitJob(false)
+				}
+				for _, w := range m.workers {
+					for i, a := range w.runs {
+						if strings.HasPrefix(a.Order.Ref.Task.Job, "long") {
+							w.ends[i] = m.now.Add(time.Hour)
+						}
+					}
+				}
+				if m.now.Sub(last) >= c.every {
+					last = m.now
+					for _, w := range m.workers {
+						if w.returnAt.IsZero() {
+							m.crash(w)
+						}
+					}
+				}
+				m.advance()
+			}
+			for i := range c.jobs {
+				assert.Assert(t, !m.state(fmt.Sprintf("long-%d", i)).Final(), "seed %d, %+v", seed, c)
+			}
+		}
+	}
+}
+
 // Guards against sound jobs that are given up (LOST) because workers crash for another
 // cause, some of them again and again.
 func TestFailingWorkersDoNotFailJobs(t *testing.T) {
--- a/planner/job.go
+++ b/planner/job.go
@@ -133,8 +133,10 @@
 	// next successful run. Neither is stored.
 	failing  bool
 	faultyOn map[string]bool
-	// crashed is set once a crash was counted against a task of the job.
-	crashed bool
+	// crashed is set once a crash was counted against a task of the job. lateCrashAt is when the
+	// newest late one was; see Task.lateCrashes. It is not stored.
+	crashed     bool
+	lateCrashAt time.Time
 	// stateOnly means that the tasks of the job, which has ended, are not stored; see
 	// Planner.Abandon.
 	stateOnly bool
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -103,6 +103,8 @@
 	active []*Job
 	// crashedAt is when a worker last crashed on a node, by the node's name.
 	crashedAt map[string]time.Time
+	// restarts are the recent restarts of workers.
+	restarts []restart
 	// pools maps the configured queues to their pools of VMs.
 	pools map[string]string
 	// changed, stops, lost and unplaced are collected for the next Plan.
@@ -540,6 +542,9 @@
 func (p *Planner) removeVM(v *vm, cause LossCause, now time.Time) {
 	var failed *Job
 	v.clearSound(now)
+	if cause == LostReplaced {
+		p.noteRestart(v, now)
+	}
 	switch {
 	case len(v.StartedLast) > 0:
 		failed = p.countCrash(v, v.StartedLast, now)
