Give up a worker that does not answer the stop of a run

The class: a wait without a bound. Calls that stop a run get more time with each try, up to one second. While a worker leaves the stop of a run that it does not list unanswered for four seconds, its lease is not renewed and it gets no tasks. Once the lease has expired nothing can start there, so the owner places all its tasks again. After the 30 s within which a call may still be executed the stop counts as confirmed.

TestTaskOfAnUnansweredStopIsPlacedAgain failed before: a job of four tasks had nothing running 43 s after its submission, and the task had not been placed again. Now it runs within the 14 s after which the platform asks.

--- a/linker/work.go
+++ b/linker/work.go
@@ -22,7 +22,7 @@
 	// there are none.
 	Measurements *Measurements `cbor:"6,keyasint,omitempty"`
 	// LeaseLeftMS is how long the lease of a worker that does not reply still lasts, in
-	// milliseconds; nil if the worker replies or the agent does not know.
+	// milliseconds; nil if its lease is renewed or the agent does not know.
 	LeaseLeftMS *int64 `cbor:"7,keyasint,omitempty"`
 }
 
--- a/minder/session.go
+++ b/minder/session.go
@@ -108,7 +108,7 @@
 // ownerSought reports whether the agent has to find the owner: its worker needs a lease, and nobody
 // renews it. The caller holds the lock.
 func (m *Minder) ownerSought() bool {
-	needed := !m.vm.Incarnation.IsZero() && !m.unreachable && !m.departed
+	needed := !m.vm.Incarnation.IsZero() && !m.givenUp() && !m.departed
 	return needed && m.leaseUntil.Before(m.Now().Add(m.Lease-renewalDelay))
 }
 
@@ -258,7 +258,7 @@
 // checkpoint has changed since the last request of this session. It does nothing without
 // a session or if the worker is unreachable or has departed. The caller holds the lock.
 func (m *Minder) renew() {
-	if m.session == nil || m.unreachable || m.departed {
+	if m.session == nil || m.givenUp() || m.departed {
 		// The lease of a worker that has ended or does not reply must expire.
 		return
 	}
--- a/minder/start.go
+++ b/minder/start.go
@@ -25,6 +25,11 @@
 	settleTime = 2 * workerRetryDelay
 	// callTimeout bounds one call that starts, stops or paces a run.
 	callTimeout = 300 * time.Millisecond
+	// maxStopTimeout bounds one call that stops a run. Calls without an answer get twice as long each
+	// time, so that a slow worker can confirm the stop.
+	maxStopTimeout = time.Second
+	// stopPatience is how long a worker may leave the stop of a run unanswered that it does not list.
+	stopPatience = 4 * time.Second
 	// lateCallTime is how long the worker may take to execute a call that it has not answered.
 	lateCallTime = 30 * time.Second
 )
@@ -339,16 +344,20 @@
 // stopRun sends a stop to the worker and repeats it until the worker has confirmed it,
 // the run has ended, the incarnation is no longer the current one or the agent has
 // stopped. It reports whether the worker has confirmed the stop. A refusal with
-// RefusedStaleRun counts as confirmed, since the run has ended or was stopped before.
+// RefusedStaleRun counts as confirmed, since the run has ended or was stopped before, and so does the
+// end of the time within which a start may be executed.
 func (m *Minder) stopRun(incarnation plantainrail.WorkerIncarnation, ref plantainrail.RunRef) bool {
+	begun, timeout := m.Now(), callTimeout
+	defer m.freeStop(incarnation, ref)
 	for {
 		m.mu.Lock()
 		obsolete, epoch := m.superseded(incarnation) || !m.stopping[ref], m.epoch
+		over := !obsolete && m.stopOverdue(ref, begun)
 		m.mu.Unlock()
-		if obsolete {
-			return false
+		if obsolete || over {
+			return over
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		err := m.Worker.Stop(ctx, incarnation, epoch, ref)
 		cancel()
 		var refused *plantainrail.RefusedError
@@ -357,6 +366,35 @@
 		}
 		// The call failed, or the worker refused the stop for another reason.
 		m.Logger.Warn("stop not answered", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Error(err))
+		timeout = min(2*timeout, maxStopTimeout)
 		_ = clocker.Sleep(context.Background(), workerRetryDelay)
 	}
 }
+
+// stopOverdue looks after a stop that has been without an answer since the given time. If the worker
+// does not list the run, its task can neither go on nor be placed again before the run is certain not to
+// start. So after stopPatience the worker's lease is not renewed, since nothing starts without one.
+// stopOverdue reports whether the run cannot start any more. The caller holds the lock.
+func (m *Minder) stopOverdue(ref plantainrail.RunRef, since time.Time) bool {
+	if _, listed := m.running[ref]; listed || m.Now().Sub(since) < stopPatience {
+		delete(m.overdueStops, ref)
+		return false
+	}
+	if !m.overdueStops[ref] {
+		m.overdueStops[ref] = true
+		m.Logger.Warn("worker given up", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.Duration("for", m.Now().Sub(since)))
+		m.report(linker.WorkReport{})
+	}
+	return m.Now().Sub(later(since, m.lateStarts[ref])) > lateCallTime
+}
+
+// freeStop ends what stopOverdue has begun.
+func (m *Minder) freeStop(incarnation plantainrail.WorkerIncarnation, ref plantainrail.RunRef) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.vm.Incarnation != incarnation || !m.overdueStops[ref] {
+		return
+	}
+	delete(m.overdueStops, ref)
+	m.renew()
+}
