Serve jobs in the order of their arrival after entries have restarted

Cause: the order of the jobs is that in which they are read, and the list of the newest records that an entry reads when it starts is in the order of the keys. The records of such a list are now applied in the order of their offsets.

--- a/assembler/fleet_lost_test.go
+++ b/assembler/fleet_lost_test.go
@@ -240,3 +240,22 @@
 		f.checkRuns()
 	})
 }
+
+// Guards against jobs that are overtaken without a bound (LOST) after all entries have restarted, since
+// the new owner served them in the order of their IDs.
+func TestJobsKeepTheirOrderWhenEntriesRestart(t *testing.T) {
+	shape := fleetShape{name: "one worker", entries: 3, zones: 3, vms: 1, maxRuns: 1}
+	runInFleet(t, shape, func(f *fleet) {
+		const jobs = 8
+		for n := range jobs {
+			f.submit(jobs-n, "1000", []map[string]any{{"count": 1, "cpu": 1000}})
+		}
+		allProcessesKilled.inject(f)
+		for n := 1; n < jobs; n++ {
+			f.waitForState(n, "completed", 20*time.Second)
+		}
+		for n := 1; n < jobs; n++ {
+			assert.Check(t, f.firstStart(n+1).Before(f.firstStart(n)), "job %d started before job %d, which was submitted earlier", n, n+1)
+		}
+	})
+}
--- a/decider/view.go
+++ b/decider/view.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -189,6 +190,8 @@
 	}
 	if complete {
 		b, err = d.Store.Newest(ctx, topic)
+		// The store lists them by key, but jobs are served in the order in which they arrived.
+		slices.SortFunc(b.Records, func(x, y plantainrail.KeyedRecord) int { return cmp.Compare(x.Offset, y.Offset) })
 	}
 	if b.Malformed > 0 {
 		d.Logger.Error("records unreadable", zap.String("topic", topic), zap.Int64("offset", int64(from)), zap.Int("records", b.Malformed))
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -419,7 +419,8 @@
 	defer s.mu.Unlock()
 	t := s.topic(req.URL.Query().Get("topic"))
 	items := []map[string]any{}
-	for key, offset := range t.newest {
+	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
+		offset := t.newest[key]
 		// A record is a one-byte key length, the key and the value.
 		value := t.records[offset][1+len(key):]
 		items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString(value), "offset": offset})
