Agents of lost workers look for the owner, too

An agent whose worker is gone read the members with waits of 20 s only, also without a session. It could miss the new owner's address for as long, so the owner did not learn how long the lease still lasted, and the tasks waited for 8.9 s after the takeover (LOST for long-running tasks).

Cause: the search began only when a lease was needed. An agent whose worker gets no lease has something to report all the same, so it searches once it has had no session for 2.5 s.

--- a/minder/minder.go
+++ b/minder/minder.go
@@ -128,8 +128,10 @@
 	clock      workerClock
 	starts     startSlots
 	pacing     pacing
-	// session is the current session with the owner; nil if there is none.
-	session *linker.Session
+	// session is the current session with the owner; nil if there is none. sessionEndedAt is when
+	// the last one ended.
+	session        *linker.Session
+	sessionEndedAt time.Time
 	// renewalSequence is the sequence number of the last renewal request.
 	renewalSequence uint64
 	// renewalSentAt holds the send times of the session's last maxRenewals renewal requests, by
--- a/minder/session.go
+++ b/minder/session.go
@@ -105,11 +105,18 @@
 	return batch, err != nil && readCtx.Err() != nil && ctx.Err() == nil, err
 }
 
-// ownerSought reports whether the agent has to find the owner: its worker needs a lease, and nobody
-// renews it. The caller holds the lock.
+// ownerSought reports whether the agent has to find the owner: nobody has granted its worker a lease for
+// renewalDelay or, if the worker gets none, there has been no session for as long. The caller holds the
+// lock.
 func (m *Minder) ownerSought() bool {
-	needed := !m.vm.Incarnation.IsZero() && !m.givenUp() && !m.departed
-	return needed && m.leaseUntil.Before(m.Now().Add(m.Lease-renewalDelay))
+	found := m.Now().Add(-renewalDelay)
+	switch {
+	case m.vm.Incarnation.IsZero():
+		return false
+	case m.givenUp() || m.departed:
+		return m.session == nil && m.sessionEndedAt.Before(found)
+	}
+	return m.leaseUntil.Before(found.Add(m.Lease))
 }
 
 // seekOwner ends a long read of the members topic if the owner has to be found. The caller holds the
@@ -237,7 +244,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.session == session {
-		m.session = nil
+		m.session, m.sessionEndedAt = nil, m.Now()
 	}
 	m.Logger.Info("session closed", zap.Int64("epoch", m.epoch), zap.Error(err))
 }
