Ignore late reports of an agent's earlier session

A report that arrived on an earlier session of an agent, after the next session had reported the worker's next incarnation, made the owner take the earlier incarnation for the present one: it gave the runs of the present one to others while they ran (TWICE). An owner that was suspended can receive reports in that order, since each connection has its own retransmissions.

Now the order in which the agent connected counts.

TestLateReportOfAnEarlierSessionChangesNothing failed before: the task was started 2 times.

--- a/assembler/fleet_lost_test.go
+++ b/assembler/fleet_lost_test.go
@@ -11,6 +11,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/decider"
+	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/standin/runner"
 )
 
@@ -265,3 +268,43 @@
 		}
 	})
 }
+
+// orderRecorder records the runs that the owner orders to start on a session.
+type orderRecorder chan plantainrail.RunRef
+
+func (r orderRecorder) Frame(_ *linker.Session, f linker.Frame) {
+	if f.Orders != nil {
+		for _, start := range f.Orders.Starts {
+			r <- start.Ref
+		}
+	}
+}
+
+func (orderRecorder) Opened(st *linker.Stream, _ linker.Frame) { st.Close() }
+
+// Guards against a run that is taken for lost (TWICE) since a report of an agent's earlier session arrives
+// after those of the next one, in which the worker's next incarnation was reported.
+func TestLateReportOfAnEarlierSessionChangesNothing(t *testing.T) {
+	runInFleet(t, fleetShape{entries: 1, zones: 1}, func(f *fleet) {
+		starts := make(orderRecorder, 10)
+		report := func(s *linker.Session, startedMS int64) {
+			assert.NilError(t, s.Send(linker.Frame{Work: &linker.WorkReport{VM: plantainrail.VM{
+				Incarnation: plantainrail.WorkerIncarnation{Node: "vm", ID: "w", StartedMS: startedMS}, Pool: "desk", Zone: "z",
+				Capacity: plantainrail.Resources{Processors: 4000},
+			}}}))
+			time.Sleep(500 * time.Millisecond)
+		}
+		sessions := make([]*linker.Session, 2)
+		for i := range sessions {
+			session, _, err := decider.Dial(f.ctx, f.client("vm"), f.entries[0].decider.Address)
+			assert.NilError(t, err)
+			f.group.Go(func() error { _ = session.Run(f.ctx, starts); return nil })
+			report(session, int64(i+1))
+			sessions[i] = session
+		}
+		f.submit(1, "", []map[string]any{{"count": 1, "cpu": 1000}})
+		time.Sleep(500 * time.Millisecond)
+		report(sessions[0], 1)
+		assert.Check(t, len(starts) == 1, "the task was started %d times", len(starts))
+	})
+}
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -42,6 +42,8 @@
 	// planner is nil until the takeover is complete.
 	planner *planner.Planner
 	agents  map[plantainrail.WorkerIncarnation]*agentSession
+	// agentsByNode holds the newest session of each node.
+	agentsByNode map[string]*agentSession
 	// confirmedWriteAt is when the newest write that the store has accepted was
 	// sent.
 	confirmedWriteAt time.Time
@@ -60,7 +62,7 @@
 func newOwner(d *Decider, epoch int64) *owner {
 	return &owner{
 		decider: d, epoch: epoch, done: make(chan struct{}), released: make(chan struct{}), roundRequested: make(chan struct{}, 1),
-		agents: map[plantainrail.WorkerIncarnation]*agentSession{},
+		agents: map[plantainrail.WorkerIncarnation]*agentSession{}, agentsByNode: map[string]*agentSession{},
 	}
 }
 
--- a/decider/session.go
+++ b/decider/session.go
@@ -25,6 +25,8 @@
 type agentSession struct {
 	owner   *owner
 	session *linker.Session
+	// connectedAt is when the agent connected.
+	connectedAt time.Time
 	// incarnation is that of the agent's worker; zero before the first report.
 	incarnation plantainrail.WorkerIncarnation
 	// capacity is the worker's capacity in the newest report.
@@ -68,7 +70,7 @@
 		return
 	}
 	session := linker.New(connection)
-	a := &agentSession{owner: o, session: session, heardAt: connectedAt}
+	a := &agentSession{owner: o, session: session, connectedAt: connectedAt, heardAt: connectedAt}
 	err = session.Run(context.WithoutCancel(req.Context()), a)
 	o.removeAgent(a, err)
 }
@@ -102,6 +104,9 @@
 func (o *owner) removeAgent(a *agentSession, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.agentsByNode[a.incarnation.Node] == a {
+		delete(o.agentsByNode, a.incarnation.Node)
+	}
 	if o.agents[a.incarnation] != a {
 		return
 	}
@@ -131,6 +136,11 @@
 	if o.ended {
 		return
 	}
+	if o.hasNewerSession(a, r.VM.Incarnation.Node) {
+		// What the agent has reported since must not be undone.
+		a.session.Close()
+		return
+	}
 	now := o.decider.Now()
 	if r.Sequence > 0 {
 		a.heard, a.heardAt = r.Sequence, now
@@ -188,6 +198,13 @@
 	}
 }
 
+// hasNewerSession reports whether the agent of a node has connected again since, and has reported. The
+// caller holds the lock.
+func (o *owner) hasNewerSession(a *agentSession, node string) bool {
+	newest := o.agentsByNode[node]
+	return newest != nil && newest.connectedAt.After(a.connectedAt)
+}
+
 // applyEnds applies the ends of runs that a worker lists. One that changes nothing is logged as
 // dropped as well. The caller holds the lock.
 func (o *owner) applyEnds(a *agentSession, ends []plantainrail.RunEnd, now time.Time) {
@@ -219,7 +236,7 @@
 		earlier.session.Close()
 	}
 	a.incarnation, a.capacity, a.ackedThrough = vm.Incarnation, vm.Capacity, 0
-	o.agents[vm.Incarnation] = a
+	o.agents[vm.Incarnation], o.agentsByNode[vm.Incarnation.Node] = a, a
 	o.planner.UpdateWorker(vm, o.decider.Now())
 	o.decider.Logger.Info("VM seen", zap.String("node", vm.Incarnation.Node), zap.String("worker", vm.Incarnation.ID), zap.Int64("born", vm.Incarnation.StartedMS),
 		zap.String("service", vm.Pool), zap.Strings("labels", vm.Labels), zap.Any("capacity", vm.Capacity), zap.Bool("draining", vm.Draining))
