Refuse no run whose end the worker may not have listed yet

When more than 500 ends waited to be acknowledged, an agent that had restarted took the runs beyond the first 500 for refused: they are neither running nor among the listed ends. Their tasks, which were done, ran again (TWICE).

Cause: a worker lists 500 ends at a time, and the refusal asked only for a list that is newer than the stop. It waits for a list without omissions now, as the search for missing runs did.

TestUnlistedEndsAreAwaited failed before: 800 runs of 650 tasks. The stand-in's worker lists 500 ends at a time now, as the platform's pages tell.

--- a/assembler/fleet_lost_test.go
+++ b/assembler/fleet_lost_test.go
@@ -308,3 +308,19 @@
 		assert.Check(t, len(starts) == 1, "the task was started %d times", len(starts))
 	})
 }
+
+// Guards against finished tasks that run again (TWICE) since a restarted agent takes a run for refused
+// whose end is not among the 500 that the worker lists at a time.
+func TestUnlistedEndsAreAwaited(t *testing.T) {
+	runInFleet(t, fleetShape{entries: 3, zones: 3, vms: 1, maxRuns: 700}, func(f *fleet) {
+		f.submit(1, "900", []map[string]any{{"count": 650, "cpu": 1000}})
+		time.Sleep(500 * time.Millisecond)
+		assert.Check(t, f.runningCount(1) == 650, "only %d of 650 tasks run", f.runningCount(1))
+		// The ends are acknowledged once they are stored.
+		f.store.SetAppendTime(300 * time.Millisecond)
+		f.restartAgent(f.vms[0])
+		f.waitForState(1, "completed", 20*time.Second)
+		assert.Check(t, len(f.vms[0].worker.History()) == 650, "%d runs of 650 tasks", len(f.vms[0].worker.History()))
+		f.checkRuns()
+	})
+}
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -204,10 +204,10 @@
 	if reply.Malformed > 0 {
 		m.Logger.Error("runs unreadable", zap.String("worker", incarnation.ID), zap.Int("rows", reply.Malformed))
 	}
-	m.listedPoll = poll
+	m.listedPoll, m.endsOmitted = poll, len(reply.Ended) >= maxListedEnds
 	m.applyEnds(reply.Ended)
 	m.reconcile()
-	if len(reply.Ended) < maxListedEnds {
+	if !m.endsOmitted {
 		m.checkMissing(poll)
 	}
 	m.updatePace()
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -121,6 +121,8 @@
 	// the worker may have restarted; 0 if there was none. The next start waits for the reply to a
 	// later call.
 	unconfirmedPoll uint64
+	// endsOmitted is set if the worker's last reply may have left out ends for their number.
+	endsOmitted bool
 	// listingWanted is set while the next RenewLease call must not wait for a run end.
 	listingWanted bool
 	// runMissing is set while a run that has begun may be missing; see checkMissing.
--- a/minder/start.go
+++ b/minder/start.go
@@ -278,8 +278,8 @@
 
 // refuseAfterListing reports to the owner that a run was not started. It first
 // waits for the worker's reply to a RenewLease call that was sent after the stop,
-// since a run that did start is listed in that reply. It reports nothing if the run is
-// no longer among the ordered runs by then.
+// since a run that did start is listed in that reply, or its end is once the worker lists all
+// ends. It reports nothing if the run is no longer among the ordered runs by then.
 func (m *Minder) refuseAfterListing(incarnation plantainrail.WorkerIncarnation, r *run, reason plantainrail.RefusalReason) {
 	m.mu.Lock()
 	since := m.polls
@@ -290,7 +290,7 @@
 	for {
 		m.mu.Lock()
 		obsolete := m.superseded(incarnation) || m.orderedRuns[r.order.Ref] != r
-		listed := m.listedPoll > since
+		listed := m.listedPoll > since && !m.endsOmitted
 		m.mu.Unlock()
 		switch {
 		case obsolete:
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -28,6 +28,8 @@
 	// and crashDowntime the time from there to the restart.
 	crashDelay    = 10 * time.Millisecond
 	crashDowntime = 3200 * time.Millisecond
+	// maxListedEnds is the number of ends that a reply lists at most.
+	maxListedEnds = 500
 	// shrinkDelay is how long the news that the capacity has shrunk may take to have an effect
 	// on starts.
 	shrinkDelay = 3 * time.Second
@@ -648,7 +650,7 @@
 	for _, s := range r.activeRuns {
 		running = append(running, []any{s.Task, s.Run, "", 50, 0})
 	}
-	for _, e := range r.unackedEnds {
+	for _, e := range r.unackedEnds[:min(len(r.unackedEnds), maxListedEnds)] {
 		ended = append(ended, []any{e.number, e.Task, e.Run, e.Outcome, ""})
 	}
 	r.reply(w, map[string]any{"running": running, "finished": ended})
