--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -1,14 +1,19 @@
 package pacer_test
 
 import (
+	"flag"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/plantainrail/plantainrail/pacer"
+	"github.com/plantainrail/plantainrail/standin/host"
 )
 
+// modelSeeds is the number of simulated workers for each lag and overload.
+var modelSeeds = flag.Int("model.seeds", 40, "number of simulated workers for each configuration")
+
 const (
 	// step is the time between two calls of Update, overObjectiveLimit the longest
 	// time for which fillers may keep a service over its latency objective, and
@@ -144,3 +149,57 @@
 		assert.Assert(t, longest < overObjectiveLimit, "own load falls after %s: over the latency objective for %s without a break", fallsAfter, longest)
 	}
 }
+
+// Guards against full pace for a service whose tail latency falls and is still far over its
+// latency objective: it was over it for longer than allowed, over several pauses (HARM).
+func TestPauseLastsUntilRecovery(t *testing.T) {
+	for _, falls := range []float64{0.89, 0.7, 0.5, 0.33} {
+		for _, interval := range []time.Duration{step, 450 * time.Millisecond} {
+			p, now, tail, paused := pacer.New(), time.Unix(1_700_000_000, 0), 10.0*tailObjective, false
+			for ; tail > tailObjective; now = now.Add(interval) {
+				p.Update(now, []pacer.Service{{Name: "s", Tail: int(tail), Target: tailObjective}})
+				assert.Assert(t, !paused || p.Pace() == pacer.ZeroPace, "tail latency falls to %v a step: full pace at %v of %v", falls, tail, tailObjective)
+				if paused = p.Pace() == pacer.ZeroPace; paused {
+					tail *= falls
+				}
+			}
+		}
+	}
+}
+
+// Guards against services that fillers keep over their latency objectives for longer than
+// allowed (HARM), with measurements and changes of pace as late as the constants assume, loads
+// that swing and services that are overloaded at times, and against pauses that take too much of
+// the fillers' work.
+func TestNoServiceIsSlowedForTooLong(t *testing.T) {
+	for _, lag := range []struct{ poll, pace time.Duration }{{275 * time.Millisecond, 100 * time.Millisecond}, {450 * time.Millisecond, 300 * time.Millisecond}} {
+		for _, overload := range []float64{0, 0.05, 0.2} {
+			var paused time.Duration
+			for seed := range uint64(*modelSeeds) {
+				p := pacer.New()
+				result := host.Run(host.Config{
+					Seed: seed, TimeConstant: 240 * time.Millisecond, PollInterval: lag.poll, PaceDelay: lag.pace, OverloadShare: overload,
+				}, time.Minute, func(now time.Time, services []pacer.Service) int {
+					p.Update(now, services)
+					return p.Pace()
+				})
+				paused += result.Paused
+				assert.Check(t, result.LongestOver < overObjectiveLimit, "seed %d, overload %v, lag %v: over the latency objective for %s without a break", seed, overload, lag, result.LongestOver)
+			}
+			share := paused.Seconds() / time.Minute.Seconds() / float64(*modelSeeds)
+			t.Logf("overload %v, lag %v: fillers paused for %.3f of the time", overload, lag, share)
+			assert.Check(t, share < 0.1+overload, "overload %v: fillers paused for %.2f of the time", overload, share)
+		}
+	}
+}
+
+// Guards against a restarted agent that gives a service the whole time over its latency
+// objective again.
+func TestRestartedAgentPausesFillersAtOnce(t *testing.T) {
+	for _, ranBefore := range []bool{false, true} {
+		p := pacer.New()
+		change, changed := p.Update(time.Unix(1_700_000_000, 0), []pacer.Service{{Name: "s", Tail: 10 * tailObjective, Target: tailObjective, RanBefore: ranBefore}})
+		assert.Equal(t, changed, ranBefore)
+		assert.Equal(t, change.Cause == pacer.OverObjective && change.Service == "s", ranBefore)
+	}
+}
