Send the pace of fillers that an earlier agent process may have paused

An agent that was restarted while fillers were paused took them for running at full speed, so it never sent them full pace: they stood still until the next pause had ended. It also gave each service the whole time over its latency objective again.

Runs of a complete list, which may have been ordered before, have an unknown pace until the worker accepts one. A service of such a list that is over its objective when it is first measured has fillers paused at once.

--- a/minder/measurements_test.go
+++ b/minder/measurements_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/pacer"
 )
 
 func refForJob(job string) plantainrail.RunRef {
@@ -61,3 +62,15 @@
 	assert.Equal(t, measurements.TailLatencies[0].Milliseconds, 40)
 	assert.DeepEqual(t, measurements.FillerCPU, map[string]int{"f": 5000})
 }
+
+// Guards against fillers that stay paused after the agent was restarted during a pause: the
+// new process takes them for running and never sends them full pace.
+func TestPaceOfRunsOfAnEarlierProcessIsUnknown(t *testing.T) {
+	m := newMinderWithMeasurements()
+	r := m.orderedRuns[refForJob("a")]
+	assert.Equal(t, m.pacing.confirmedPace(r), pacer.FullPace)
+	r.reordered = true
+	assert.Equal(t, m.pacing.confirmedPace(r), unknownPace)
+	m.pacing.confirmed[r.order.Ref] = pacer.ZeroPace
+	assert.Equal(t, m.pacing.confirmedPace(r), pacer.ZeroPace)
+}
--- a/minder/pace.go
+++ b/minder/pace.go
@@ -25,8 +25,8 @@
 	fillerUsage map[string]float64
 	// measurementsReportedAt is when measurements were last reported to the owner.
 	measurementsReportedAt time.Time
-	// confirmed holds the paces that the worker has accepted, in percent. A run
-	// without an entry works at full speed.
+	// confirmed holds the paces that the worker has accepted, in percent. A run without an
+	// entry works at full speed, unless it may have been started by an earlier process of the agent.
 	confirmed map[plantainrail.RunRef]int
 	// sending holds the runs whose pace is being sent to the worker.
 	sending map[plantainrail.RunRef]bool
@@ -36,11 +36,17 @@
 	return pacing{pacer: pacer.New(), fillerUsage: map[string]float64{}, confirmed: map[plantainrail.RunRef]int{}, sending: map[plantainrail.RunRef]bool{}}
 }
 
+// unknownPace is the pace of a filler that an earlier process of the agent may have paused.
+const unknownPace = -1
+
 // confirmedPace returns the pace that the worker has accepted for a run, in
-// percent.
-func (p *pacing) confirmedPace(ref plantainrail.RunRef) int {
-	if percent, ok := p.confirmed[ref]; ok {
+// percent, or unknownPace.
+func (p *pacing) confirmedPace(r *run) int {
+	switch percent, ok := p.confirmed[r.order.Ref]; {
+	case ok:
 		return percent
+	case r.reordered:
+		return unknownPace
 	}
 	return pacer.FullPace
 }
@@ -56,7 +62,7 @@
 		case r.order.Filler:
 			fillers++
 		case r.order.TailObjective > 0:
-			services = append(services, pacer.Service{Name: ref.Task.String(), Tail: status.Measurement, Target: r.order.TailObjective})
+			services = append(services, pacer.Service{Name: ref.Task.String(), Tail: status.Measurement, Target: r.order.TailObjective, RanBefore: r.reordered})
 		}
 	}
 	return fillers, services
@@ -102,7 +108,7 @@
 // pace is being sent already. The caller holds the lock.
 func (m *Minder) applyPace(r *run) {
 	ref, want := r.order.Ref, m.pacing.pacer.Pace()
-	if !r.order.Filler || m.pacing.sending[ref] || m.pacing.confirmedPace(ref) == want {
+	if !r.order.Filler || m.pacing.sending[ref] || m.pacing.confirmedPace(r) == want {
 		return
 	}
 	m.pacing.sending[ref] = true
