Log why the pace of fillers changed and count time over objectives

The log of a pause did not tell which service had caused it, nor why it ended, and no metric showed for how long services were over their latency objectives beside fillers.

"fillers paced" gains cause, service, over and paused. The agent's new gauge plantainrail_over_objective_beside_fillers_milliseconds counts that time, summed over the services. Test: TestTimeOverObjectiveBesideFillersIsCounted.

--- a/command/node/agent/agent.go
+++ b/command/node/agent/agent.go
@@ -86,6 +86,9 @@
 			return platform.RegistryHandler(s.Name, s.WorkerAddress, o.pool, r, logger)
 		},
 		HeartbeatInterval: s.HeartbeatInterval, Now: now, Logger: logger,
+		ReportTimeOver: func(over time.Duration) {
+			counters.SetGauge("plantainrail_over_objective_beside_fillers_milliseconds", over.Milliseconds())
+		},
 	}), drainTimeout, logger)
 }
 
--- a/minder/measurements_test.go
+++ b/minder/measurements_test.go
@@ -74,3 +74,16 @@
 	m.pacing.confirmed[r.order.Ref] = pacer.ZeroPace
 	assert.Equal(t, m.pacing.confirmedPace(r), pacer.ZeroPace)
 }
+
+// A service that is over its objective counts only while fillers work, and a gap between the
+// measurements counts for a second at most.
+func TestTimeOverObjectiveBesideFillersIsCounted(t *testing.T) {
+	m, over := newMinderWithMeasurements(), time.Duration(0)
+	m.ReportTimeOver = func(total time.Duration) { over = total }
+	services := []pacer.Service{{Name: "over", Tail: 101, Target: 100}, {Name: "under", Tail: 100, Target: 100}}
+	m.countTimeOver(paceInterval, 0, services)
+	assert.Equal(t, over, time.Duration(0))
+	m.countTimeOver(paceInterval, 1, services)
+	m.countTimeOver(time.Minute, 1, services)
+	assert.Equal(t, over, paceInterval+maxCountedGap)
+}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -52,6 +52,9 @@
 	// Now returns the time of a clock that keeps running while the VM is suspended.
 	Now    func() time.Time
 	Logger *zap.Logger
+	// ReportTimeOver receives the total time for which services have been over their latency
+	// objectives while fillers worked, summed over the services. It may be nil.
+	ReportTimeOver func(time.Duration)
 }
 
 // Minder is the agent of one worker.
@@ -130,6 +133,8 @@
 	clock      workerClock
 	starts     startSlots
 	pacing     pacing
+	// timeOver is what ReportTimeOver receives.
+	timeOver time.Duration
 	// session is the current session with the owner; nil if there is none. sessionEndedAt is when
 	// the last one ended.
 	session        *linker.Session
--- a/minder/pace.go
+++ b/minder/pace.go
@@ -15,6 +15,10 @@
 // beside services. It is half of the time that a measurement of the worker covers.
 const paceInterval = 250 * time.Millisecond
 
+// maxCountedGap bounds the time between two measurements for which a service counts as over its
+// latency objective.
+const maxCountedGap = time.Second
+
 // pacing is the state of the pacing of fillers.
 type pacing struct {
 	pacer *pacer.Pacer
@@ -85,14 +89,15 @@
 		}
 	}
 	if now := m.Now(); now.Sub(m.pacing.decidedAt) >= paceInterval {
-		m.updateFillerUsage(now.Sub(m.pacing.decidedAt))
+		elapsed := now.Sub(m.pacing.decidedAt)
+		m.updateFillerUsage(elapsed)
 		m.pacing.decidedAt = now
 		m.reportMeasurements(now)
-		before := m.pacing.pacer.Pace()
 		fillers, services := m.pacingInputs()
-		m.pacing.pacer.Update(now, services)
-		if pace := m.pacing.pacer.Pace(); pace != before {
-			m.Logger.Info("fillers paced", zap.Int("percent", pace), zap.Int("fillers", fillers), zap.Any("services", services))
+		m.countTimeOver(elapsed, fillers, services)
+		if change, changed := m.pacing.pacer.Update(now, services); changed {
+			m.Logger.Info("fillers paced", zap.Int("percent", m.pacing.pacer.Pace()), zap.Int("fillers", fillers), zap.Any("services", services),
+				zap.String("cause", string(change.Cause)), zap.String("service", change.Service), zap.Duration("over", change.Over), zap.Duration("paused", change.Paused))
 			m.report(linker.WorkReport{})
 		}
 	}
@@ -103,6 +108,21 @@
 	}
 }
 
+// countTimeOver adds the time since the last decision to the time for which services were over
+// their latency objectives while fillers worked, and reports the sum. After a gap between the
+// measurements only maxCountedGap counts. The caller holds the lock.
+func (m *Minder) countTimeOver(elapsed time.Duration, fillers int, services []pacer.Service) {
+	if fillers == 0 || m.pacing.pacer.Pace() == pacer.ZeroPace || m.ReportTimeOver == nil {
+		return
+	}
+	for _, s := range services {
+		if s.OverObjective() {
+			m.timeOver += min(elapsed, maxCountedGap)
+		}
+	}
+	m.ReportTimeOver(m.timeOver)
+}
+
 // applyPace sends the current pace for a run to the worker in the background. It
 // does nothing if the run is not a filler, the worker has accepted that pace, or a
 // pace is being sent already. The caller holds the lock.
