Tell recovery from how fast the measured tail latency falls

A service now counts as recovered once its tail falls as fast as that of a service at its objective would. A pause is at least half a second, the time between two checks of the model, and one that does not help for a second counts as own load, as before.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -5,11 +5,11 @@
 // Fillers are short, so most periods over a latency objective end by themselves, and
 // slowing fillers down for each of them makes them pile up on the VMs where they
 // interfere. Therefore fillers are paused only once a service has stayed over its
-// latency objective for a while, all of them at once, and until it has recovered: a
-// tail latency that is falling is still over the objective. The higher the tail latency,
-// the longer it takes to fall, so the earlier the pause begins. A service whose tail latency
-// no longer falls while all fillers are paused is overloaded by its own load; fillers
-// then continue, and the service counts as over its latency objective anew.
+// latency objective for a while, all of them at once, and only until it has
+// recovered. The measured tail latency is a moving average, which may exceed the objective
+// long after the service has recovered, so recovery shows in how fast it falls.
+// A service that stays over its latency objective while all fillers are
+// paused is overloaded by its own load and is ignored for a while.
 package pacer
 
 import (
@@ -24,19 +24,12 @@
 )
 
 const (
-	// maxTimeOverObjective is how long a service may be over its latency objective before
-	// fillers are paused, less the time that its tail latency is expected to take to fall
-	// below the objective afterwards. Together with the time between two measurements, up to
-	// 450 ms, and the delay of a change of pace, up to 300 ms, it stays below the four seconds for
-	// which fillers may keep a service over its latency objective.
-	maxTimeOverObjective = 2200 * time.Millisecond
-	// minTimeOverObjective bounds from below how long a service is over its latency objective
-	// before fillers are paused.
-	minTimeOverObjective = 1300 * time.Millisecond
-	// recoveryTimeConstant is the time in which a tail latency falls to 1/e once fillers are
-	// paused. The worker's tail latencies, which cover the last half second, have one of
-	// about 240 ms.
-	recoveryTimeConstant = 300 * time.Millisecond
+	// maxTimeOverObjective is how long a service may be over its latency
+	// objective before fillers are paused. Together with the lag of the worker's
+	// measurements, up to 700 ms, and of a change of pace, 100 ms, it stays below
+	// the four seconds for which fillers may keep a service over its latency
+	// objective.
+	maxTimeOverObjective = 1900 * time.Millisecond
 	// overThreshold and recoveredThreshold are shares of the latency objective. At or
 	// above the first a service counts as over its latency objective, and below the
 	// second as recovered. Both are below 1 since the measurements are imprecise.
@@ -44,13 +37,19 @@
 	recoveredThreshold = 0.9
 	// settleTime is how long fillers are paused before their pause shows in the
 	// worker's measurements, which cover the last half second.
-	settleTime = 450 * time.Millisecond
-	// fallingThreshold is a share of the tail latency in the previous step. A
-	// tail latency below it counts as falling.
-	fallingThreshold = 0.9
-	// ineffectiveAfter is how long fillers are paused before a service whose
-	// tail latency does not fall counts as overloaded by its own load.
+	settleTime = 500 * time.Millisecond
+	// tailTimeConstant is the time constant of the worker's tail latencies, which are moving
+	// averages, and tailTolerance bounds the ratio of a measured one to the exact one.
+	tailTimeConstant = 420 * time.Millisecond
+	tailTolerance    = 1.1
+	// ineffectiveAfter is how long fillers are paused before a service that has
+	// not recovered counts as overloaded by its own load.
 	ineffectiveAfter = time.Second
+	// ignoreTime is how long a service that is overloaded by its own load is
+	// ignored. Its own load may fall meanwhile and fillers slow it instead, so
+	// this time and maxTimeOverObjective, which applies again afterwards, stay below
+	// the four seconds together.
+	ignoreTime = 1250 * time.Millisecond
 )
 
 // Cause tells why the pace of fillers has changed.
@@ -95,23 +94,14 @@
 // measurement is imprecise.
 func (s Service) nearObjective() bool { return float64(s.Tail) >= overThreshold*float64(s.Target) }
 
-// recovered reports whether the service has recovered, given the tail latencies of the step
-// before. One that is falling is lower than measured by now.
-func (s Service) recovered(previousTails map[string]int) bool {
-	return float64(s.Tail) < recoveredThreshold*float64(s.Target) || !s.nearObjective() && s.falling(previousTails)
-}
-
-// falling reports whether the tail latency falls, given those of the step before.
-func (s Service) falling(previousTails map[string]int) bool {
-	return float64(s.Tail) < fallingThreshold*float64(previousTails[s.Name])
-}
+func (s Service) recovered() bool { return float64(s.Tail) < recoveredThreshold*float64(s.Target) }
 
-// allowedTime returns how long the service may be over its latency objective before
-// fillers are paused.
-func (s Service) allowedTime() time.Duration {
-	excess := float64(s.Tail) / (recoveredThreshold * float64(s.Target))
-	recovery := time.Duration(math.Log(max(excess, 1)) * float64(recoveryTimeConstant))
-	return max(maxTimeOverObjective-recovery, minTimeOverObjective)
+// recovering reports whether the measured tail latency falls as fast as that of a service that is
+// back at its latency objective, given the tail latency in the previous step and the time since.
+func (s Service) recovering(previousTail int, elapsed time.Duration) bool {
+	excess := float64(previousTail - s.Target)
+	expected := float64(s.Target) + excess*math.Exp(-elapsed.Seconds()/tailTimeConstant.Seconds())
+	return excess > 0 && float64(s.Tail) <= tailTolerance*expected
 }
 
 // Pacer decides the pace of the fillers on one VM.
@@ -119,17 +109,19 @@
 	// pausedSince is when fillers were paused; zero while they run.
 	pausedSince time.Time
 	// overObjectiveSince is when services went over their latency objectives, by name. It
-	// holds only services that have not recovered.
+	// holds only services that have not recovered and are not ignored.
 	overObjectiveSince map[string]time.Time
-	// overloaded holds the services that the present pause has not helped.
-	overloaded map[string]bool
-	// lastTails are the tail latencies of the last step, by name, in milliseconds.
+	// ignoredUntil is when services stop being ignored, by name.
+	ignoredUntil map[string]time.Time
+	// lastTails are the tail latencies of the last step, by name, in milliseconds, and
+	// updatedAt is its time.
 	lastTails map[string]int
+	updatedAt time.Time
 }
 
 // New returns a Pacer whose fillers run at full pace.
 func New() *Pacer {
-	return &Pacer{overObjectiveSince: map[string]time.Time{}, overloaded: map[string]bool{}}
+	return &Pacer{overObjectiveSince: map[string]time.Time{}, ignoredUntil: map[string]time.Time{}}
 }
 
 // Pace returns the pace of the fillers: FullPace or ZeroPace.
@@ -143,34 +135,23 @@
 // Update takes the services as measured at the given time and updates the pace. It returns
 // how the pace has changed, if it has.
 func (p *Pacer) Update(now time.Time, services []Service) (change Change, changed bool) {
-	previousTails := p.lastTails
+	previousTails, elapsed := p.lastTails, now.Sub(p.updatedAt)
 	p.trackServices(now, services)
+	p.updatedAt = now
 	if p.pausedSince.IsZero() {
-		return p.pauseIfDue(now, services, previousTails)
+		return p.pauseIfDue(now, services)
 	}
-	return p.resumeIfDue(now, services, previousTails)
+	return p.resumeIfDue(now, services, previousTails, elapsed)
 }
 
-// pauseIfDue pauses the fillers if a service has been over its latency objective for longer
-// than allowed. The service with the greatest excess is the cause.
-func (p *Pacer) pauseIfDue(now time.Time, services []Service, previousTails map[string]int) (change Change, changed bool) {
-	var greatest time.Duration
+// pauseIfDue pauses the fillers if a service has been over its latency objective for too long.
+// The one that has been so for longest is the cause.
+func (p *Pacer) pauseIfDue(now time.Time, services []Service) (change Change, changed bool) {
 	for _, s := range services {
 		since, over := p.overObjectiveSince[s.Name]
-		if !over {
-			continue
+		if timeOver := now.Sub(since); over && timeOver >= maxTimeOverObjective && timeOver > change.Over {
+			change, changed = Change{Cause: OverObjective, Service: s.Name, Over: timeOver}, true
 		}
-		allowed := s.allowedTime()
-		if s.falling(previousTails) {
-			// It recovers by itself.
-			allowed = maxTimeOverObjective
-		}
-		excess := now.Sub(since) - allowed
-		if excess < 0 || changed && excess <= greatest {
-			continue
-		}
-		greatest, changed = excess, true
-		change = Change{Cause: OverObjective, Service: s.Name, Over: now.Sub(since)}
 	}
 	if changed {
 		p.pausedSince = now
@@ -178,9 +159,9 @@
 	return change, changed
 }
 
-// resumeIfDue lets the fillers continue once each service has recovered or has been found
-// overloaded by its own load.
-func (p *Pacer) resumeIfDue(now time.Time, services []Service, previousTails map[string]int) (change Change, changed bool) {
+// resumeIfDue lets fillers continue once each service that is still measured over its latency
+// objective either recovers or counts as overloaded by its own load.
+func (p *Pacer) resumeIfDue(now time.Time, services []Service, previousTails map[string]int, elapsed time.Duration) (change Change, changed bool) {
 	pausedFor := now.Sub(p.pausedSince)
 	if pausedFor < settleTime {
 		return Change{}, false
@@ -188,23 +169,20 @@
 	change = Change{Cause: Recovered, Paused: pausedFor}
 	for _, s := range services {
 		since, over := p.overObjectiveSince[s.Name]
-		if !over {
-			continue
-		}
-		if pausedFor >= ineffectiveAfter && !s.falling(previousTails) {
-			p.overloaded[s.Name] = true
-		}
-		if !p.overloaded[s.Name] {
+		switch {
+		case !over:
+		case s.recovering(previousTails[s.Name], elapsed):
+			// The service gets maxTimeOverObjective again before the next pause.
+			p.overObjectiveSince[s.Name] = now
+		case pausedFor >= ineffectiveAfter:
+			p.ignoredUntil[s.Name] = now.Add(ignoreTime)
+			delete(p.overObjectiveSince, s.Name)
+			change.Cause, change.Service, change.Over = OwnLoad, s.Name, now.Sub(since)
+		default:
 			return Change{}, false
 		}
-		change.Cause, change.Service, change.Over = OwnLoad, s.Name, now.Sub(since)
-	}
-	for name := range p.overloaded {
-		// Its own load may fall from now on, so that fillers are the cause.
-		p.overObjectiveSince[name] = now
 	}
 	p.pausedSince = time.Time{}
-	clear(p.overloaded)
 	return change, true
 }
 
@@ -213,13 +191,17 @@
 // measured. A service that ran before it was first measured may have been over its latency
 // objective for long.
 func (p *Pacer) trackServices(now time.Time, services []Service) {
-	overObjectiveSince, lastTails := map[string]time.Time{}, map[string]int{}
+	overObjectiveSince, ignoredUntil, lastTails := map[string]time.Time{}, map[string]time.Time{}, map[string]int{}
 	for _, s := range services {
 		lastTails[s.Name] = s.Tail
+		if until := p.ignoredUntil[s.Name]; now.Before(until) {
+			ignoredUntil[s.Name] = until
+			continue
+		}
 		since, over := p.overObjectiveSince[s.Name]
 		_, measured := p.lastTails[s.Name]
 		switch {
-		case over && !s.recovered(p.lastTails):
+		case over && !s.recovered():
 			overObjectiveSince[s.Name] = since
 		case s.nearObjective() && !measured && s.RanBefore:
 			overObjectiveSince[s.Name] = now.Add(-maxTimeOverObjective)
@@ -227,10 +209,5 @@
 			overObjectiveSince[s.Name] = now
 		}
 	}
-	for name := range p.overloaded {
-		if _, over := overObjectiveSince[name]; !over {
-			delete(p.overloaded, name)
-		}
-	}
-	p.overObjectiveSince, p.lastTails = overObjectiveSince, lastTails
+	p.overObjectiveSince, p.ignoredUntil, p.lastTails = overObjectiveSince, ignoredUntil, lastTails
 }
