Start no fillers while fillers are paused

A filler that was placed just before a pause started during it and worked at full speed until its pace took effect, 100 ms or more after its start.

Starts of fillers now wait for the end of the pause. TestFillersDoNotStartDuringAPause failed before.

--- a/minder/measurements_test.go
+++ b/minder/measurements_test.go
@@ -87,3 +87,21 @@
 	m.countTimeOver(time.Minute, 1, services)
 	assert.Equal(t, over, paceInterval+maxCountedGap)
 }
+
+// Guards against fillers that start while fillers are paused: each works at full speed until its
+// pace takes effect, so that the service is slowed through the whole pause (HARM).
+func TestFillersDoNotStartDuringAPause(t *testing.T) {
+	m, begin := newMinderWithMeasurements(), time.Now()
+	for _, at := range []time.Duration{0, 4 * time.Second} {
+		m.pacing.pacer.Update(begin.Add(at), []pacer.Service{{Name: "service", Tail: 1000, Target: 100}})
+	}
+	assert.Equal(t, m.pacing.pacer.Pace(), pacer.ZeroPace)
+	m.clock.readAt, m.leaseUntil = m.Now(), m.Now().Add(time.Minute)
+	m.heartbeatAt, m.HeartbeatInterval = m.Now(), time.Minute
+	delete(m.running, refForJob("unwanted"))
+	for job, waits := range map[string]bool{"a": true, "service": false} {
+		reason, wait := m.startObstacle(m.orderedRuns[refForJob(job)], m.Now().Add(time.Minute), false)
+		assert.Equal(t, reason, plantainrail.RefusalReason(""))
+		assert.Equal(t, wait, waits, job)
+	}
+}
--- a/minder/start.go
+++ b/minder/start.go
@@ -11,6 +11,7 @@
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/linker"
+	"github.com/plantainrail/plantainrail/pacer"
 )
 
 const (
@@ -208,8 +209,10 @@
 	case !fits && settled && capacityKnown && !mayRun:
 		return plantainrail.RefusedCapacity, false
 	}
+	// A filler would work at full speed until its pace takes effect, and so spoil the pause.
+	paused := r.order.Filler && m.pacing.pacer.Pace() == pacer.ZeroPace
 	// Without a deadline, the start waits for a renewal of the lease.
-	return "", r.order.Adopt || expired || m.pollFailed || m.unconfirmed() || !capacityKnown || !fits || m.leaseDeadline() == 0
+	return "", paused || r.order.Adopt || expired || m.pollFailed || m.unconfirmed() || !capacityKnown || !fits || m.leaseDeadline() == 0
 }
 
 // unconfirmed reports whether the worker may have restarted since it last listed its runs, as the
