--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -25,17 +25,17 @@
 
 const (
 	// maxTimeOverObjective is how long a service may be over its latency
-	// objective before fillers are paused. Together with the lag of the worker's
-	// measurements, up to 700 ms, and of a change of pace, 100 ms, it stays below
-	// the four seconds for which fillers may keep a service over its latency
-	// objective.
+	// objective before fillers are paused. It stays below the four seconds for which
+	// fillers may keep a service over its latency objective, together with the lag of the
+	// worker's measurements, which are taken each 450 ms at the latest, and with the delay of a
+	// change of pace, at most 300 ms.
 	maxTimeOverObjective = 1900 * time.Millisecond
 	// overThreshold and recoveredThreshold are shares of the latency objective. At or
 	// above the first a service counts as over its latency objective, and below the
 	// second as recovered. Both are below 1 since the measurements are imprecise.
 	overThreshold      = 0.95
 	recoveredThreshold = 0.9
-	// settleTime is how long fillers are paused before their pause shows in the
+	// settleTime is how long fillers are paused at least. A shorter pause does not show in the
 	// worker's measurements, which cover the last half second.
 	settleTime = 500 * time.Millisecond
 	// tailTimeConstant is the time constant of the worker's tail latencies, which are moving
