--- a/planner/starvation_model_test.go
+++ b/planner/starvation_model_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/planner"
 )
 
@@ -99,6 +100,13 @@
 	lastRun, starving map[plantainrail.TaskID]time.Time
 }
 
+// disturb records that a fault at the given time keeps a task of the job from running.
+func (j *modelJob) disturb(at time.Time) {
+	if from := at.Add(calmTime); from.After(j.calmFrom) {
+		j.calmFrom = from
+	}
+}
+
 func newStarvationModel(t *testing.T, row *starvationRow, seed uint64) *starvationModel {
 	m := &starvationModel{
 		harness: newHarness(t), row: row, random: rand.New(rand.NewPCG(seed, 0)), jobs: map[string]*modelJob{},
@@ -169,7 +177,7 @@
 		for _, r := range m.runsOf(w) {
 			r.endsAt, r.dead = m.now.Add(time.Hour), f.gone
 			if f.gone {
-				m.jobs[r.assignment.Order.Ref.Task.Job].calmFrom = m.now.Add(calmTime)
+				m.jobs[r.assignment.Order.Ref.Task.Job].disturb(m.now)
 			}
 		}
 	}
@@ -340,6 +348,9 @@
 		m.replaceOwner()
 	}
 	for _, w := range m.workers {
+		if w.fault != nil && w.fault.gone && m.now.Sub(w.since) >= linker.SessionTimeout {
+			m.planner.Disconnect(w.vm.Incarnation)
+		}
 		if w.reachable() {
 			m.heartbeat(w)
 			m.planner.ApplyEnds(w.vm.Incarnation, w.ends, m.now)
@@ -379,10 +390,15 @@
 		m.obstacles[u.Job] = u.Obstacles
 	}
 	for _, w := range m.workers {
+		orders, stops := m.planner.DesiredRuns(w.vm.Incarnation)
 		if !w.reachable() {
+			for _, order := range orders {
+				if w.fault.gone {
+					m.jobs[order.Ref.Task.Job].disturb(w.since)
+				}
+			}
 			continue
 		}
-		orders, stops := m.planner.DesiredRuns(w.vm.Incarnation)
 		for _, ref := range stops {
 			if r := m.runs[ref]; r != nil && !r.dead {
 				m.endRun(w, r, plantainrail.RunStopped)
@@ -415,7 +431,7 @@
 		f.refusal = plantainrail.RefusedCapacity
 	}
 	if f.held > 0 {
-		j.calmFrom = w.since.Add(calmTime)
+		j.disturb(w.since)
 		m.runs[a.Order.Ref] = &modelledRun{assignment: a, endsAt: m.now.Add(f.held), dead: true, refusal: f.refusal}
 		return
 	}
