--- a/planner/starvation_model_test.go
+++ b/planner/starvation_model_test.go
@@ -82,6 +82,8 @@
 	// name is the task's, by which runs are ordered.
 	name   string
 	endsAt time.Time
+	// lag is how long after its end the worker lists it.
+	lag    time.Duration
 	failed bool
 	// dead means that nothing runs and the owner may not know that. A run whose start is held back
 	// is dead, and refused at endsAt for the reason in refusal.
