--- a/planner/starvation_test.go
+++ b/planner/starvation_test.go
@@ -66,9 +66,10 @@
 	failTime time.Duration
 	// endLag bounds how long after its end a run is listed.
 	endLag time.Duration
-	// storeLag is how long the store takes, and storeStall bounds how long at times. takeovers means that the owner is replaced
-	// at times, and powerLoss that all workers and the owner lose power at the end of the traffic.
+	// storeLag is how long the store takes, and storeStall bounds how long at times.
 	storeLag, storeStall time.Duration
+	// takeovers means that the owner is replaced at times, and powerLoss that all workers and the owner
+	// lose power at the end of the traffic.
 	takeovers, powerLoss bool
 	// measures means that the tail latencies of services are reported.
 	measures bool
@@ -160,7 +161,8 @@
 		{"queues", func(r *starvationRow) { r.queues = manyQueues }},
 		{"large", func(r *starvationRow) { r.count, r.cpu = 10, 7000 }},
 		{"fleet", func(r *starvationRow) { r.workers.min, r.workers.more = 8, 20 }},
-		{"services", func(r *starvationRow) {
+		{"services", func(r *starvationRow) { r.steps, r.measures = services, true }},
+		{"strained", func(r *starvationRow) {
 			r.steps, r.measures, r.faults = services, true, append(r.faults, strained, strained)
 		}},
 		{"occurrences", func(r *starvationRow) { r.repetitions = 4 }},
