--- a/planner/starvation_model_test.go
+++ b/planner/starvation_model_test.go
@@ -98,7 +98,7 @@
 	duration  time.Duration
 	poison    bool
 	cancelled bool
-	// calmFrom is when the job counts again after the loss of a run.
+	// calmFrom is when the job counts again after a fault has kept a task from running.
 	calmFrom time.Time
 	// done holds the tasks that are done, lastRun when the newest run of a long-running task ended,
 	// and starving since when a task has waited beside free capacity.
--- a/planner/starvation_test.go
+++ b/planner/starvation_test.go
@@ -19,11 +19,13 @@
 // full the service is, if the 3 s and the 4 s before them are calm."
 //
 //   - "for 3 s": modelJob.starving and maxStarvation.
-//   - "a job": an accepted one that nobody has cancelled and that has not ended. A job that always
-//     fails counts until it is shown as failed, which is after maxAttempts runs: until then it is a
-//     job that could run. See starvationRow.poisonCounts.
-//   - "nothing running": fleetUse.active. Runs that are assigned and not started, that are held back
-//     or whose worker is gone do not run.
+//   - "a job": an accepted one that nobody has cancelled and that is not shown as completed, failed or
+//     cancelled. The rule knows no other exception, so a job that always fails counts as well: it may
+//     wait between two attempts, but not for 3 s, and not after maxAttempts runs have ended failed,
+//     when it is failed. What is left to it: a task that lasts may wait for 6 s after its last run and
+//     3 s more, and nothing counts while a disruption is near. See starvationRow.poisonCounts.
+//   - "nothing running": fleetUse.active. Runs that are assigned and not started, that are held back,
+//     that have ended and are not listed yet or whose worker is gone do not run.
 //   - "a task's turn has come": starvationModel.waits.
 //   - "capacity for it twice over": room for two such tasks, or gangs, on workers that are sound, in
 //     no evacuated zone, have the label and hold fewer tasks of the step than they may. Fillers take
@@ -31,8 +33,9 @@
 //   - "under half of the service's capacity is in use": fleetUse.busy.
 //   - "each task that lasts, from 6 s after its last run, whether others of its job run or not":
 //     starvationModel.waits and lastingGrace.
-//   - "the 3 s and the 4 s before them are calm": calmTime. The model asks for more: of a fault of a
-//     worker, only that worker's capacity and the jobs whose runs it took away do not count.
+//   - "the 3 s and the 4 s before them are calm": calmTime after a disturbance of the owner or the store
+//     for all jobs. Of a fault of a worker the model asks for more: only that worker's capacity, and the
+//     jobs with a run there that died or was not started, do not count for that time.
 //   - "however full": long-running tasks alone. Whether it holds for other jobs, too, is read in two
 //     ways; see starvationRow.howeverFull.
 //   - "finish_s after the end of the traffic": starvationRow.finish. From then on workers count as
