Planner: judgements order VMs and keep no task waiting past its patience

Callers saw LOST: a task waited for over three seconds beside free VMs that were paused or on probation. Each judgement had a bound of its own, and chains of them exceeded the rule.

Reasons are now facts, which exclude a VM, or judgements, which exclude it only until the task's patience has ended and rank it from then on, told apart by their types. Overdue tasks of sound jobs get VMs in doubt first, the longest waiting before others, by a slow start and at most every 500 ms after a failure or refusal.

--- a/planner/job.go
+++ b/planner/job.go
@@ -65,6 +65,9 @@
 	// retryAt is when the task may be placed again after its newest failed run. It is set for
 	// long-running tasks only and not stored.
 	retryAt time.Time
+	// waitingSince is since when a long-running task has waited; zero from the begin of a run. It is
+	// not stored.
+	waitingSince time.Time
 }
 
 // stepTasks holds the tasks of one step in one occurrence of a job, by index.
@@ -123,11 +126,13 @@
 	// may wait again.
 	fillerWait          time.Duration
 	fillersWaitingSince time.Time
-	// idleSince is when a task of the job could have been placed for the first time since the job
-	// has had no task placed; zero while it has one. overdue is set once that lasted too long
-	// for a job of fillers; see Planner.placeReady. Neither is stored.
-	idleSince time.Time
-	overdue   bool
+	// idleSince is when the turn of a task of the job has come while nothing of the job was running;
+	// zero from the begin of a run. beyondShare is set once that lasted too long for a job of
+	// fillers; see Planner.placeReady. Neither is stored.
+	idleSince   time.Time
+	beyondShare bool
+	// assignedAt is when a task of the job was last placed. It is not stored.
+	assignedAt time.Time
 	// failing is set from a failed run until the next successful one. faultyOn holds the nodes on
 	// which a run has failed before a later run of another job succeeded there, until the job's
 	// next successful run. Neither is stored.
@@ -370,22 +375,6 @@
 	return nil
 }
 
-// trackIdle records, for a job with a task that is ready to be placed, since when the job has had no
-// task placed.
-func (j *Job) trackIdle(now time.Time) {
-	for _, o := range j.occurrences {
-		for s := range o {
-			if o[s].waiting+o[s].done < len(o[s].tasks) {
-				j.idleSince = time.Time{}
-				return
-			}
-		}
-	}
-	if j.idleSince.IsZero() {
-		j.idleSince = now
-	}
-}
-
 // noteFaultyOn records that the job has failed on a node for a reason that is not the node's.
 func (j *Job) noteFaultyOn(node string) {
 	if j.faultyOn == nil {
--- a/planner/place.go
+++ b/planner/place.go
@@ -15,12 +15,10 @@
 	step       int
 	// noTrial means that the tasks do not use VMs on probation.
 	noTrial bool
-	// urgent means that the tasks do not wait for the end of long pauses if no other VM can take
-	// them, since waiting is worse than a run that may fail: most of the pool is free, or the
-	// tasks are long-running ones, whose failed runs are not counted.
-	urgent bool
-	// overdue means that one filler of the step, or one gang, may go beyond maxFillerShare.
-	overdue bool
+	// wait is how long the tasks have waited, and what follows from that.
+	wait wait
+	// beyondShare means that one filler of the step, or one gang, may go beyond maxFillerShare.
+	beyondShare bool
 }
 
 // definition returns the step as submitted, which must not be changed.
@@ -29,6 +27,9 @@
 // tasks returns the step's tasks.
 func (r readyStep) tasks() []Task { return r.job.occurrences[r.occurrence][r.step].tasks }
 
+// waitingTasks returns the number of the step's waiting tasks.
+func (r readyStep) waitingTasks() int { return r.job.occurrences[r.occurrence][r.step].waiting }
+
 // taskID returns the ID of the task with the index.
 func (r readyStep) taskID(index int) plantainrail.TaskID {
 	return plantainrail.TaskID{Job: r.job.ID, Occurrence: r.occurrence, Step: r.step, Index: index}
@@ -49,34 +50,36 @@
 	suspects bool
 	// mayWait is set while a filler may still wait for a VM with less
 	// interference, and therefore does not take every VM.
-	mayWait                  bool
-	noTrial, urgent, overdue bool
+	mayWait                       bool
+	noTrial, overdue, beyondShare bool
 }
 
-// place assigns tasks that are ready to VMs with enough free resources, in the order
-// in which the jobs are served. On VMs on probation, jobs that fail come last.
+// place assigns tasks that are ready to VMs with enough free resources, in the order in which the
+// jobs are served. VMs that a judgement speaks against go first to the sound jobs that are overdue,
+// the longest waiting first, and last to jobs that fail, whose runs tell little about a VM.
 func (p *Planner) place(now time.Time) []Assignment {
-	var out []Assignment
 	// A shape that finds no VM is not tried again in this tick, in which free
 	// resources only shrink.
 	clear(p.unplaceable)
 	for _, v := range p.ordered {
 		v.endProbation(now)
 	}
-	idle := p.idlePools()
 	ready := p.readySteps(now)
-	for i := range ready {
-		ready[i].urgent = ready[i].definition().Lasting || idle[p.vmPool(ready[i].job)]
-		ready[i].noTrial = ready[i].job.failing
-		if i == 0 || ready[i-1].job != ready[i].job {
-			ready[i].job.trackIdle(now)
+	p.trackWaits(ready, now)
+	out := p.placeOverdue(ready, now)
+	var last []readyStep
+	for _, r := range ready {
+		if r.waitingTasks() == 0 {
+			continue
+		}
+		if r.noTrial {
+			last = append(last, r)
 		}
-		out = append(out, p.placeReady(ready[i], now)...)
+		out = append(out, p.placeReady(r, now)...)
 	}
-	// The run of a job that fails tells little about a VM on probation, so such jobs get the
-	// VMs on probation that the others leave.
-	for _, r := range ready {
-		if r.noTrial && r.job.occurrences[r.occurrence][r.step].waiting > 0 {
+	slices.SortStableFunc(last, compareWaits)
+	for _, r := range last {
+		if r.waitingTasks() > 0 {
 			r.noTrial = false
 			out = append(out, p.placeReady(r, now)...)
 		}
@@ -84,19 +87,43 @@
 	return out
 }
 
+// placeOverdue assigns overdue tasks of jobs that do not fail, the longest waiting first, if only VMs
+// that a judgement speaks against can take them.
+func (p *Planner) placeOverdue(ready []readyStep, now time.Time) []Assignment {
+	if !slices.ContainsFunc(p.ordered, func(v *vm) bool { return v.distrusted(now) }) {
+		return nil
+	}
+	var first []readyStep
+	for _, r := range ready {
+		if r.wait.overdue && !r.noTrial {
+			first = append(first, r)
+		}
+	}
+	slices.SortStableFunc(first, compareWaits)
+	var out []Assignment
+	for _, r := range first {
+		trusted := func(v *vm) bool {
+			return !v.distrusted(now) && p.fact(v, p.vmPool(r.job), r) == "" && p.judge(v, r, now) == nil
+		}
+		if !slices.ContainsFunc(p.ordered, trusted) {
+			out = append(out, p.placeTasks(r, now)...)
+		}
+	}
+	return out
+}
+
 // placeReady assigns waiting tasks of a step. The fillers of other jobs must not keep a job
 // waiting for longer than maxFillerWait: what maxFillerShare holds back is processors, which all
 // fillers share anyway. From then on the job has one filler or gang beyond it at a time, until one
-// of its tasks is placed within it. Such fillers leave half of a VM's memory to others, and VMs
-// whose services are over their objectives take none.
+// of its tasks is placed within it. Such fillers leave half of a VM's memory to others.
 func (p *Planner) placeReady(ready readyStep, now time.Time) []Assignment {
 	j := ready.job
 	out := p.placeTasks(ready, now)
 	switch {
 	case len(out) > 0:
-		j.overdue = false
-	case ready.definition().Filler && !j.idleSince.IsZero() && (j.overdue || now.Sub(j.idleSince) >= maxFillerWait):
-		j.overdue, ready.overdue = true, true
+		j.beyondShare = false
+	case ready.definition().Filler && ready.idle(now) && (j.beyondShare || ready.wait.waited(now) >= maxFillerWait):
+		j.beyondShare, ready.beyondShare = true, true
 		out = p.placeTasks(ready, now)
 	}
 	return out
@@ -155,10 +182,10 @@
 	step := ready.definition()
 	s := shape{
 		pool: p.vmPool(ready.job), label: step.VMLabel, resources: step.Reservation(), filler: step.Filler, suspects: ready.hasSuspects(),
-		noTrial: ready.noTrial, urgent: ready.urgent, overdue: ready.overdue,
+		noTrial: ready.noTrial, overdue: ready.wait.overdue, beyondShare: ready.beyondShare,
 	}
 	if step.Filler {
-		s.image, s.fillerCPU, s.mayWait = step.Image, step.CPU, !ready.overdue && ready.job.fillersMayWait(now)
+		s.image, s.fillerCPU, s.mayWait = step.Image, step.CPU, !ready.beyondShare && !ready.wait.overdue && ready.job.fillersMayWait(now)
 	}
 	return s
 }
@@ -194,7 +221,7 @@
 			break
 		}
 		out = append(out, p.assign(v, ready.job, ready.taskID(index), t, t.Run+1, now))
-		if ready.overdue {
+		if ready.beyondShare {
 			break
 		}
 		r.refresh(v)
@@ -208,7 +235,7 @@
 // has.
 func (p *Planner) placeGang(ready readyStep, now time.Time) []Assignment {
 	tasks := ready.tasks()
-	if ready.job.occurrences[ready.occurrence][ready.step].waiting < len(tasks) {
+	if ready.waitingTasks() < len(tasks) {
 		return nil
 	}
 	run, checkpoint := int64(0), ""
@@ -221,7 +248,7 @@
 			checkpoint = t.Checkpoint
 		}
 	}
-	savedTasks, idleSince := slices.Clone(tasks), ready.job.idleSince
+	savedTasks, assignedAt := slices.Clone(tasks), ready.job.assignedAt
 	var out []Assignment
 	r := p.rate(ready, p.shapeOf(ready, now), now)
 	for index := range tasks {
@@ -235,7 +262,7 @@
 				memberVM.removeRun(memberVM.runs[a.Order.Ref])
 			}
 			copy(tasks, savedTasks)
-			ready.job.idleSince = idleSince
+			ready.job.assignedAt = assignedAt
 			ready.job.occurrences[ready.occurrence][ready.step] = newStepTasks(tasks)
 			return nil
 		}
@@ -250,7 +277,7 @@
 // run may be started (see MarkStored).
 func (p *Planner) assign(v *vm, j *Job, id plantainrail.TaskID, t *Task, run int64, now time.Time) Assignment {
 	j.setPhase(id, Placed)
-	j.idleSince = time.Time{}
+	j.assignedAt = now
 	t.Run, t.Incarnation = run, v.Incarnation
 	p.markChanged(j)
 	v.addRun(j, id, t, false)
@@ -290,12 +317,17 @@
 // score, and a VM with too much of it is left out while the job's fillers may wait.
 func (r *rating) score(v *vm) float64 {
 	p, step := r.planner, r.ready.definition()
-	if p.stepObstacle(v, r.shape.pool, r.ready, r.now) != "" {
+	if p.fact(v, r.shape.pool, r.ready) != "" {
 		return unsuitable
 	}
 	score := v.score(r.ready.job, step)
-	if v.paused(false, r.now) || v.onTrial(step, false, r.now) {
-		score -= distrustWeight
+	if doubts := p.judge(v, r.ready, r.now); len(doubts) > 0 {
+		if !p.mayIgnore(v, r.ready, doubts, r.now) {
+			return unsuitable
+		}
+		for _, doubt := range doubts {
+			score -= distrustWeight * doubt.rank
+		}
 	}
 	if r.shape.suspects {
 		score -= p.suspectPenalty(v, r.now)
@@ -334,9 +366,8 @@
 		}
 	}
 	// A suspect only prefers other VMs, since no node is known to fail. A task that has failed
-	// does not wait for long while most of the pool is free.
-	waited := r.ready.urgent && !r.now.Before(t.failedAt.Add(avoidanceWait))
-	if best == nil && avoided != nil && (t.Failures == 0 || waited || !r.mayTakeLater(t)) {
+	// does not wait for long.
+	if best == nil && avoided != nil && (t.Failures == 0 || r.ready.wait.failedOver(t, r.now) || !r.mayTakeLater(t)) {
 		best = avoided
 	}
 	if r.shape.mayWait {
@@ -345,26 +376,16 @@
 	return best
 }
 
-// avoidanceWait bounds how long a task waits for the end of another VM's pause or, in a pool that
-// is mostly free, for another VM's room, so that it need not run where it has failed. It is below
-// the three seconds after which a job with nothing running counts as starved.
-const avoidanceWait = 2 * time.Second
-
 // mayTakeLater reports whether a VM that the task does not avoid and that is large enough for it
 // lacks nothing but room or headroom, or is paused for a short time, so that it is worth waiting
 // for.
 func (r *rating) mayTakeLater(t *Task) bool {
 	return slices.ContainsFunc(r.planner.ordered, func(v *vm) bool {
-		if t.avoids(v) || r.planner.config.Out[v.Zone] || !r.ready.definition().Reservation().Fits(v.Capacity) {
+		if t.avoids(v) || !r.ready.definition().Reservation().Fits(v.Capacity) || v.pausedUntil.Sub(r.now) >= patience {
 			return false
 		}
-		switch r.planner.stepObstacle(v, r.shape.pool, r.ready, r.now) {
-		case "", obstacleResources, obstacleNoRoom, obstacleThrottled, obstacleFillers, obstacleProbation:
-			return true
-		case obstaclePaused:
-			return v.pausedUntil.Sub(r.now) < avoidanceWait
-		}
-		return false
+		f := r.planner.fact(v, r.shape.pool, r.ready)
+		return f == "" || f == factResources
 	})
 }
 
@@ -374,75 +395,12 @@
 	return (t.Failures > 0 || t.suspect()) && v.Incarnation.Node == t.Incarnation.Node
 }
 
-// stepObstacle returns why the VM cannot take any task of the step, or an empty
-// Obstacle. It does not consider interference.
-func (p *Planner) stepObstacle(v *vm, pool string, ready readyStep, now time.Time) Obstacle {
-	step := ready.definition()
-	switch o := v.stepObstacle(pool, ready, now); {
-	case o != "":
-		return o
-	case p.config.Out[v.Zone]:
-		return obstacleZone
-	case ready.noTrial && v.probation:
-		return obstacleProbation
-	case step.MaxPerVM > 0 && v.runsOfStep(ready.taskID(0)) >= step.MaxPerVM:
-		return obstaclePerVM
-	}
-	return ""
-}
-
-// unplacedReportInterval is the minimum time between two items of a job in
-// Plan.Unplaced.
-const unplacedReportInterval = 2 * time.Second
-
-// UnplacedStep describes a step with a task that cannot be placed on any VM.
-type UnplacedStep struct {
-	Job        string
-	Occurrence int
-	Step       int
-	// Tasks is the number of the step's waiting tasks.
-	Tasks int
-	// Obstacles counts the VMs by the reason why they cannot take the first of these
-	// tasks.
-	Obstacles map[Obstacle]int
-}
-
-// recordUnplaced records that a task of a ready step cannot be placed on any VM, unless a
-// step of the job was recorded less than unplacedReportInterval ago. The recorded obstacles
-// are those of the step's first waiting task.
-func (p *Planner) recordUnplaced(ready readyStep, now time.Time) {
-	if now.Sub(ready.job.unplacedReportedAt) < unplacedReportInterval {
-		return
-	}
-	ready.job.unplacedReportedAt = now
-	tasks, obstacles := ready.tasks(), map[Obstacle]int{}
-	first := &tasks[slices.IndexFunc(tasks, func(t Task) bool { return t.Phase == Waiting })]
-	for _, v := range p.ordered {
-		o := p.stepObstacle(v, p.vmPool(ready.job), ready, now)
-		if o == "" && first.avoids(v) {
-			o = obstacleFailed
-		}
-		if o == "" && ready.definition().Filler {
-			// Without another obstacle, only interference with services keeps a
-			// filler off a VM.
-			o = obstacleInterference
-		}
-		if o != "" {
-			obstacles[o]++
-		}
-	}
-	p.unplaced = append(p.unplaced, UnplacedStep{
-		Job: ready.job.ID, Occurrence: ready.occurrence, Step: ready.step,
-		Tasks: ready.job.occurrences[ready.occurrence][ready.step].waiting, Obstacles: obstacles,
-	})
-}
-
 // rackWeight is added to the score of a VM in the rack of the data. It ranks the
 // VM above one with similar services or more free processors.
 const rackWeight = 10
 
-// distrustWeight is what the score of a VM is lowered by that only urgent tasks may use. It
-// exceeds the sum of the other parts of the score.
+// distrustWeight is what the score of a VM is lowered by for each rank of a judgement that speaks
+// against it. It exceeds the sum of the other parts of the score.
 const distrustWeight = 200
 
 // score rates a VM for a task of a step without regard to interference: higher is
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -332,6 +332,7 @@
 		p.markStarted(run.job)
 		if run.begunAt.IsZero() {
 			run.begunAt = now
+			run.endWait()
 		}
 		if status.Checkpoint != "" {
 			run.task.Checkpoint = status.Checkpoint
@@ -436,7 +437,7 @@
 
 // retryDelay is how long a long-running task waits after a failed run, since the number of its runs
 // is not limited. After the first one it does not wait, unless the job is known to be faulty.
-const retryDelay = 2 * time.Second
+const retryDelay = patience
 
 // handleRunEnd updates a task, its job and the VM after the task's newest run has
 // ended. The task is done after a successful run, and a failed run counts as a
@@ -450,6 +451,7 @@
 		t.Checkpoint = end.Checkpoint
 	}
 	t.Crashes, t.lateCrashes = 0, 0
+	run.endWait()
 	v.removeRun(run)
 	j.setPhase(run.id, Waiting)
 	p.markChanged(j)
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -12,10 +12,9 @@
 	// runs. It doubles with each further pause up to maxPause.
 	initialPause = 500 * time.Millisecond
 	maxPause     = 8 * time.Second
-	// urgentPause is how long urgent tasks wait in place of a longer pause (see readyStep.urgent).
-	// With probationRunTime it is below the three seconds after which a job with nothing running
-	// counts as starved.
-	urgentPause = time.Second
+	// minSpacing is how long a VM gets no tasks at all, not even overdue ones, after its worker has
+	// failed or refused a run.
+	minSpacing = 500 * time.Millisecond
 	// roomPause is how long a VM gets no tasks after its worker has refused one for want of
 	// room. It is the interval of the heartbeats, which show the worker's capacity.
 	roomPause = 1500 * time.Millisecond
@@ -25,10 +24,14 @@
 	// maxOverdueShare bounds the same where fillers of jobs that have waited for too long go
 	// beyond maxFillerShare, so that each still runs at a fair part of its speed.
 	maxOverdueShare = 4
-	// probationRunTime is how long a run that was assigned on probation must have run before the
-	// VM gets another one. With the second after which a begun run is known it is below the three
-	// seconds after which a job with nothing running counts as starved.
-	probationRunTime = 1500 * time.Millisecond
+	// maxProofTime is how long a run that was assigned on probation must have run to count as proven.
+	// For overdue tasks proofFactor times the age at which runs have failed there is enough, but at
+	// least minProofTime.
+	minProofTime = 250 * time.Millisecond
+	maxProofTime = 1500 * time.Millisecond
+	proofFactor  = 2
+	// maxTrialDoublings keeps a shift from overflowing.
+	maxTrialDoublings = 10
 	// trustRunTime is how long such a run must have run to end the probation. Most workers that
 	// fail every run do so within it.
 	trustRunTime = 3 * time.Second
@@ -105,8 +108,8 @@
 	failedJobs map[*Job]time.Time
 	// pausedUntil is when the VM may get tasks again.
 	pausedUntil time.Time
-	// pauseYieldsAt is when urgent tasks may use the VM although it is still paused.
-	pauseYieldsAt time.Time
+	// spacedUntil is when overdue tasks may use the VM again after it has failed or refused a run.
+	spacedUntil time.Time
 	// pauseDoublings is how many times initialPause is doubled for the next
 	// pause.
 	pauseDoublings int
@@ -115,10 +118,12 @@
 	noRoomUntil    time.Time
 	noRoomCapacity plantainrail.Resources
 	// probation is set after repeated failures until the next run that succeeds or lasts for
-	// trustRunTime. The VM then gets one run at a time. probationSince is the time of the
-	// newest of these failures.
+	// trustRunTime. The VM then gets one run at first, and as many more as have proven.
+	// probationSince is the time of the newest of these failures, and failedAge the greatest age at
+	// which a run has failed since the VM was trusted.
 	probation      bool
 	probationSince time.Time
+	failedAge      time.Duration
 	// headrooms caches the headroom of each service as computed at headroomsAt;
 	// nil if it has to be computed again.
 	headrooms   []serviceHeadroom
@@ -182,6 +187,7 @@
 			return
 		}
 		v.failedJobs[j] = now
+		v.failedAge = max(v.failedAge, now.Sub(run.orderedSince))
 		if len(v.failedJobs) >= failedJobsToPause || v.probation {
 			v.probation, v.probationSince = true, now
 			v.startPause(now)
@@ -198,16 +204,14 @@
 	case plantainrail.RefusedUnhealthy, plantainrail.RefusedNoResponse:
 		v.startPause(now)
 	case plantainrail.RefusedCapacity:
-		v.noRoomUntil, v.noRoomCapacity = now.Add(roomPause), v.Capacity
+		v.noRoomUntil, v.noRoomCapacity, v.spacedUntil = now.Add(roomPause), v.Capacity, now.Add(minSpacing)
 	}
 }
 
 // startPause pauses the VM, unless it is paused already. If the last pause ended more than
 // maxPause ago, the worker had recovered, and the pauses begin with initialPause again.
 func (v *vm) startPause(now time.Time) {
-	if !now.Before(v.pauseYieldsAt) {
-		v.pauseYieldsAt = now.Add(urgentPause)
-	}
+	v.spacedUntil = now.Add(minSpacing)
 	if now.Before(v.pausedUntil) {
 		return
 	}
@@ -220,90 +224,6 @@
 	v.pauseDoublings = min(v.pauseDoublings+1, 5)
 }
 
-// Obstacle is the reason why a VM cannot take a task.
-type Obstacle string
-
-// Values of Obstacle, as they appear in the log. The empty one means that the
-// VM can take the task.
-const (
-	// The agent of the VM has no session.
-	obstacleDisconnected Obstacle = "lost"
-	obstacleDraining     Obstacle = "draining"
-	// The VM belongs to another pool.
-	obstaclePool Obstacle = "service"
-	// The VM is paused after refused or failed runs.
-	obstaclePaused Obstacle = "paused"
-	// The VM has just refused a run for want of room.
-	obstacleNoRoom Obstacle = "refused"
-	// The VM is on probation and its newest run has not lasted for
-	// probationRunTime.
-	obstacleProbation Obstacle = "trial"
-	obstacleLabel     Obstacle = "label"
-	// The operators have taken the availability zone out of service.
-	obstacleZone Obstacle = "zone"
-	// The VM holds as many tasks of the step as it may.
-	obstaclePerVM Obstacle = "spread"
-	// The task has failed before, its newest run was on the VM's node, and another VM may
-	// take it later.
-	obstacleFailed Obstacle = "failed"
-	// Fillers are paused on the VM to protect its services.
-	obstacleThrottled Obstacle = "strained"
-	// Too few resources are free.
-	obstacleResources Obstacle = "room"
-	// The fillers on the VM request too many processors.
-	obstacleFillers Obstacle = "filled"
-	// A filler would interfere too much with services on the VM.
-	obstacleInterference Obstacle = "harm"
-)
-
-// stepObstacle returns why the VM cannot take any task of the step now, or an
-// empty Obstacle. Planner.stepObstacle also checks the zone and the runs of the step.
-func (v *vm) stepObstacle(pool string, ready readyStep, now time.Time) Obstacle {
-	step := ready.definition()
-	switch {
-	case !v.connected:
-		return obstacleDisconnected
-	case v.Draining:
-		return obstacleDraining
-	case v.Pool != pool:
-		return obstaclePool
-	case v.paused(ready.urgent, now):
-		return obstaclePaused
-	case now.Before(v.noRoomUntil) && v.Capacity == v.noRoomCapacity:
-		return obstacleNoRoom
-	case v.onTrial(step, ready.urgent, now):
-		return obstacleProbation
-	case step.VMLabel != "" && !slices.Contains(v.Labels, step.VMLabel):
-		return obstacleLabel
-	case step.Filler && v.FillersPaused:
-		return obstacleThrottled
-	case !step.Reservation().Fits(v.Capacity.Sub(v.reserved)):
-		return obstacleResources
-	case ready.overdue && 2*(v.reserved.Memory+step.Reservation().Memory) > v.Capacity.Memory:
-		return obstacleResources
-	case ready.overdue && v.fillerMillicores+step.CPU > maxOverdueShare*v.Capacity.Processors:
-		return obstacleFillers
-	// A single filler is admitted however large it is.
-	case step.Filler && !ready.overdue && v.fillerMillicores > 0 && v.fillerMillicores+step.CPU > int(float64(v.Capacity.Processors)*maxFillerShare):
-		return obstacleFillers
-	}
-	return ""
-}
-
-// paused reports whether a pause keeps tasks off the VM.
-func (v *vm) paused(urgent bool, now time.Time) bool {
-	return now.Before(v.pausedUntil) && (!urgent || now.Before(v.pauseYieldsAt))
-}
-
-// onTrial reports whether the VM is on probation and a run that was assigned after the newest
-// failure has not lasted long enough for another one. The members of an urgent gang count as one.
-func (v *vm) onTrial(step *plantainrail.Step, urgent bool, now time.Time) bool {
-	return v.probation && slices.ContainsFunc(v.orderedRuns, func(r *placedRun) bool {
-		fellow := urgent && step.Gang && r.step() == step && r.assignedAt.Equal(now)
-		return r.assignedAt.After(v.probationSince) && !r.hasRunFor(probationRunTime, now) && !fellow
-	})
-}
-
 // endProbation ends the probation of a VM on which a run that was assigned after the newest
 // failure has lasted for trustRunTime: the worker does not fail every run.
 func (v *vm) endProbation(now time.Time) {
@@ -317,7 +237,7 @@
 // trust forgets the failures of a VM.
 func (v *vm) trust() {
 	clear(v.failedJobs)
-	v.pauseDoublings, v.probation = 0, false
+	v.pauseDoublings, v.probation, v.failedAge = 0, false, 0
 }
 
 // runsOfStep returns the number of the VM's runs for the task's step and
