Planner: overdue tasks try VMs in doubt sooner where no others are left

Jobs that always fail put every VM of a small pool on probation and then waited for over three seconds, since each failure kept overdue tasks off the VM for 500 ms. Where each VM that could take a task has failed or refused runs, 100 ms are enough after a failed run.

--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -117,9 +117,13 @@
 // have waited for too long, the VM has not failed or refused a run for minSpacing, and it does not
 // get more unproven runs at a time than a slow start allows. Fillers beyond the share of a VM are
 // paced by Planner.placeReady.
-func (p *Planner) mayIgnore(v *vm, ready readyStep, doubts []*judgement, now time.Time) bool {
-	return ready.wait.overdue && !slices.Contains(doubts, judgedFilled) && !now.Before(v.spacedUntil) &&
-		!(v.probation && v.slowStartFull(ready, now))
+func (r *rating) mayIgnore(v *vm, doubts []*judgement) bool {
+	spacing := minSpacing
+	if r.allDoubted {
+		spacing = minDoubtedSpacing
+	}
+	return r.ready.wait.overdue && !slices.Contains(doubts, judgedFilled) && r.now.Sub(v.failedAt) >= spacing && r.now.Sub(v.refusedAt) >= minSpacing &&
+		!(v.probation && v.slowStartFull(r.ready, r.now))
 }
 
 // distrusted reports whether failures or refusals speak against the VM.
--- a/planner/place.go
+++ b/planner/place.go
@@ -297,6 +297,9 @@
 	// scores holds the score of each of Planner.ordered; unsuitable means that the VM
 	// cannot take a task of the step.
 	scores []float64
+	// allDoubted means that the tasks are overdue and every VM that could take them, if it had the
+	// room, has failed or refused runs.
+	allDoubted bool
 }
 
 // unsuitable is the score of a VM that cannot take a task.
@@ -306,6 +309,10 @@
 func (p *Planner) rate(ready readyStep, s shape, now time.Time) *rating {
 	p.scores = p.scores[:0]
 	r := &rating{planner: p, ready: ready, shape: s, now: now}
+	r.allDoubted = ready.wait.overdue && !slices.ContainsFunc(p.ordered, func(v *vm) bool {
+		f := p.fact(v, s.pool, ready)
+		return (f == "" || f == factResources) && !v.distrusted(now)
+	})
 	for _, v := range p.ordered {
 		p.scores = append(p.scores, r.score(v))
 	}
@@ -322,7 +329,7 @@
 	}
 	score := v.score(r.ready.job, step)
 	if doubts := p.judge(v, r.ready, r.now); len(doubts) > 0 {
-		if !p.mayIgnore(v, r.ready, doubts, r.now) {
+		if !r.mayIgnore(v, doubts) {
 			return unsuitable
 		}
 		for _, doubt := range doubts {
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -15,6 +15,8 @@
 	// minSpacing is how long a VM gets no tasks at all, not even overdue ones, after its worker has
 	// failed or refused a run.
 	minSpacing = 500 * time.Millisecond
+	// minDoubtedSpacing is the same after a failed run where nothing better is left.
+	minDoubtedSpacing = 100 * time.Millisecond
 	// roomPause is how long a VM gets no tasks after its worker has refused one for want of
 	// room. It is the interval of the heartbeats, which show the worker's capacity.
 	roomPause = 1500 * time.Millisecond
@@ -108,8 +110,8 @@
 	failedJobs map[*Job]time.Time
 	// pausedUntil is when the VM may get tasks again.
 	pausedUntil time.Time
-	// spacedUntil is when overdue tasks may use the VM again after it has failed or refused a run.
-	spacedUntil time.Time
+	// failedAt and refusedAt are when the worker has last failed and refused a run.
+	failedAt, refusedAt time.Time
 	// pauseDoublings is how many times initialPause is doubled for the next
 	// pause.
 	pauseDoublings int
@@ -189,7 +191,7 @@
 		v.failedJobs[j] = now
 		v.failedAge = max(v.failedAge, now.Sub(run.orderedSince))
 		if len(v.failedJobs) >= failedJobsToPause || v.probation {
-			v.probation, v.probationSince = true, now
+			v.probation, v.probationSince, v.failedAt = true, now, now
 			v.startPause(now)
 		}
 	}
@@ -202,16 +204,16 @@
 func (v *vm) pauseAfterRefusal(reason plantainrail.RefusalReason, now time.Time) {
 	switch reason {
 	case plantainrail.RefusedUnhealthy, plantainrail.RefusedNoResponse:
+		v.refusedAt = now
 		v.startPause(now)
 	case plantainrail.RefusedCapacity:
-		v.noRoomUntil, v.noRoomCapacity, v.spacedUntil = now.Add(roomPause), v.Capacity, now.Add(minSpacing)
+		v.noRoomUntil, v.noRoomCapacity, v.refusedAt = now.Add(roomPause), v.Capacity, now
 	}
 }
 
 // startPause pauses the VM, unless it is paused already. If the last pause ended more than
 // maxPause ago, the worker had recovered, and the pauses begin with initialPause again.
 func (v *vm) startPause(now time.Time) {
-	v.spacedUntil = now.Add(minSpacing)
 	if now.Before(v.pausedUntil) {
 		return
 	}
