Planner: overdue tasks and idle pools count all VMs

A sound task waited for over three seconds in a pool that was idle by the rule: VMs of an evacuated zone were left out of the capacity, so that the pool counted as busy and judgements held for 10 s. All VMs count now. Where every VM that could take a task has failed runs, such a VM takes two overdue runs at a time on probation.

--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -118,12 +118,12 @@
 // get more unproven runs at a time than a slow start allows. Fillers beyond the share of a VM are
 // paced by Planner.placeReady.
 func (r *rating) mayIgnore(v *vm, doubts []*judgement) bool {
-	spacing := minSpacing
+	spacing, slots := minSpacing, 1
 	if r.allDoubted {
-		spacing = minDoubtedSpacing
+		spacing, slots = minDoubtedSpacing, doubtedSlots
 	}
 	return r.ready.wait.overdue && !slices.Contains(doubts, judgedFilled) && r.now.Sub(v.failedAt) >= spacing && r.now.Sub(v.refusedAt) >= minSpacing &&
-		!(v.probation && v.slowStartFull(r.ready, r.now))
+		!(v.probation && v.slowStartFull(r.ready, slots, r.now))
 }
 
 // distrusted reports whether failures or refusals speak against the VM.
@@ -164,16 +164,16 @@
 
 // slowStartFull reports whether a VM on probation has as many runs as it may get of overdue tasks,
 // whether they are known to have begun or not: one, doubled with each proofTime since the first.
-func (v *vm) slowStartFull(ready readyStep, now time.Time) bool {
+func (v *vm) slowStartFull(ready readyStep, slots int, now time.Time) bool {
 	runs := v.trialRuns(ready, now)
 	if len(runs) == 0 {
 		return false
 	}
 	if !runs[0].stored {
-		return true
+		return len(runs) >= slots
 	}
 	doublings := min(int(now.Sub(runs[0].orderedSince)/v.proofTime()), maxTrialDoublings)
-	return len(runs) >= 1<<doublings
+	return len(runs) >= slots<<doublings
 }
 
 // unplacedReportInterval is the minimum time between two items of a job in
--- a/planner/patience.go
+++ b/planner/patience.go
@@ -1,6 +1,9 @@
 package planner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// starvationTime is how long a job may have nothing running while most of the capacity is free,
@@ -111,6 +114,19 @@
 	return first
 }
 
+// order returns the indexes of the step's tasks in the order in which they are placed: the
+// longest waiting first if they are overdue.
+func (r readyStep) order() []int {
+	order := make([]int, len(r.tasks()))
+	for i := range order {
+		order[i] = i
+	}
+	if r.wait.overdue {
+		slices.SortStableFunc(order, func(a, b int) int { return r.tasks()[a].waitingSince.Compare(r.tasks()[b].waitingSince) })
+	}
+	return order
+}
+
 // endWait records that a run has begun or ended.
 func (r *placedRun) endWait() { r.job.idleSince, r.task.waitingSince = time.Time{}, time.Time{} }
 
--- a/planner/place.go
+++ b/planner/place.go
@@ -136,13 +136,12 @@
 	return p.placeStep(ready, now)
 }
 
-// idlePools returns the pools with less than half of their processors reserved.
+// idlePools returns the pools with less than half of their processors reserved, those of VMs that
+// take no tasks included.
 func (p *Planner) idlePools() map[string]bool {
 	excess := map[string]int{}
 	for _, v := range p.ordered {
-		if v.connected && !v.Draining && !p.config.Out[v.Zone] {
-			excess[v.Pool] += v.Capacity.Processors - 2*v.reserved.Processors
-		}
+		excess[v.Pool] += v.Capacity.Processors - 2*v.reserved.Processors
 	}
 	idle := map[string]bool{}
 	for pool, processors := range excess {
@@ -203,7 +202,7 @@
 	}
 	var out []Assignment
 	r := p.rate(ready, taskShape, now)
-	for index := range ready.tasks() {
+	for _, index := range ready.order() {
 		t := &ready.tasks()[index]
 		if t.Phase != Waiting || now.Before(t.retryAt) {
 			continue
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -32,6 +32,8 @@
 	minProofTime = 250 * time.Millisecond
 	maxProofTime = 1500 * time.Millisecond
 	proofFactor  = 2
+	// doubtedSlots is how many runs of overdue tasks such a VM gets at a time on probation.
+	doubtedSlots = 2
 	// maxTrialDoublings keeps a shift from overflowing.
 	maxTrialDoublings = 10
 	// trustRunTime is how long such a run must have run to end the probation. Most workers that
