Owner: log steps that judgements keep back for over a second

Callers saw tasks wait for seconds, and 'step waits' told neither how long nor whether a VM could take the task. 'step kept back' is logged a second after a step's turn and then every 2 s, with the wait and the judgements; its counter is that of the event.

--- a/decider/owner.go
+++ b/decider/owner.go
@@ -405,8 +405,14 @@
 		o.decider.Logger.Info("task stopped", zap.Stringer("task", s.Ref.Task), zap.Int64("run", s.Ref.Run), zap.String("node", s.Incarnation.Node), zap.String("reason", s.Reason))
 	}
 	for _, unplaced := range plan.Unplaced {
-		o.decider.Logger.Info("step waits", zap.String("job", unplaced.Job), zap.Int("occurrence", unplaced.Occurrence), zap.Int("step", unplaced.Step),
-			zap.Int("tasks", unplaced.Tasks), zap.Any("obstacles", unplaced.Obstacles))
+		fields := []zap.Field{
+			zap.String("job", unplaced.Job), zap.Int("occurrence", unplaced.Occurrence), zap.Int("step", unplaced.Step),
+			zap.Int("tasks", unplaced.Tasks), zap.Any("obstacles", unplaced.Obstacles),
+		}
+		o.decider.Logger.Info("step waits", fields...)
+		if unplaced.KeptBack() {
+			o.decider.Logger.Info("step kept back", append(fields, zap.Int64("waited", unplaced.Waited.Milliseconds()), zap.Any("judgements", unplaced.Judgements))...)
+		}
 	}
 	for incarnation, number := range appliedEnds {
 		if a := o.agents[incarnation]; a != nil && number > a.ackedThrough {
--- a/planner/job.go
+++ b/planner/job.go
@@ -120,6 +120,9 @@
 	arrival int64
 	// unplacedReportedAt is when the newest UnplacedStep of the job was recorded.
 	unplacedReportedAt time.Time
+	// keptBackReported is the start of the newest wait of which an UnplacedStep after keptBackTime was
+	// recorded.
+	keptBackReported time.Time
 	// fillerWait is how long fillers of the job have waited for a VM with less
 	// interference, excluding the current wait. fillersWaitingSince is the start of
 	// the current wait, or zero. Neither is stored: after a takeover the fillers
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -180,6 +180,9 @@
 // Plan.Unplaced.
 const unplacedReportInterval = 2 * time.Second
 
+// keptBackTime is the wait from which a step counts as kept back. It is then listed once out of turn.
+const keptBackTime = time.Second
+
 // UnplacedStep describes a step with a task that cannot be placed on any VM.
 type UnplacedStep struct {
 	Job        string
@@ -195,14 +198,23 @@
 	Obstacles, Judgements map[Obstacle]int
 }
 
+// KeptBack reports whether the step has waited for keptBackTime and a judgement holds it back on a VM
+// that could take it.
+func (u UnplacedStep) KeptBack() bool { return u.Waited >= keptBackTime && len(u.Judgements) > 0 }
+
 // recordUnplaced records that a task of a ready step cannot be placed on any VM, unless a
-// step of the job was recorded less than unplacedReportInterval ago. The recorded obstacles
+// step of the job was recorded less than unplacedReportInterval ago and the step is not newly kept
+// back. The recorded obstacles
 // are those of the step's first waiting task.
 func (p *Planner) recordUnplaced(ready readyStep, now time.Time) {
-	if now.Sub(ready.job.unplacedReportedAt) < unplacedReportInterval {
+	keptBack := ready.wait.waited(now) >= keptBackTime && !ready.job.keptBackReported.Equal(ready.wait.since)
+	if !keptBack && now.Sub(ready.job.unplacedReportedAt) < unplacedReportInterval {
 		return
 	}
 	ready.job.unplacedReportedAt = now
+	if keptBack {
+		ready.job.keptBackReported = ready.wait.since
+	}
 	u := UnplacedStep{
 		Job: ready.job.ID, Occurrence: ready.occurrence, Step: ready.step, Tasks: ready.waitingTasks(),
 		Waited: ready.wait.waited(now), Obstacles: map[Obstacle]int{}, Judgements: map[Obstacle]int{},
--- /dev/null
+++ b/planner/patience_test.go
@@ -0,0 +1,83 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/planner"
+)
+
+// Guards against a task that waits for over three seconds (LOST) beside a free VM because a judgement
+// speaks against the VM.
+func TestJudgementsDoNotHoldOverdueTasks(t *testing.T) {
+	refuse := func(reason plantainrail.RefusalReason) func(h *harness) {
+		return func(h *harness) {
+			h.submit("task", plantainrail.Step{Count: 1, CPU: 1000})
+			for range 4 {
+				for _, a := range h.tick().Assignments {
+					h.planner.ApplyRefusal(a.Incarnation, a.Order.Ref, reason, h.now)
+				}
+				h.now = h.now.Add(500 * time.Millisecond)
+			}
+		}
+	}
+	for name, c := range map[string]struct {
+		wait    time.Duration
+		arrange func(h *harness)
+	}{
+		"refused": {time.Millisecond, refuse(plantainrail.RefusedCapacity)},
+		"paused":  {time.Millisecond, refuse(plantainrail.RefusedNoResponse)},
+		"trial": {2001 * time.Millisecond, func(h *harness) {
+			for _, id := range []string{"bad1", "bad2"} {
+				h.submit(id, plantainrail.Step{Count: 1, CPU: 1000})
+			}
+			for i, a := range h.tick().Assignments {
+				h.reportEnd(a, int64(i+1), plantainrail.RunFailed)
+			}
+			h.now = h.now.Add(time.Second)
+			h.submit("other", plantainrail.Step{Count: 1, CPU: 1000})
+			assert.Equal(h.t, len(h.tick().Assignments), 1)
+			h.submit("task", plantainrail.Step{Count: 1, CPU: 1000})
+		}},
+		"strained": {2001 * time.Millisecond, func(h *harness) {
+			vm := newVM("a", 9000)
+			vm.FillersPaused = true
+			h.report(vm)
+			h.submit("task", fillerStep(1, 1000, "f"))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newVM("a", 9000))
+			c.arrange(h)
+			plan := h.tick()
+			for _, a := range plan.Assignments {
+				assert.Assert(t, a.Order.Ref.Task.Job != "task", "the judgement must hold at first")
+			}
+			h.now = h.now.Add(c.wait)
+			placed := h.tick().Assignments
+			assert.Assert(t, len(placed) > 0)
+			assert.Equal(t, placed[0].Order.Ref.Task.Job, "task")
+		})
+	}
+}
+
+// Guards against a wait that nobody can explain: a step that judgements hold back is listed after a
+// second, with how long it has waited and with the judgements apart from the facts.
+func TestStepsThatAreKeptBackAreListed(t *testing.T) {
+	vm, drained := newVM("a", 9000), newVM("b", 9000)
+	vm.FillersPaused, drained.Draining = true, true
+	h := newHarness(t, vm, drained)
+	h.submit("filler", fillerStep(1, 1000, "f"))
+	assert.Assert(t, !h.tick().Unplaced[0].KeptBack())
+	h.now = h.now.Add(time.Second)
+	unplaced := h.tick().Unplaced
+	assert.Equal(t, len(unplaced), 1)
+	assert.Assert(t, unplaced[0].KeptBack())
+	assert.Equal(t, unplaced[0].Waited, time.Second)
+	assert.DeepEqual(t, unplaced[0].Obstacles, map[planner.Obstacle]int{"strained": 1, "draining": 1})
+	assert.DeepEqual(t, unplaced[0].Judgements, map[planner.Obstacle]int{"strained": 1})
+	assert.Equal(t, len(h.tick().Unplaced), 0)
+}
