--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -122,7 +122,7 @@
 	if r.allDoubted {
 		spacing, slots = minDoubtedSpacing, doubtedSlots
 	}
-	return r.ready.wait.overdue && !slices.Contains(doubts, judgedFilled) && r.now.Sub(v.failedAt) >= spacing && r.now.Sub(v.refusedAt) >= minSpacing &&
+	return r.ready.wait.overdue && !r.ready.noTrial && !slices.Contains(doubts, judgedFilled) && r.now.Sub(v.failedAt) >= spacing && r.now.Sub(v.refusedAt) >= minSpacing &&
 		!(v.probation && v.slowStartFull(r.ready, slots, r.now))
 }
 
--- a/planner/patience.go
+++ b/planner/patience.go
@@ -16,6 +16,8 @@
 	patience = starvationTime - startLag
 	// busyPatience is the same for all other tasks. It exceeds the longest pause of a VM.
 	busyPatience = 10 * time.Second
+	// lastingGrace is how long after a run of a long-running task starvationTime begins.
+	lastingGrace = 6 * time.Second
 )
 
 // wait is how long the waiting tasks of a step have waited.
@@ -23,6 +25,8 @@
 	// since is when the turn of the task that waits longest has come while nothing of its job, or of
 	// a long-running task itself, was running; zero if something runs.
 	since time.Time
+	// due orders overdue tasks: the time of since, or later if they have failed and may wait longer.
+	due time.Time
 	// limit is how long judgements may keep the tasks back.
 	limit time.Duration
 	// overdue means that the limit is exceeded: judgements only rank VMs from now on.
@@ -53,11 +57,11 @@
 	return now.Sub(w.since)
 }
 
-// compareWaits orders overdue steps before others, and those by the start of their wait.
+// compareWaits orders overdue steps before others, and those by the time at which they are due.
 func compareWaits(a, b readyStep) int {
 	switch {
 	case a.wait.overdue && b.wait.overdue:
-		return a.wait.since.Compare(b.wait.since)
+		return a.wait.due.Compare(b.wait.due)
 	case a.wait.overdue:
 		return -1
 	case b.wait.overdue:
@@ -75,11 +79,12 @@
 		if i == 0 || ready[i-1].job != r.job {
 			jobSince = r.job.trackIdle(now)
 		}
-		since := jobSince
+		since, due := jobSince, jobSince
 		if r.definition().Lasting {
-			since = r.trackTasks(now)
+			since, due = r.trackTasks(now)
 		}
 		r.wait = newWait(since, r.definition().Lasting || idle[p.vmPool(r.job)], now)
+		r.wait.due = due
 		r.noTrial = r.job.failing
 	}
 }
@@ -98,9 +103,9 @@
 }
 
 // trackTasks does the same for each waiting task of a long-running step, and returns the earliest
-// time.
-func (r readyStep) trackTasks(now time.Time) time.Time {
-	first := now
+// time, and the earliest at which one is due.
+func (r readyStep) trackTasks(now time.Time) (since, due time.Time) {
+	since, due = now, now.Add(lastingGrace)
 	for i := range r.tasks() {
 		t := &r.tasks()[i]
 		if t.Phase != Waiting {
@@ -109,20 +114,28 @@
 		if t.waitingSince.IsZero() {
 			t.waitingSince = now
 		}
-		first = earlier(first, t.waitingSince)
+		since, due = earlier(since, t.waitingSince), earlier(due, t.due())
 	}
-	return first
+	return since, due
+}
+
+// due returns the time by which waiting long-running tasks are ordered.
+func (t *Task) due() time.Time {
+	if t.retryAt.IsZero() {
+		return t.waitingSince
+	}
+	return t.waitingSince.Add(lastingGrace)
 }
 
 // order returns the indexes of the step's tasks in the order in which they are placed: the
-// longest waiting first if they are overdue.
+// one that is due first if they are overdue.
 func (r readyStep) order() []int {
 	order := make([]int, len(r.tasks()))
 	for i := range order {
 		order[i] = i
 	}
 	if r.wait.overdue {
-		slices.SortStableFunc(order, func(a, b int) int { return r.tasks()[a].waitingSince.Compare(r.tasks()[b].waitingSince) })
+		slices.SortStableFunc(order, func(a, b int) int { return r.tasks()[a].due().Compare(r.tasks()[b].due()) })
 	}
 	return order
 }
