--- a/planner/planner.go
+++ b/planner/planner.go
@@ -296,6 +296,9 @@
 	if v == nil {
 		v = p.addVM(newVM(reported, now))
 	}
+	if !v.connected {
+		v.connectedAt = now
+	}
 	v.VM, v.connected = reported, true
 	// The agent has a session with this owner and accepts no more renewals from
 	// an earlier one, so the rest of the TakeoverGrace is dropped.
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -95,6 +95,8 @@
 	plantainrail.VM
 	// connected is set while the worker's agent has a session.
 	connected bool
+	// connectedAt is when the session was opened.
+	connectedAt time.Time
 	// renewedAt is when the lease was last renewed. It lies in the future after a
 	// takeover, when the earlier owner may still renew the lease.
 	renewedAt time.Time
@@ -191,7 +193,10 @@
 			return
 		}
 		v.failedJobs[j] = now
-		v.failedAge = max(v.failedAge, now.Sub(run.orderedSince))
+		// The end of a run that failed without a session is reported late.
+		if run.orderedSince.After(v.connectedAt) {
+			v.failedAge = max(v.failedAge, now.Sub(run.orderedSince))
+		}
 		if len(v.failedJobs) >= failedJobsToPause || v.probation {
 			v.probation, v.probationSince, v.failedAt = true, now, now
 			v.startPause(now)
