--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -65,7 +65,7 @@
 		return factDraining
 	case v.Pool != pool:
 		return factPool
-	case p.config.Out[v.Zone]:
+	case len(p.config.Out) > 0 && p.config.Out[v.Zone]:
 		return factZone
 	case step.VMLabel != "" && !slices.Contains(v.Labels, step.VMLabel):
 		return factLabel
--- a/planner/patience.go
+++ b/planner/patience.go
@@ -127,16 +127,17 @@
 	return t.waitingSince.Add(lastingGrace)
 }
 
-// order returns the indexes of the step's tasks in the order in which they are placed: the
-// one that is due first if they are overdue.
+// order returns the indexes of the step's tasks in the order in which they are placed, by when they
+// are due, or nil if they are not overdue and placed by index.
 func (r readyStep) order() []int {
+	if !r.wait.overdue {
+		return nil
+	}
 	order := make([]int, len(r.tasks()))
 	for i := range order {
 		order[i] = i
 	}
-	if r.wait.overdue {
-		slices.SortStableFunc(order, func(a, b int) int { return r.tasks()[a].due().Compare(r.tasks()[b].due()) })
-	}
+	slices.SortStableFunc(order, func(a, b int) int { return r.tasks()[a].due().Compare(r.tasks()[b].due()) })
 	return order
 }
 
--- a/planner/place.go
+++ b/planner/place.go
@@ -67,9 +67,10 @@
 	ready := p.readySteps(now)
 	p.trackWaits(ready, now)
 	out := p.placeOverdue(ready, now)
+	taken := len(out) > 0
 	var last []readyStep
 	for _, r := range ready {
-		if r.waitingTasks() == 0 {
+		if taken && r.waitingTasks() == 0 {
 			continue
 		}
 		if r.noTrial {
@@ -152,10 +153,10 @@
 
 // readySteps lists the steps that have waiting tasks, belong to an occurrence that is
 // due, and depend on no unfinished step. Jobs that are final or to be cancelled are left
-// out. The list is in the order in which the steps are served: by priority of the queue,
+// out. The list is valid until the next call, and in the order in which the steps are served: by priority of the queue,
 // then by arrival of the job, occurrence and step.
 func (p *Planner) readySteps(now time.Time) []readyStep {
-	var out []readyStep
+	out := p.ready[:0]
 	for _, j := range p.active {
 		if j.State.Final() || j.CancelRequested {
 			continue
@@ -173,6 +174,7 @@
 			}
 		}
 	}
+	p.ready = out
 	return out
 }
 
@@ -202,7 +204,12 @@
 	}
 	var out []Assignment
 	r := p.rate(ready, taskShape, now)
-	for _, index := range ready.order() {
+	order := ready.order()
+	for at := range ready.tasks() {
+		index := at
+		if order != nil {
+			index = order[at]
+		}
 		t := &ready.tasks()[index]
 		if t.Phase != Waiting || now.Before(t.retryAt) {
 			continue
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -114,6 +114,8 @@
 	unplaced []UnplacedStep
 	// unplaceable holds the shapes that found no VM in the current tick.
 	unplaceable map[shape]bool
+	// ready is the buffer of the steps that are ready to be placed.
+	ready []readyStep
 	// scores is the buffer of the ratings of the step that is being placed.
 	scores []float64
 	// estimator learns how fillers interfere with services.
