Do not blame a VM for a filler whose start a pause has held up

Found by review of the change that holds starts of fillers during a pause: a pause that outlasts the 1.5 s of a start made the agent refuse it as unanswered by the worker, so the owner kept all tasks off the VM.

Such a start is refused as expired, which leaves no trace on the VM. The last assertion of TestFillersDoNotStartDuringAPause failed before (the reason was the one for an unanswered start).

--- a/minder/measurements_test.go
+++ b/minder/measurements_test.go
@@ -104,4 +104,7 @@
 		assert.Equal(t, reason, plantainrail.RefusalReason(""))
 		assert.Equal(t, wait, waits, job)
 	}
+	// Once it has waited for too long, its VM is not blamed.
+	reason, _ := m.startObstacle(m.orderedRuns[refForJob("a")], m.Now().Add(-time.Second), false)
+	assert.Equal(t, reason, plantainrail.RefusedExpired)
 }
--- a/minder/start.go
+++ b/minder/start.go
@@ -195,6 +195,8 @@
 	mayRun := r.reordered && m.listedPoll <= r.orderedPoll
 	fits := m.fits(r)
 	expired := !r.startUntil.IsZero() && !now.Before(r.startUntil)
+	// A filler would work at full speed until its pace takes effect, and so spoil the pause.
+	paused := r.order.Filler && m.pacing.pacer.Pace() == pacer.ZeroPace
 	switch {
 	case r.order.Adopt && !mayRun:
 		return plantainrail.RefusedZone, false
@@ -202,6 +204,9 @@
 		return plantainrail.RefusedExpired, false
 	case m.vm.Draining:
 		return plantainrail.RefusedDraining, false
+	case paused && !mayRun && !unanswered && now.After(until):
+		// The worker is not at fault.
+		return plantainrail.RefusedExpired, false
 	case now.After(until):
 		return plantainrail.RefusedNoResponse, false
 	case m.pollFailed && settled && !unanswered:
@@ -209,8 +214,6 @@
 	case !fits && settled && capacityKnown && !mayRun:
 		return plantainrail.RefusedCapacity, false
 	}
-	// A filler would work at full speed until its pace takes effect, and so spoil the pause.
-	paused := r.order.Filler && m.pacing.pacer.Pace() == pacer.ZeroPace
 	// Without a deadline, the start waits for a renewal of the lease.
 	return "", paused || r.order.Adopt || expired || m.pollFailed || m.unconfirmed() || !capacityKnown || !fits || m.leaseDeadline() == 0
 }
