--- a/planner/place.go
+++ b/planner/place.go
@@ -342,6 +342,9 @@
 			score -= distrustWeight * doubt.rank
 		}
 	}
+	if r.now.Before(v.lateUntil) {
+		score -= lateWeight
+	}
 	if r.shape.suspects {
 		score -= p.suspectPenalty(v, r.now)
 	}
@@ -416,6 +419,10 @@
 // against it. It exceeds the sum of the other parts of the score.
 const distrustWeight = 200
 
+// lateWeight is what the score of a VM is lowered by on which an order has expired. It exceeds the
+// other parts of the score but distrustWeight.
+const lateWeight = distrustWeight / 2
+
 // score rates a VM for a task of a step without regard to interference: higher is
 // better. It adds up rackWeight for a VM in the rack of the data, the affinity of
 // a service with those on the VM, and the share of free processors, which is at
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -20,6 +20,9 @@
 	// roomPause is how long a VM gets no tasks after its worker has refused one for want of
 	// room. It is the interval of the heartbeats, which show the worker's capacity.
 	roomPause = 1500 * time.Millisecond
+	// latePause is how long other VMs are preferred after an order has expired. It exceeds the 1.5 s for
+	// which an agent may keep a start.
+	latePause = 4 * time.Second
 	// maxFillerShare bounds the share of a VM's processors that all its fillers
 	// together request.
 	maxFillerShare = 0.8
@@ -119,6 +122,9 @@
 	// pauseDoublings is how many times initialPause is doubled for the next
 	// pause.
 	pauseDoublings int
+	// lateUntil is until when other VMs are preferred, since an order expired before the agent could
+	// carry it out.
+	lateUntil time.Time
 	// noRoomUntil is when the VM may get tasks again after a refusal for want of room, as
 	// long as its capacity is still noRoomCapacity and none of its runs has ended.
 	noRoomUntil    time.Time
@@ -207,7 +213,8 @@
 // pauseAfterRefusal pauses the VM if the reason for refusing a run lies in the VM
 // and not in the run. A refusal for want of room is no sign of a failing worker: its
 // capacity has shrunk and its agent has not reported that yet, or a run that the owner
-// does not know takes the room.
+// does not know takes the room. An order that was carried out too late keeps no task off the VM,
+// since the delay may be the owner's, but others come first.
 func (v *vm) pauseAfterRefusal(reason plantainrail.RefusalReason, now time.Time) {
 	switch reason {
 	case plantainrail.RefusedUnhealthy, plantainrail.RefusedNoResponse:
@@ -215,6 +222,8 @@
 		v.startPause(now)
 	case plantainrail.RefusedCapacity:
 		v.noRoomUntil, v.noRoomCapacity, v.refusedAt = now.Add(roomPause), v.Capacity, now
+	case plantainrail.RefusedExpired:
+		v.lateUntil = now.Add(latePause)
 	}
 }
 
