Ignore late reports of an earlier session after the end of the next one

Callers could see a task start twice (TWICE) when an owner that was suspended reads a report of an agent's earlier session after the agent's next session has been served and has ended.

Cause: the owner forgot the newest session of a node with its end, so the report counted as the newest: the worker's earlier incarnation replaced the present one, and its runs were placed again. The owner now keeps when the newest session was opened, one value a node.

Evidence: TestLateReportOfAnEarlierSessionChangesNothing now ends the newer session first. It failed before: "the task was started 2 times".

--- a/assembler/fleet_lost_test.go
+++ b/assembler/fleet_lost_test.go
@@ -283,7 +283,7 @@
 func (orderRecorder) Opened(st *linker.Stream, _ linker.Frame) { st.Close() }
 
 // Guards against a run that is taken for lost (TWICE) since a report of an agent's earlier session arrives
-// after those of the next one, in which the worker's next incarnation was reported.
+// after those of the next one, in which the worker's next incarnation was reported, or after its end.
 func TestLateReportOfAnEarlierSessionChangesNothing(t *testing.T) {
 	runInFleet(t, fleetShape{entries: 1, zones: 1}, func(f *fleet) {
 		starts := make(orderRecorder, 10)
@@ -304,6 +304,8 @@
 		}
 		f.submit(1, "", []map[string]any{{"count": 1, "cpu": 1000}})
 		time.Sleep(500 * time.Millisecond)
+		sessions[1].Close()
+		time.Sleep(500 * time.Millisecond)
 		report(sessions[0], 1)
 		assert.Check(t, len(starts) == 1, "the task was started %d times", len(starts))
 	})
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -42,8 +42,9 @@
 	// planner is nil until the takeover is complete.
 	planner *planner.Planner
 	agents  map[plantainrail.WorkerIncarnation]*agentSession
-	// agentsByNode holds the newest session of each node.
-	agentsByNode map[string]*agentSession
+	// connectedAt is when the newest session of each node that has reported was opened, also after
+	// its end.
+	connectedAt map[string]time.Time
 	// confirmedWriteAt is when the newest write that the store has accepted was
 	// sent.
 	confirmedWriteAt time.Time
@@ -62,7 +63,7 @@
 func newOwner(d *Decider, epoch int64) *owner {
 	return &owner{
 		decider: d, epoch: epoch, done: make(chan struct{}), released: make(chan struct{}), roundRequested: make(chan struct{}, 1),
-		agents: map[plantainrail.WorkerIncarnation]*agentSession{}, agentsByNode: map[string]*agentSession{},
+		agents: map[plantainrail.WorkerIncarnation]*agentSession{}, connectedAt: map[string]time.Time{},
 	}
 }
 
--- a/decider/session.go
+++ b/decider/session.go
@@ -104,9 +104,6 @@
 func (o *owner) removeAgent(a *agentSession, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.agentsByNode[a.incarnation.Node] == a {
-		delete(o.agentsByNode, a.incarnation.Node)
-	}
 	if o.agents[a.incarnation] != a {
 		return
 	}
@@ -201,8 +198,7 @@
 // hasNewerSession reports whether the agent of a node has connected again since, and has reported. The
 // caller holds the lock.
 func (o *owner) hasNewerSession(a *agentSession, node string) bool {
-	newest := o.agentsByNode[node]
-	return newest != nil && newest.connectedAt.After(a.connectedAt)
+	return o.connectedAt[node].After(a.connectedAt)
 }
 
 // applyEnds applies the ends of runs that a worker lists. One that changes nothing is logged as
@@ -236,7 +232,7 @@
 		earlier.session.Close()
 	}
 	a.incarnation, a.capacity, a.ackedThrough = vm.Incarnation, vm.Capacity, 0
-	o.agents[vm.Incarnation], o.agentsByNode[vm.Incarnation.Node] = a, a
+	o.agents[vm.Incarnation], o.connectedAt[vm.Incarnation.Node] = a, a.connectedAt
 	o.planner.UpdateWorker(vm, o.decider.Now())
 	o.decider.Logger.Info("VM seen", zap.String("node", vm.Incarnation.Node), zap.String("worker", vm.Incarnation.ID), zap.Int64("born", vm.Incarnation.StartedMS),
 		zap.String("service", vm.Pool), zap.Strings("labels", vm.Labels), zap.Any("capacity", vm.Capacity), zap.Bool("draining", vm.Draining))
