Make the test of silent connections see its fault again

TestSilentConnectionsAreGivenUpTogether did not fail any more without its fix: since starts are sent one at a time, a burst of starts leaves few idle connections. With the closing of idle connections switched off it passed on.

It now lets 120 runs be stopped at once, which leaves as many connections as starts did. The checks are the same. Switched off, it fails in 3 of 3 runs with "could run and does not, 7s after the disruption"; with the fix it passes in 3 of 3.

--- a/assembler/fleet_lost_test.go
+++ b/assembler/fleet_lost_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -117,13 +118,18 @@
 }
 
 // Guards against a fleet that stands still (LOST) after all open connections have gone silent, since each
-// failed call used up one of the many idle connections that a burst of starts had left.
+// failed call used up one of the many idle connections that a burst of calls had left.
 func TestSilentConnectionsAreGivenUpTogether(t *testing.T) {
 	shape := fleetShape{name: "large workers", entries: 3, zones: 3, vms: 3, maxRuns: 60}
 	runInFleet(t, shape, func(f *fleet) {
 		f.submit(1, "", []map[string]any{{"count": 3, "cpu": 1000, "longRunning": true}})
-		f.submit(2, "1000", []map[string]any{{"count": 60, "cpu": 1000}})
-		f.waitForState(2, "completed", 10*time.Second)
+		f.submit(2, "60000", []map[string]any{{"count": 120, "cpu": 1000}})
+		time.Sleep(2 * time.Second)
+		assert.Check(t, f.runningCount(2) == 120, "only %d of 120 tasks run", f.runningCount(2))
+		// The stops of its tasks are under way together and leave as many connections.
+		f.call(http.MethodDelete, 2, nil)
+		time.Sleep(2 * time.Second)
+		assert.Check(t, f.runningCount(2) == 0, "%d tasks still run", f.runningCount(2))
 		f.silence()
 		f.submit(3, "2000", []map[string]any{{"count": 1, "cpu": 1000}})
 		f.checkNothingWaits([]acceptedJob{{1, 1, 3, true}, {3, 1, 1, false}}, calmTime, 20*time.Second)
