Take no run for missing while a row of a running run is unreadable

Callers could see a task run again while its first run still worked or was being stopped (TWICE): the agent took a run whose row in the worker's answer cannot be decoded for missing after 0.5 s, and reported an ordered run as refused although the answer may show it.

Cause: rows that were left out counted as rows that are not there. The agent now draws no conclusion from the absence of a run while a row of a running run is unreadable. Unreadable rows of ends count towards the 500 that a worker lists at a time.

Evidence: TestUnreadableRunsAreNotMissing failed before: runs [2 2 2] in place of [1 1 1].

--- a/minder/late_test.go
+++ b/minder/late_test.go
@@ -1,12 +1,14 @@
 package minder
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,6 +68,8 @@
 	elsewhere bool
 	// latency is how long each call to the worker takes to arrive.
 	latency time.Duration
+	// odd makes the worker's rows of running runs unreadable.
+	odd atomic.Bool
 	// restarted is set while the owner does not know the worker's newest incarnation.
 	restarted bool
 	// strays are the runs of earlier placements that were seen on an incarnation that the owner
@@ -87,7 +91,7 @@
 			time.Sleep(f.latency)
 			f.worker.ServeHTTP(w, req)
 		})}})
-		f.m = New(Options{Node: "node", Worker: worker, HeartbeatInterval: heartbeatInterval, Now: time.Now, Logger: zap.NewNop()})
+		f.m = New(Options{Node: "node", Worker: oddRows{worker, &f.odd}, HeartbeatInterval: heartbeatInterval, Now: time.Now, Logger: zap.NewNop()})
 		f.agent = platform.RegistryHandler("node", "127.0.0.1:1", func() string { return "s" }, f.m, zap.NewNop())
 		go f.worker.Run(t.Context())
 		go func() { _ = f.m.pollWorker(t.Context()) }()
@@ -99,6 +103,20 @@
 	})
 }
 
+// oddRows is a worker whose rows of running runs can be made unreadable.
+type oddRows struct {
+	plantainrail.Worker
+	odd *atomic.Bool
+}
+
+func (w oddRows) RenewLease(ctx context.Context, incarnation plantainrail.WorkerIncarnation, epoch int64, renewal plantainrail.LeaseRenewal) (plantainrail.LeaseReply, error) {
+	reply, err := w.Worker.RenewLease(ctx, incarnation, epoch, renewal)
+	if w.odd.Load() {
+		reply.MalformedRunning, reply.Running = len(reply.Running), nil
+	}
+	return reply, err
+}
+
 // run lets the owner act for a time.
 func (f *lateFleet) run(d time.Duration) {
 	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
@@ -290,3 +308,16 @@
 		assert.Equal(t, f.runs, [lateTasks]int64{2, 2, 2})
 	})
 }
+
+// Guards against runs that are taken for missing and run again (TWICE), since their rows in the worker's
+// answers cannot be decoded.
+func TestUnreadableRunsAreNotMissing(t *testing.T) {
+	withLateFleet(t, func(f *lateFleet) {
+		f.odd.Store(true)
+		f.run(2200 * time.Millisecond)
+		f.odd.Store(false)
+		f.run(8 * time.Second)
+		assert.Equal(t, f.done, [lateTasks]bool{true, true, true})
+		assert.Equal(t, f.runs, [lateTasks]int64{1, 1, 1})
+	})
+}
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -204,10 +204,11 @@
 	if reply.Malformed > 0 {
 		m.Logger.Error("runs unreadable", zap.String("worker", incarnation.ID), zap.Int("rows", reply.Malformed))
 	}
-	m.listedPoll, m.endsOmitted = poll, len(reply.Ended) >= maxListedEnds
+	m.listedPoll, m.endsOmitted = poll, len(reply.Ended)+reply.Malformed-reply.MalformedRunning >= maxListedEnds
+	m.runsUnreadable = reply.MalformedRunning > 0
 	m.applyEnds(reply.Ended)
 	m.reconcile()
-	if !m.endsOmitted {
+	if m.listComplete() {
 		m.checkMissing(poll)
 	}
 	m.updatePace()
@@ -270,6 +271,10 @@
 	}
 }
 
+// listComplete reports whether a run that the worker's last reply does not show is neither running nor
+// among the ends that the worker keeps. The caller holds the lock.
+func (m *Minder) listComplete() bool { return !m.endsOmitted && !m.runsUnreadable }
+
 // markBegun records that the worker has accepted or listed a run. The caller holds the lock.
 func (m *Minder) markBegun(r *run) {
 	if !r.begun && !r.reordered {
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -126,6 +126,8 @@
 	unconfirmedPoll uint64
 	// endsOmitted is set if the worker's last reply may have left out ends for their number.
 	endsOmitted bool
+	// runsUnreadable is set if the worker's last reply has rows of running runs that cannot be decoded.
+	runsUnreadable bool
 	// listingWanted is set while the next RenewLease call must not wait for a run end.
 	listingWanted bool
 	// runMissing is set while a run that has begun may be missing; see checkMissing.
@@ -375,7 +377,7 @@
 	m.mu.Unlock()
 	for {
 		m.mu.Lock()
-		if m.superseded(incarnation) || m.listedPoll > since && len(m.running) == 0 {
+		if m.superseded(incarnation) || m.listedPoll > since && len(m.running) == 0 && !m.runsUnreadable {
 			// The lock stays held after the loop.
 			break
 		}
--- a/minder/start.go
+++ b/minder/start.go
@@ -296,7 +296,7 @@
 	for {
 		m.mu.Lock()
 		obsolete := m.superseded(incarnation) || m.orderedRuns[r.order.Ref] != r
-		listed := m.listedPoll > since && !m.endsOmitted
+		listed := m.listedPoll > since && m.listComplete()
 		m.mu.Unlock()
 		switch {
 		case obsolete:
--- a/work.go
+++ b/work.go
@@ -341,6 +341,8 @@
 	// Malformed is the number of rows that were left out since they do not tell which run they
 	// are of.
 	Malformed int
+	// MalformedRunning is the number of those of running runs.
+	MalformedRunning int
 }
 
 // RefusedError means that a worker refused a call and did nothing.
