Try starts that had to wait for their turn

Cause: since starts are sent in turn, the time for a start ran out while others were under way. It was extended when the start took its slot, before it had its turn. The class: a deadline that is set before a queue, not behind it. It is now extended with the first turn.

--- a/minder/start.go
+++ b/minder/start.go
@@ -67,10 +67,7 @@
 			// Starts just before must be told apart from this one.
 			_ = clocker.Sleep(context.Background(), before)
 		}
-		// A start that had to wait for its turn is tried, but does not hold up the next ones
-		// for as long.
-		until := later(r.orderedAt.Add(startTimeout), m.Now().Add(workerRetryDelay))
-		refusal := m.startRun(incarnation, r, until)
+		refusal := m.startRun(incarnation, r)
 		if after > 0 && refusal == nil && m.wants(incarnation, r) {
 			_ = clocker.Sleep(context.Background(), after)
 		}
@@ -105,15 +102,23 @@
 
 // startRun sends a start to the worker and repeats it until the worker accepts or
 // refuses it or the run is to be stopped. It returns a refusal if the worker refuses the
-// run, the worker's capacity is too small, the VM is draining or the given time has passed,
+// run, the worker's capacity is too small, the VM is draining or startTimeout has passed,
 // and otherwise nil. The time limit also bounds the wait for a lease renewal: a start must
 // not be sent after the owner has declared the worker lost.
-func (m *Minder) startRun(incarnation plantainrail.WorkerIncarnation, r *run, until time.Time) *startRefusal {
+func (m *Minder) startRun(incarnation plantainrail.WorkerIncarnation, r *run) *startRefusal {
 	// unanswered is set if the worker may still execute an earlier try. A run that was
 	// ordered again may have been tried by a previous process of this agent.
 	unanswered := r.reordered
+	var until time.Time
 	for {
+		release := m.starts.takeTurn()
+		if until.IsZero() {
+			// A start that had to wait for its turn is tried, but does not hold up the next ones
+			// for as long.
+			until = later(r.orderedAt.Add(startTimeout), m.Now().Add(workerRetryDelay))
+		}
 		refusal, settled := m.tryStart(incarnation, r, until, unanswered)
+		release()
 		if settled {
 			return refusal
 		}
@@ -127,7 +132,6 @@
 // a try without an answer. Only one start is under way at a time, and the next one waits for the
 // outcome: a worker that restarts with a smaller capacity executes what reaches it.
 func (m *Minder) tryStart(incarnation plantainrail.WorkerIncarnation, r *run, until time.Time, unanswered bool) (refusal *startRefusal, settled bool) {
-	defer m.starts.takeTurn()()
 	ref := r.order.Ref
 	m.mu.Lock()
 	if m.superseded(incarnation) || m.orderedRuns[ref] != r || m.stopping[ref] {
--- a/minder/start_test.go
+++ b/minder/start_test.go
@@ -18,9 +18,12 @@
 	*fakeWorker
 	mu     sync.Mutex
 	starts int
+	// latency is how long the answer to a start takes.
+	latency time.Duration
 }
 
 func (w *startingWorker) Start(context.Context, plantainrail.WorkerIncarnation, int64, plantainrail.RunOrder, int64) (plantainrail.StartReply, error) {
+	time.Sleep(w.latency)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts++
@@ -91,3 +94,22 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// Guards against a sound worker that is paused, and tasks that wait (LOST), since starts were given up
+// untried while slow answers to others held them up.
+func TestStartsThatWaitForTheirTurnAreTried(t *testing.T) {
+	const starts = 100
+	withWorker(t, func(t *testing.T, m *Minder, w *fakeWorker) {
+		worker := &startingWorker{fakeWorker: w, latency: maxTurn + 5*time.Millisecond}
+		m.mu.Lock()
+		m.Worker = worker
+		m.clock, m.leaseUntil = workerClock{reading: 1, readAt: m.Now()}, m.Now().Add(time.Minute)
+		m.HeartbeatInterval = time.Minute
+		for i := range starts {
+			m.addOrderedRun(&run{order: plantainrail.RunOrder{Ref: refForJob(fmt.Sprint(i))}})
+		}
+		m.mu.Unlock()
+		time.Sleep(starts*maxTurn + time.Second)
+		assert.Equal(t, worker.count(), starts)
+	})
+}
