Let two nodes agree before a late crash fails a job

Found by review: a job that only one worker can run was failed after four crashes at about the same age of its run, though the worker may be the cause (LOST: failed without cause).

As with failed runs, a second node has to agree. TestWorkerThatCrashesRegularlyFailsNoJob failed before. TestLateDeadlyTaskIsGivenUp and TestCrashLongAfterStartIsCounted hold, since suspects avoid nodes that have crashed. A deadly task that only one worker can run is not given up for late crashes.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -102,32 +102,34 @@
 	}
 }
 
-// noteLateCrash counts the crash of a worker at the given age of the task's run. A task that crashes
-// workers does so at about the same age, so the count begins anew at another one.
-func (t *Task) noteLateCrash(age time.Duration) {
-	if difference := (age - t.lateCrashAge).Abs(); difference > crashAgeTolerance+max(age, t.lateCrashAge)/8 {
-		t.lateCrashes = 0
+// noteLateCrash counts the crash of a node's worker at the given age of the task's run. A task that
+// crashes workers does so at about the same age, so the count begins anew at another one.
+func (t *Task) noteLateCrash(node string, age time.Duration) {
+	if difference := (age - t.lateCrashAge).Abs(); t.lateCrashes == 0 || difference > crashAgeTolerance+max(age, t.lateCrashAge)/8 {
+		t.lateCrashes, t.lateCrashNode, t.lateCrashesElsewhere = 0, node, false
 	}
 	t.lateCrashes, t.lateCrashAge = t.lateCrashes+1, age
+	t.lateCrashesElsewhere = t.lateCrashesElsewhere || node != t.lateCrashNode
 }
 
 // countLateCrash counts the crash of a VM's worker against the tasks of the runs that were there,
 // of which none had just begun. Any of them may be the cause. It returns the job that fails because
 // of it, or nil: one with a task that has maxLateCrashes, and maxCrashes more than the tasks of all
-// other jobs there.
+// other jobs there. A single node may be the cause itself, so two have to agree.
 func (p *Planner) countLateCrash(v *vm, present []plantainrail.RunAge, now time.Time) *Job {
 	p.crashedAt[v.Incarnation.Node] = now
-	counts := map[*Job]int{}
+	counts, elsewhere := map[*Job]int{}, map[*Job]bool{}
 	for _, was := range present {
 		run := v.runs[was.Ref]
 		if run == nil || p.restartedWithout(run.job, now) {
 			continue
 		}
 		run.job.lateCrashAt = now
-		run.task.noteLateCrash(was.Age)
+		run.task.noteLateCrash(v.Incarnation.Node, was.Age)
 		run.job.crashed = true
 		p.markStarted(run.job)
 		counts[run.job] = max(counts[run.job], run.task.lateCrashes)
+		elsewhere[run.job] = elsewhere[run.job] || run.task.lateCrashesElsewhere
 	}
 	for j, count := range counts {
 		others := 0
@@ -136,7 +138,7 @@
 				others = max(others, n)
 			}
 		}
-		if count >= maxLateCrashes && count-others >= maxCrashes && !j.State.Final() {
+		if count >= maxLateCrashes && count-others >= maxCrashes && elsewhere[j] && !j.State.Final() {
 			return j
 		}
 	}
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -239,6 +239,25 @@
 	}
 }
 
+// Guards against a sound job that is given up (LOST) because the only worker that can run it crashes
+// at regular times.
+func TestWorkerThatCrashesRegularlyFailsNoJob(t *testing.T) {
+	m := newCrashModel(t, 1, 1)
+	m.submit("service", plantainrail.Step{Count: 1, CPU: 1000, Lasting: true})
+	w := m.workers[0]
+	for step := range 2000 {
+		for i := range w.runs {
+			w.ends[i] = m.now.Add(time.Hour)
+			if step < 1800 && m.now.Sub(w.begun[i]) >= 2*time.Second {
+				m.crash(w)
+				break
+			}
+		}
+		m.advance()
+	}
+	assert.Assert(t, !m.state("service").Final())
+}
+
 // Guards against sound jobs that are given up (LOST) because workers crash for another
 // cause, some of them again and again.
 func TestFailingWorkersDoNotFailJobs(t *testing.T) {
--- a/planner/job.go
+++ b/planner/job.go
@@ -56,10 +56,13 @@
 	Checkpoint string
 	// lateCrashes counts the workers in a row that have crashed within LateCrashTime of a run's
 	// start when no run had just begun there. It is reset like Crashes, and after
-	// soundRunTime. lateCrashAge is how long after the start the newest one came. They are not
+	// soundRunTime. lateCrashAge is how long after the start the newest one came, lateCrashNode the
+	// node of the first one, and lateCrashesElsewhere is set by one on another node. They are not
 	// stored.
-	lateCrashes  int
-	lateCrashAge time.Duration
+	lateCrashes          int
+	lateCrashAge         time.Duration
+	lateCrashNode        string
+	lateCrashesElsewhere bool
 	// failedAt is when the newest failed run ended. It is not stored.
 	failedAt time.Time
 	// retryAt is when the task may be placed again after its newest failed run. It is set for
