Split applyReport and mayIgnore

No change of behaviour: the lease and the measurements of a report have functions of their own, and the conditions under which an overdue task tries a VM in doubt are one a line.

--- a/decider/session.go
+++ b/decider/session.go
@@ -158,25 +158,11 @@
 			zap.Any("before", a.capacity), zap.Any("capacity", r.VM.Capacity))
 		a.capacity = r.VM.Capacity
 	}
-	// Only an owner whose write was confirmed recently may renew leases, since another
-	// entry may own the jobs by now.
-	renewalGranted := r.Sequence > 0 && now.Sub(o.confirmedWriteAt) < renewalWindow
 	o.planner.UpdateWorker(r.VM, now)
-	if renewalGranted {
-		o.planner.Renew(a.incarnation, now)
-	}
-	// Once this owner has heard a request for a renewal, it knows better than the agent, which may not
-	// have its answer yet.
-	if r.LeaseLeftMS != nil && a.heard == 0 {
-		o.planner.LimitLease(a.incarnation, now.Add(time.Duration(*r.LeaseLeftMS)*time.Millisecond))
-	}
+	renewalGranted := o.applyLease(a, r, now)
 	o.planner.RecordCheckpoints(a.incarnation, r.Running, now)
 	if r.Measurements != nil {
-		tails := make(map[plantainrail.RunRef]int, len(r.Measurements.TailLatencies))
-		for _, t := range r.Measurements.TailLatencies {
-			tails[t.Ref] = t.Milliseconds
-		}
-		o.planner.Observe(a.incarnation, tails, r.Measurements.FillerCPU, now)
+		o.observe(a, *r.Measurements, now)
 		// Such a report contains nothing else that is applied below.
 		return
 	}
@@ -195,6 +181,32 @@
 	}
 }
 
+// applyLease applies what a report tells of the worker's lease, and reports whether it is renewed. The
+// caller holds the lock.
+func (o *owner) applyLease(a *agentSession, r linker.WorkReport, now time.Time) (renewed bool) {
+	// Only an owner whose write was confirmed recently may renew leases, since another
+	// entry may own the jobs by now.
+	renewed = r.Sequence > 0 && now.Sub(o.confirmedWriteAt) < renewalWindow
+	if renewed {
+		o.planner.Renew(a.incarnation, now)
+	}
+	// Once this owner has heard a request for a renewal, it knows better than the agent, which may not
+	// have its answer yet.
+	if r.LeaseLeftMS != nil && a.heard == 0 {
+		o.planner.LimitLease(a.incarnation, now.Add(time.Duration(*r.LeaseLeftMS)*time.Millisecond))
+	}
+	return renewed
+}
+
+// observe passes the measurements of a worker to the planner. The caller holds the lock.
+func (o *owner) observe(a *agentSession, m linker.Measurements, now time.Time) {
+	tails := make(map[plantainrail.RunRef]int, len(m.TailLatencies))
+	for _, t := range m.TailLatencies {
+		tails[t.Ref] = t.Milliseconds
+	}
+	o.planner.Observe(a.incarnation, tails, m.FillerCPU, now)
+}
+
 // hasNewerSession reports whether the agent of a node has connected again since, and has reported. The
 // caller holds the lock.
 func (o *owner) hasNewerSession(a *agentSession, node string) bool {
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -12,8 +12,8 @@
 type fact Obstacle
 
 // judgement is a reason for which a VM had better not take a task. It excludes the VM while the
-// task may still wait (see wait). After that it only ranks the VM, and admission is paced by
-// Planner.mayIgnore.
+// task may still wait (see wait). After that it ranks the VM, and rating.mayIgnore bounds how
+// often overdue tasks try a VM in doubt.
 type judgement struct {
 	name Obstacle
 	// rank orders the judgements: the least bad has the lowest.
@@ -122,8 +122,15 @@
 	if r.allDoubted {
 		spacing, slots = minDoubtedSpacing, doubtedSlots
 	}
-	return r.ready.wait.overdue && !r.ready.noTrial && !slices.Contains(doubts, judgedFilled) && r.now.Sub(v.failedAt) >= spacing && r.now.Sub(v.refusedAt) >= minSpacing &&
-		!(v.probation && v.slowStartFull(r.ready, slots, r.now))
+	switch {
+	case !r.ready.wait.overdue, r.ready.noTrial:
+		return false
+	case slices.Contains(doubts, judgedFilled):
+		return false
+	case r.now.Sub(v.failedAt) < spacing, r.now.Sub(v.refusedAt) < minSpacing:
+		return false
+	}
+	return !v.probation || !v.slowStartFull(r.ready, slots, r.now)
 }
 
 // distrusted reports whether failures or refusals speak against the VM.
