Count on an agent only once it has accepted the new owner

Callers could see a task run twice at the same time (TWICE). An agent opens a session with a new owner and reports, and the session ends before the agent has read the orders. The agent knows only the earlier owner, which may renew the lease until 3 s after its last write.

Evidence: TestReportOfAnAgentThatKnowsOnlyTheEarlierOwner, both rows failed before: 'runs 1 and 2 at the same time'. The row 'agent has not accepted the new owner' of TestTasksAreRescheduledAfterLeaseExpiry is new; the row before it now says that the agent has accepted the owner, which was implied.

Change: reports carry the highest epoch that the agent has accepted, and the first orders of an epoch are answered by a report at once. The grace ends, and the lease is limited, only by reports with the owner's epoch. A renewal before that does not shorten the grace. Agents of an earlier build leave the field out and keep the grace.

--- a/assembler/fleet_takeover_test.go
+++ b/assembler/fleet_takeover_test.go
@@ -10,6 +10,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/decider"
+	"github.com/plantainrail/plantainrail/linker"
+	"github.com/plantainrail/plantainrail/platform"
 )
 
 // silencer is a store whose reads can be made to hang, as those on a connection that has gone
@@ -279,3 +282,86 @@
 		f.checkRuns()
 	})
 }
+
+// Guards against two runs of a task at the same time (TWICE): an agent's session with a new owner ends
+// before the agent has heard of it, so that it goes on with the earlier owner, which still renews leases.
+func TestReportOfAnAgentThatKnowsOnlyTheEarlierOwner(t *testing.T) {
+	left := int64(0)
+	for _, c := range []struct {
+		name string
+		// leaseLeft is what the agent reports of the lease, if its worker seems to be lost.
+		leaseLeft *int64
+	}{{"worker reachable", nil}, {"worker seems to be lost", &left}} {
+		t.Run(c.name, func(t *testing.T) {
+			runInFleet(t, smallFleet, func(f *fleet) {
+				f.submit(1, "20000", []map[string]any{{"count": 4, "cpu": 1000}})
+				time.Sleep(time.Second)
+				earlier := f.owner()
+				// The owner keeps its session with one agent, which does not read who owns the jobs.
+				f.isolate(earlier, f.vms[0], blackholed)
+				f.reportOnce(f.vms[0], f.awaitOtherOwner(earlier), c.leaseLeft)
+				time.Sleep(12 * time.Second)
+				f.isolate(earlier, f.vms[0], healthy)
+				f.checkRuns()
+			})
+		})
+	}
+}
+
+// isolate sets the state of the links that connect an entry or the agent of a VM with anything but each
+// other and the worker.
+func (f *fleet) isolate(entry int, v *fleetVM, state fault) {
+	name := f.entries[entry].name
+	links := []string{linkName(name, "store"), linkName(v.name, "store")}
+	for _, e := range f.others(entry) {
+		links = append(links, linkName(name, e.name), linkName(v.name, e.name))
+	}
+	for _, other := range f.vms {
+		if other != v {
+			links = append(links, linkName(other.name, name))
+		}
+	}
+	for _, link := range links {
+		f.net.setFault(link, state)
+	}
+}
+
+// awaitOtherOwner waits up to ten seconds until another entry owns the jobs, and returns it.
+func (f *fleet) awaitOtherOwner(earlier int) int {
+	f.t.Helper()
+	for range 100 {
+		for i, e := range f.entries {
+			if i != earlier && e.decider.Owns() {
+				return i
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.t.Fatal("no other entry owns the jobs")
+	return 0
+}
+
+// reportOnce sends an entry the report of a VM's agent on a session of its own, which ends before the
+// agent reads the orders that follow.
+func (f *fleet) reportOnce(v *fleetVM, entry int, leaseLeft *int64) {
+	f.t.Helper()
+	// The links of the agent itself drop everything by now.
+	client := f.client("session of " + v.name)
+	defer client.CloseIdleConnections()
+	incarnation := plantainrail.WorkerIncarnation{Node: v.name, ID: "w-" + v.name}
+	_, err := platform.NewWorker(v.workerAddress, client).RenewLease(f.ctx, incarnation, 0, plantainrail.LeaseRenewal{})
+	var refused *plantainrail.RefusedError
+	assert.Assert(f.t, errors.As(err, &refused), "a worker that knows an owner refuses a call without epoch")
+	incarnation.StartedMS = refused.StartedMS
+	session, _, err := decider.Dial(f.ctx, client, f.entries[entry].decider.Address)
+	assert.NilError(f.t, err)
+	f.group.Go(func() error { _ = session.Run(f.ctx, make(orderRecorder, 10)); return nil })
+	assert.NilError(f.t, session.Send(linker.Frame{Work: &linker.WorkReport{
+		VM: plantainrail.VM{
+			Incarnation: incarnation, Pool: "desk", Zone: "z", Draining: leaseLeft != nil, Capacity: plantainrail.Resources{Processors: 6000, Memory: 64_000},
+		},
+		LeaseLeftMS: leaseLeft,
+	}}))
+	time.Sleep(50 * time.Millisecond)
+	session.Close()
+}
--- a/decider/session.go
+++ b/decider/session.go
@@ -159,6 +159,9 @@
 		a.capacity = r.VM.Capacity
 	}
 	o.planner.UpdateWorker(r.VM, now)
+	if r.Epoch >= o.epoch {
+		o.planner.EndGrace(a.incarnation, now)
+	}
 	renewalGranted := o.applyLease(a, r, now)
 	o.planner.RecordCheckpoints(a.incarnation, r.Running, now)
 	if r.Measurements != nil {
@@ -192,7 +195,7 @@
 	}
 	// Once this owner has heard a request for a renewal, it knows better than the agent, which may not
 	// have its answer yet.
-	if r.LeaseLeftMS != nil && a.heard == 0 {
+	if r.LeaseLeftMS != nil && a.heard == 0 && r.Epoch >= o.epoch {
 		o.planner.LimitLease(a.incarnation, now.Add(time.Duration(*r.LeaseLeftMS)*time.Millisecond))
 	}
 	return renewed
--- a/linker/work.go
+++ b/linker/work.go
@@ -24,6 +24,9 @@
 	// LeaseLeftMS is how long the lease of a worker that does not reply still lasts, in
 	// milliseconds; nil if its lease is renewed or the agent does not know.
 	LeaseLeftMS *int64 `cbor:"7,keyasint,omitempty"`
+	// Epoch is the highest epoch of an owner whose orders the agent has accepted. It accepts nothing from
+	// owners of lower epochs any more, and no lease either. Agents of an earlier build leave it out.
+	Epoch int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Measurements holds a worker's measurements of the services with a tail latency
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -437,7 +437,7 @@
 	if m.session == nil || m.vm.Incarnation.IsZero() || m.clearingEarlierRuns {
 		return
 	}
-	r.VM = m.vm
+	r.VM, r.Epoch = m.vm, m.epoch
 	// An unreachable worker, or one of unknown capacity, is reported as draining, so that it
 	// gets no new runs.
 	r.VM.Draining = r.VM.Draining || m.unreachable || !m.capacityKnown()
--- a/minder/session.go
+++ b/minder/session.go
@@ -312,7 +312,11 @@
 		s.Close()
 		return
 	}
-	m.epoch = o.Epoch
+	if o.Epoch > m.epoch {
+		m.epoch = o.Epoch
+		// From now on the owner may rely on it that nobody else renews the lease.
+		m.report(linker.WorkReport{})
+	}
 	m.departureAcked = m.departureAcked || o.DepartureAcked
 	if o.Renewed > 0 {
 		if at, ok := m.renewalSentAt[o.Renewed]; ok {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -247,15 +247,16 @@
 // record is deleted when the incarnation is replaced or removed or its lease expires.
 func (p *Planner) HasWorker(id plantainrail.WorkerIncarnation) bool { return p.vms[id] != nil }
 
-// Renew records that the lease of a worker was renewed at the given time.
+// Renew records that the lease of a worker was renewed at the given time. An earlier owner may still
+// renew it later, until EndGrace.
 func (p *Planner) Renew(incarnation plantainrail.WorkerIncarnation, now time.Time) {
-	if v := p.vms[incarnation]; v != nil {
+	if v := p.vms[incarnation]; v != nil && v.renewedAt.Before(now) {
 		v.renewedAt = now
 	}
 }
 
 // LimitLease records that the lease of a worker ends at the given time, unless it is renewed: the
-// agent knows what the earlier owner has granted.
+// agent knows what the earlier owner has granted. It must be called after EndGrace only.
 func (p *Planner) LimitLease(incarnation plantainrail.WorkerIncarnation, end time.Time) {
 	if v := p.vms[incarnation]; v != nil {
 		v.renewedAt = earlier(v.renewedAt, end.Add(-p.timeouts.Lease))
@@ -302,9 +303,14 @@
 		v.connectedAt = now
 	}
 	v.VM, v.connected = reported, true
-	// The agent has a session with this owner and accepts no more renewals from
-	// an earlier one, so the rest of the TakeoverGrace is dropped.
-	v.renewedAt = earlier(v.renewedAt, now)
+}
+
+// EndGrace records that the agent of a worker accepts no more renewals from an earlier owner, so the
+// rest of the TakeoverGrace is dropped.
+func (p *Planner) EndGrace(incarnation plantainrail.WorkerIncarnation, now time.Time) {
+	if v := p.vms[incarnation]; v != nil {
+		v.renewedAt = earlier(v.renewedAt, now)
+	}
 }
 
 // Disconnect records that an agent's session has ended. Its worker gets no new
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -224,18 +224,19 @@
 	for _, c := range []struct {
 		name string
 		// takeover means that the owner is replaced. The earlier one may still
-		// renew leases for TakeoverGrace, unless the worker's agent has reported
-		// to the new one.
-		takeover bool
+		// renew leases for TakeoverGrace, unless the worker's agent has accepted the
+		// new one.
+		takeover, accepted bool
 		// connected means that the agent reports but cannot reach its worker.
 		connected bool
 		// after is the time until the worker's lease has certainly expired.
 		after time.Duration
 	}{
-		{"session lost", false, false, expiry},
-		{"agent cannot reach its worker", false, true, expiry},
-		{"owner lost as well", true, false, expiry + timeouts.TakeoverGrace},
-		{"owner lost, agent cannot reach its worker", true, true, expiry},
+		{"session lost", false, false, false, expiry},
+		{"agent cannot reach its worker", false, false, true, expiry},
+		{"owner lost as well", true, false, false, expiry + timeouts.TakeoverGrace},
+		{"owner lost, agent cannot reach its worker", true, true, true, expiry},
+		{"agent has not accepted the new owner", true, false, true, expiry + timeouts.TakeoverGrace},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t, newVM("a", 2000))
@@ -254,6 +255,9 @@
 					lost := newVM("a", 2000)
 					lost.Draining = true
 					h.planner.UpdateWorker(lost, h.now)
+					if c.accepted {
+						h.planner.EndGrace(lost.Incarnation, h.now)
+					}
 				}
 			}
 			assert.Equal(t, len(h.tick().Assignments), 0, "the task is placed again although the lease may still be valid")
