Pass over refusals of an agent that has not accepted the owner

Callers could see a task run twice at the same time (TWICE). An agent that knows only the earlier owner reports a refused run on a session with the new one, which ends before the agent has read the orders. The new owner placed the task elsewhere, while the earlier one, whose session the agent goes back to, ordered the same run again.

Evidence: the row 'run refused' of TestReportOfAnAgentThatKnowsOnlyTheEarlierOwner failed before: 'runs 1 and 2 at the same time'. Such a refusal is passed over now, and logged: the owner's list names the run, so the agent starts it or refuses it once more. Reports of agents of an earlier build, which name no epoch, are applied as before.

--- a/assembler/fleet_takeover_test.go
+++ b/assembler/fleet_takeover_test.go
@@ -287,11 +287,16 @@
 // before the agent has heard of it, so that it goes on with the earlier owner, which still renews leases.
 func TestReportOfAnAgentThatKnowsOnlyTheEarlierOwner(t *testing.T) {
 	left := int64(0)
+	refused := linker.RunRefusal{Ref: plantainrail.RunRef{Task: plantainrail.TaskID{Job: jobID(1)}, Run: 1}, Reason: plantainrail.RefusedCapacity}
 	for _, c := range []struct {
-		name string
-		// leaseLeft is what the agent reports of the lease, if its worker seems to be lost.
-		leaseLeft *int64
-	}{{"worker reachable", nil}, {"worker seems to be lost", &left}} {
+		name   string
+		report linker.WorkReport
+	}{
+		{"worker reachable", linker.WorkReport{}},
+		{"worker seems to be lost", linker.WorkReport{LeaseLeftMS: &left}},
+		// The earlier owner may order the run again.
+		{"run refused", linker.WorkReport{Refused: []linker.RunRefusal{refused}}},
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			runInFleet(t, smallFleet, func(f *fleet) {
 				f.submit(1, "20000", []map[string]any{{"count": 4, "cpu": 1000}})
@@ -299,7 +304,7 @@
 				earlier := f.owner()
 				// The owner keeps its session with one agent, which does not read who owns the jobs.
 				f.isolate(earlier, f.vms[0], blackholed)
-				f.reportOnce(f.vms[0], f.awaitOtherOwner(earlier), c.leaseLeft)
+				f.reportOnce(f.vms[0], f.awaitOtherOwner(earlier), c.report)
 				time.Sleep(12 * time.Second)
 				f.isolate(earlier, f.vms[0], healthy)
 				f.checkRuns()
@@ -343,7 +348,7 @@
 
 // reportOnce sends an entry the report of a VM's agent on a session of its own, which ends before the
 // agent reads the orders that follow.
-func (f *fleet) reportOnce(v *fleetVM, entry int, leaseLeft *int64) {
+func (f *fleet) reportOnce(v *fleetVM, entry int, r linker.WorkReport) {
 	f.t.Helper()
 	// The links of the agent itself drop everything by now.
 	client := f.client("session of " + v.name)
@@ -356,12 +361,9 @@
 	session, _, err := decider.Dial(f.ctx, client, f.entries[entry].decider.Address)
 	assert.NilError(f.t, err)
 	f.group.Go(func() error { _ = session.Run(f.ctx, make(orderRecorder, 10)); return nil })
-	assert.NilError(f.t, session.Send(linker.Frame{Work: &linker.WorkReport{
-		VM: plantainrail.VM{
-			Incarnation: incarnation, Pool: "desk", Zone: "z", Draining: leaseLeft != nil, Capacity: plantainrail.Resources{Processors: 6000, Memory: 64_000},
-		},
-		LeaseLeftMS: leaseLeft,
-	}}))
+	r.Epoch = 1
+	r.VM = plantainrail.VM{Incarnation: incarnation, Pool: "desk", Zone: "z", Draining: r.LeaseLeftMS != nil, Capacity: plantainrail.Resources{Processors: 6000, Memory: 64_000}}
+	assert.NilError(f.t, session.Send(linker.Frame{Work: &r}))
 	time.Sleep(50 * time.Millisecond)
 	session.Close()
 }
--- a/decider/session.go
+++ b/decider/session.go
@@ -170,11 +170,7 @@
 		return
 	}
 	o.applyEnds(a, r.Ended, now)
-	for _, refusal := range r.Refused {
-		o.planner.ApplyRefusal(a.incarnation, refusal.Ref, refusal.Reason, now)
-		o.decider.Logger.Info("run refused", zap.Stringer("task", refusal.Ref.Task), zap.Int64("run", refusal.Ref.Run),
-			zap.String("reason", string(refusal.Reason)), zap.String("node", a.incarnation.Node))
-	}
+	o.applyRefusals(a, r, now)
 	if renewalGranted {
 		_ = a.session.Send(linker.Frame{Orders: &linker.WorkOrders{Epoch: o.epoch, Incarnation: a.incarnation, Renewed: r.Sequence}})
 	}
@@ -184,6 +180,21 @@
 	}
 }
 
+// applyRefusals requeues the tasks of refused runs. It passes over what the agent reports before it has
+// accepted this owner: the earlier owner may order these runs again, and the agent refuses them once more
+// when it has read this owner's list. The caller holds the lock.
+func (o *owner) applyRefusals(a *agentSession, r linker.WorkReport, now time.Time) {
+	if len(r.Refused) > 0 && r.Epoch != 0 && r.Epoch < o.epoch {
+		o.decider.Logger.Info("refusals under an earlier owner passed over", zap.String("node", a.incarnation.Node), zap.Int64("epoch", r.Epoch), zap.Int("runs", len(r.Refused)))
+		return
+	}
+	for _, refusal := range r.Refused {
+		o.planner.ApplyRefusal(a.incarnation, refusal.Ref, refusal.Reason, now)
+		o.decider.Logger.Info("run refused", zap.Stringer("task", refusal.Ref.Task), zap.Int64("run", refusal.Ref.Run),
+			zap.String("reason", string(refusal.Reason)), zap.String("node", a.incarnation.Node))
+	}
+}
+
 // applyLease applies what a report tells of the worker's lease, and reports whether it is renewed. The
 // caller holds the lock.
 func (o *owner) applyLease(a *agentSession, r linker.WorkReport, now time.Time) (renewed bool) {
