Let the end of a lost run count before it is acknowledged

Callers could see a task run again after its run was done and the worker's listing of that end had been acknowledged (TWICE), or be started again after its last failure (BUDGET). An owner that takes a worker for lost lets its tasks wait. If the worker returns, it lists the ends of the runs, which were dropped, since nothing is placed there any more, and acknowledged all the same, so that the worker forgot them.

Evidence: TestEndOfALostRunCounts, rows 'done' and 'failed for the last time', failed before: the task was started again. Now such an end counts if it is that of the task's newest run and the task waits; gangs and long-running tasks are left out. Open: an end that arrives when the task has been placed again changes nothing, as before.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -348,7 +348,8 @@
 // ApplyEnds applies the ends of runs that a worker lists, which must be in
 // ascending order of RunEnd.Number, and skips those that were applied before. The
 // caller may acknowledge them to the worker once the changes are stored. ApplyEnds
-// returns the ends of runs that are not placed on the worker; they change nothing.
+// returns the ends that change nothing: those of runs that are not placed on the worker, unless they
+// are the newest of tasks that wait.
 func (p *Planner) ApplyEnds(incarnation plantainrail.WorkerIncarnation, ends []plantainrail.RunEnd, now time.Time) (dropped []plantainrail.RunEnd) {
 	v := p.vms[incarnation]
 	if v == nil {
@@ -359,12 +360,11 @@
 			continue
 		}
 		v.lastEnd = end.Number
-		run := v.runs[end.Ref]
-		if run == nil {
+		if run := v.runs[end.Ref]; run != nil {
+			p.handleRunEnd(v, run, end, now)
+		} else if !p.applyLateEnd(end, now) {
 			dropped = append(dropped, end)
-			continue
 		}
-		p.handleRunEnd(v, run, end, now)
 	}
 	return dropped
 }
@@ -461,24 +461,51 @@
 	j.setPhase(run.id, Waiting)
 	p.markChanged(j)
 	v.recordOutcome(run, end.Outcome, now)
-	switch {
-	case end.Outcome == plantainrail.RunFailed && step.Lasting:
+	if step.Lasting && end.Outcome == plantainrail.RunFailed {
 		again := len(j.faultyOn) > 0 || !t.retryAt.IsZero()
 		t.retryAt = now
 		if again {
 			t.retryAt = now.Add(retryDelay)
 		}
-	case end.Outcome == plantainrail.RunDone && !step.Lasting:
-		p.completeTask(j, run.id)
-	case end.Outcome == plantainrail.RunFailed && !step.Lasting:
+	}
+	if !step.Lasting {
+		p.countOutcome(j, run.id, end.Outcome, now)
+	}
+}
+
+// countOutcome completes a task whose run is done, and counts the failure of one whose run has failed.
+func (p *Planner) countOutcome(j *Job, id plantainrail.TaskID, outcome plantainrail.RunOutcome, now time.Time) {
+	switch outcome {
+	case plantainrail.RunDone:
+		p.completeTask(j, id)
+	case plantainrail.RunFailed:
+		t := j.task(id)
 		t.Failures++
 		t.failedAt = now
-		if j.failures(run.id, step.Gang) >= j.maxFailedRuns() && !j.State.Final() {
+		if j.failures(id, j.Steps[id.Step].Gang) >= j.maxFailedRuns() && !j.State.Final() {
 			p.endJob(j, Failed)
 		}
 	}
 }
 
+// applyLateEnd applies the end of a run that was taken for lost, if its task has waited since, and reports whether
+// it has changed anything. The worker forgets the end once it is acknowledged, so it must count first.
+func (p *Planner) applyLateEnd(end plantainrail.RunEnd, now time.Time) bool {
+	id := end.Ref.Task
+	j := p.Book.Job(id.Job)
+	if j == nil || j.State.Final() || end.Outcome != plantainrail.RunDone && end.Outcome != plantainrail.RunFailed {
+		return false
+	}
+	t := j.task(id)
+	if t == nil || t.Phase != Waiting || t.Run != end.Ref.Run || j.Steps[id.Step].Lasting || j.Steps[id.Step].Gang {
+		return false
+	}
+	p.markStarted(j)
+	p.markChanged(j)
+	p.countOutcome(j, id, end.Outcome, now)
+	return true
+}
+
 // failures returns the number of failed runs that is compared with maxFailedRuns.
 // Of the tasks in the given task's step it takes the one with the most failed
 // runs or, for a gang, the sum of all.
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -215,6 +215,41 @@
 	assert.Equal(t, next.state("job"), planner.Completed)
 }
 
+// Guards against a task that runs again after it was done (TWICE) or has failed too often (BUDGET): its worker
+// had been given up meanwhile, and the end was acknowledged without effect.
+func TestEndOfALostRunCounts(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		step    plantainrail.Step
+		outcome plantainrail.RunOutcome
+		want    planner.State
+		starts  int
+	}{
+		{"done", plantainrail.Step{Count: 1, CPU: 1000}, plantainrail.RunDone, planner.Completed, 0},
+		{"failed for the last time", plantainrail.Step{Count: 1, CPU: 1000}, plantainrail.RunFailed, planner.Failed, 0},
+		{"lapsed", plantainrail.Step{Count: 1, CPU: 1000}, plantainrail.RunLeaseExpired, planner.Running, 1},
+		{"long-running", plantainrail.Step{Count: 1, CPU: 1000, Lasting: true}, plantainrail.RunDone, planner.Running, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, newVM("a", 2000))
+			once := queue
+			once.MaxAttempts = 1
+			h.submitWorkflow(plantainrail.Workflow{ID: "job", Queue: once, Steps: []plantainrail.Step{c.step}})
+			run := h.tick().Assignments[0]
+			h.begin(run)
+			h.now = h.now.Add(2 * timeouts.Lease)
+			h.tick()
+			assert.Assert(t, !h.planner.HasWorker(run.Incarnation))
+			h.report(newVM("a", 2000))
+			h.reportEnd(run, 1, c.outcome)
+			assert.Equal(t, len(h.tick().Assignments), c.starts)
+			assert.Equal(t, h.state("job"), c.want)
+			// The new owner must know it as well.
+			assert.Equal(t, h.takeOver().state("job"), c.want)
+		})
+	}
+}
+
 // Guards against two runs of a task at the same time: the task of a worker out of
 // contact may only be placed again after the worker's lease has certainly expired
 // and its runs are stopped.
