Log which epoch has stored what a placement and an acknowledgement rest on

The logs of a task that ran twice could not tell two owners from one, nor whether an end was stored before it was acknowledged. 'task placed' has the epoch and the offset up to which this owner's writes are stored; 'ends acknowledged' is new, one line for each worker and round with ends.

--- a/decider/owner.go
+++ b/decider/owner.go
@@ -48,6 +48,9 @@
 	// confirmedWriteAt is when the newest write that the store has accepted was
 	// sent.
 	confirmedWriteAt time.Time
+	// storedThrough is the offset after the newest record of progress that the store has accepted from this
+	// owner, or the topic's end when it was fenced.
+	storedThrough plantainrail.Offset
 	// operatorsAsOf and jobsAsOf are when the views were whole that the planner knows.
 	operatorsAsOf, jobsAsOf time.Time
 	// waitingStarts are assignments that are stored but not ordered, since startsWaitSince,
@@ -178,6 +181,7 @@
 			o.sequence++
 			o.mu.Lock()
 			o.confirmedWriteAt = sent
+			o.storedThrough = max(o.storedThrough, offset+plantainrail.Offset(len(records)))
 			o.mu.Unlock()
 			return offset, nil
 		case errors.Is(err, plantainrail.ErrFenced), errors.As(err, &sequenceErr), ctx.Err() != nil:
@@ -399,7 +403,8 @@
 		}
 		ordersFor(a.Incarnation).Starts = append(ordersFor(a.Incarnation).Starts, a.Order)
 		o.decider.Logger.Info("task placed", append(o.ageFields(),
-			zap.Stringer("task", a.Order.Ref.Task), zap.Int64("run", a.Order.Ref.Run), zap.String("node", a.Incarnation.Node))...)
+			zap.Stringer("task", a.Order.Ref.Task), zap.Int64("run", a.Order.Ref.Run), zap.String("node", a.Incarnation.Node),
+			zap.Int64("epoch", o.epoch), zap.Int64("offset", int64(o.storedThrough)))...)
 	}
 	for _, s := range plan.Stops {
 		ordersFor(s.Incarnation).Stops = append(ordersFor(s.Incarnation).Stops, s.Ref)
@@ -419,6 +424,8 @@
 		if a := o.agents[incarnation]; a != nil && number > a.ackedThrough {
 			a.ackedThrough = number
 			ordersFor(incarnation).AckedThrough = number
+			o.decider.Logger.Info("ends acknowledged", zap.String("node", incarnation.Node), zap.String("worker", incarnation.ID), zap.Int64("through", number),
+				zap.Int64("epoch", o.epoch), zap.Int64("offset", int64(o.storedThrough)))
 		}
 	}
 	for incarnation, workerOrders := range orders {
