--- a/soaker/check.go
+++ b/soaker/check.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// CalmTime is how long after a fault the rule on waiting tasks holds again, and IdleTime how
-	// long a job may then have nothing running while its tasks could.
+	// CalmTime is how long after a fault the rule on waiting tasks holds again.
 	CalmTime = 4 * time.Second
+	// IdleTime is how long a job may then have nothing running while its tasks could.
 	IdleTime = 3 * time.Second
 	// RestartTime is how long after its last run a long-running task may wait.
 	RestartTime = 6 * time.Second
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -29,7 +29,6 @@
 const (
 	pool              = "desk"
 	host              = "desk.example"
-	zones             = 3
 	heartbeatInterval = 1500 * time.Millisecond
 	// maxRuns is the capacity of a worker in tasks of one core.
 	maxRuns = 8
@@ -70,6 +69,8 @@
 	links []*fleetLink
 	// faults holds what has been played; the end is zero while it goes on.
 	faults []*playedFault
+	// stalls holds stretches in which the soak itself stood still.
+	stalls []*playedFault
 	// full holds stretches in which half of the workers' room was in use.
 	full     []Stretch
 	jobs     []Job
@@ -106,6 +107,8 @@
 		return nil, err
 	}
 	f.record = record
+	// With two zones, entries of one zone share a replica.
+	zones := 2 + int(o.Seed%2)
 	f.store.Put("keyed.op", "config", []byte(operatorConfig))
 	for i := range o.Entries + o.Agents {
 		p := &process{fleet: f, number: i, role: "entry", name: fmt.Sprint("entry-", i+1), zone: fmt.Sprint("z-", i%zones)}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -27,6 +27,9 @@
 	startTime = 4 * time.Second
 	// checkInterval is the time between two checks, and between two looks at the capacity in use.
 	checkInterval = 250 * time.Millisecond
+	// stallTime is how late a check has to be for the record to tell that the soak itself stood still, and
+	// probably its processes too. That excuses nothing.
+	stallTime = 500 * time.Millisecond
 	// blameTime is how long before a wait the faults are printed that began or ended there.
 	blameTime = 10 * time.Second
 )
@@ -74,6 +77,7 @@
 
 // checkUntil checks the rule on waiting tasks until the channel is closed.
 func (f *fleet) checkUntil(done <-chan struct{}) {
+	last := time.Now()
 	for {
 		select {
 		case <-done:
@@ -81,6 +85,13 @@
 		case <-time.After(checkInterval):
 		}
 		now := time.Now()
+		if late := now.Sub(last) - checkInterval; late > stallTime {
+			f.mu.Lock()
+			f.stalls = append(f.stalls, &playedFault{"stall of the soak itself", Stretch{last, now}})
+			f.mu.Unlock()
+			f.note("the soak itself stood still for %s", late)
+		}
+		last = now
 		if f.halfFull() {
 			f.mu.Lock()
 			f.full = append(f.full, Stretch{now.Add(-checkInterval), now})
@@ -99,7 +110,7 @@
 	reported := f.reported[key]
 	f.reported[key] = true
 	var faults []string
-	for _, p := range f.faults {
+	for _, p := range slices.Concat(f.faults, f.stalls) {
 		if p.From.Before(w.Calm.To) && (p.To.IsZero() || p.To.After(w.Calm.From.Add(-blameTime))) {
 			faults = append(faults, fmt.Sprintf("%s (%.1f to %.1f)", p.name, f.seconds(p.From), f.seconds(p.To)))
 		}
