Soak: one check of waiting tasks for real processes and virtual time

The fleet tests polled for waiting tasks and the soak looked at the runs afterwards, so the two could differ. soaker.Record is now the check of both, over runs with start and end, acceptance and capacity. It sees each wait of three seconds, where the poll could miss up to a quarter of a second. soaker.HalfFull and soaker.Link take the place of a copy in the fleet tests and of tcpProxy in the tests of processes; the test that cuts connections now also fails if none is open.

--- a/assembler/fleet_lost_test.go
+++ b/assembler/fleet_lost_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -15,20 +13,10 @@
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/decider"
 	"github.com/plantainrail/plantainrail/linker"
+	"github.com/plantainrail/plantainrail/soaker"
 	"github.com/plantainrail/plantainrail/standin/runner"
 )
 
-const (
-	// calmTime is how long after a disruption the rule on waiting tasks holds again, and idleTime
-	// how long a job may then have nothing running while its tasks could.
-	calmTime = 4 * time.Second
-	idleTime = 3 * time.Second
-	// askTime is how long after the end of the traffic the platform asks for the jobs.
-	askTime = 14 * time.Second
-	// restartTime is how long after its last run a long-running task may wait.
-	restartTime = 6 * time.Second
-)
-
 // acceptedJob is a job that was accepted and that nobody cancels. Each step depends on the one
 // before.
 type acceptedJob struct {
@@ -36,85 +24,32 @@
 	lasting              bool
 }
 
-// waiting returns what the rule on waiting tasks (LOST) looks at, with the time since when it waits: the
-// jobs that are not done and have nothing running, and the long-running tasks that do not run.
-func (f *fleet) waiting(jobs []acceptedJob) map[string]time.Time {
-	byTask := map[string][]runner.Span{}
-	for _, v := range f.vms {
-		for _, s := range v.worker.History() {
-			byTask[s.Task] = append(byTask[s.Task], s)
-		}
-	}
-	idle := map[string]time.Time{}
-	for _, j := range jobs {
-		running, done, last := 0, 0, time.Time{}
-		for n := range j.steps * j.count {
-			task, ended := fmt.Sprintf("%s.0.%d.%d", jobID(j.number), n/j.count, n%j.count), time.Time{}
-			active := slices.ContainsFunc(byTask[task], func(s runner.Span) bool { return s.End.IsZero() })
-			for _, s := range byTask[task] {
-				ended = later(ended, s.End)
-			}
-			if slices.ContainsFunc(byTask[task], func(s runner.Span) bool { return s.Outcome == "done" }) {
-				done++
-			}
-			if active {
-				running++
-			} else if j.lasting {
-				idle[task] = ended.Add(restartTime)
-			}
-			last = later(last, ended)
-		}
-		if !j.lasting && running == 0 && done < j.steps*j.count {
-			idle[jobID(j.number)] = last
-		}
-	}
-	return idle
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // checkNothingWaits fails the test if the rule on waiting tasks is broken after the end of a
 // disruption: from the end of the grace period on, for the given time, something has waited for
-// idleTime while less than half of the workers' room was in use. Long-running tasks have calmTime at
-// most, and no room excuses their waiting.
+// soaker.IdleTime while less than half of the workers' room was in use. Long-running tasks have
+// soaker.CalmTime at most, and no room excuses their waiting. Package soaker checks real processes likewise.
 func (f *fleet) checkNothingWaits(jobs []acceptedJob, grace, duration time.Duration) {
 	f.t.Helper()
-	ended, reported := time.Now(), map[string]bool{}
-	full := ended
-	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
-		if f.halfFull() {
-			full = time.Now()
-		}
-		for what, since := range f.waiting(jobs) {
-			calm := later(ended.Add(grace), full)
-			if strings.Contains(what, ".") {
-				calm = ended.Add(calmTime)
-			}
-			if time.Since(later(since, calm)) >= idleTime && !reported[what] {
-				reported[what] = true
-				f.t.Errorf("%s could run and does not, %s after the disruption", what, time.Since(ended))
-			}
-		}
+	ended := time.Now()
+	record := soaker.Record{Faults: []soaker.Stretch{{To: ended}}, Full: []soaker.Stretch{{To: ended.Add(grace)}}}
+	for _, j := range jobs {
+		record.Jobs = append(record.Jobs, soaker.Job{ID: jobID(j.number), Steps: j.steps, Count: j.count, LongRunning: j.lasting})
 	}
-}
-
-// halfFull reports whether at least half of the workers' room is in use.
-func (f *fleet) halfFull() bool {
-	room, used := 0, 0
+	var workers []*runner.Worker
 	for _, v := range f.vms {
-		room += v.worker.MaxRuns()
-		for _, s := range v.worker.History() {
-			if s.End.IsZero() {
-				used++
-			}
+		workers = append(workers, v.worker)
+	}
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
+		if soaker.HalfFull(workers) {
+			record.Full = append(record.Full, soaker.Stretch{From: time.Now(), To: time.Now()})
 		}
 	}
-	return 2*used >= room
+	for _, w := range workers {
+		record.Runs = append(record.Runs, w.History()...)
+	}
+	for _, w := range record.Broken(time.Now()) {
+		f.t.Errorf("%s could run and does not, %s after the disruption", w.What, w.Calm.From.Add(soaker.IdleTime).Sub(ended))
+	}
 }
 
 // Guards against a fleet that stands still (LOST) after all open connections have gone silent, since each
@@ -132,7 +67,7 @@
 		assert.Check(t, f.runningCount(2) == 0, "%d tasks still run", f.runningCount(2))
 		f.silence()
 		f.submit(3, "2000", []map[string]any{{"count": 1, "cpu": 1000}})
-		f.checkNothingWaits([]acceptedJob{{1, 1, 3, true}, {3, 1, 1, false}}, calmTime, 20*time.Second)
+		f.checkNothingWaits([]acceptedJob{{1, 1, 3, true}, {3, 1, 1, false}}, soaker.CalmTime, 20*time.Second)
 		for _, v := range f.vms {
 			for _, s := range v.worker.History() {
 				assert.Check(t, s.Outcome != "lapsed", "run %d of %s has lost its lease", s.Run, s.Task)
@@ -191,7 +126,7 @@
 					jobs = append(jobs, acceptedJob{100, 2, 3, false})
 					[]fleetFault{everythingWithoutPower, allProcessesKilled}[last].inject(f)
 				}
-				f.checkNothingWaits(jobs, askTime-idleTime, recoveryTime)
+				f.checkNothingWaits(jobs, soaker.AskTime-soaker.IdleTime, recoveryTime)
 				for _, j := range jobs[1:] {
 					assert.Check(t, f.jobState(j.number) == "completed", "job %d has not completed: %v", j.number, f.runsOf(j.number))
 				}
@@ -234,7 +169,7 @@
 				time.Sleep(1500 * time.Millisecond)
 				c.inject(f)
 				// The agent reads the members again 3.5 s after the disruption at the latest.
-				time.Sleep(max(time.Until(lostAt.Add(restartTime+idleTime)), calmTime))
+				time.Sleep(max(time.Until(lostAt.Add(soaker.RestartTime+soaker.IdleTime)), soaker.CalmTime))
 				assert.Check(t, f.runningCount(1) == 4, "only %d of 4 tasks run", f.runningCount(1))
 				f.checkRuns()
 			})
@@ -253,7 +188,7 @@
 			v.worker.DelayCalls(path, 24*time.Hour)
 		}
 		f.submit(1, "500", []map[string]any{{"count": 4, "cpu": 1000}})
-		f.checkNothingWaits([]acceptedJob{{1, 1, 4, false}}, askTime-idleTime, 60*time.Second)
+		f.checkNothingWaits([]acceptedJob{{1, 1, 4, false}}, soaker.AskTime-soaker.IdleTime, 60*time.Second)
 		assert.Equal(t, len(f.runsOf(2)), 3, "a service was started again")
 		f.checkRuns()
 	})
--- a/assembler/fleet_matrix_test.go
+++ b/assembler/fleet_matrix_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainrail/plantainrail/soaker"
 	"github.com/plantainrail/plantainrail/standin/keeper"
 )
 
@@ -382,7 +383,7 @@
 				}
 				time.Sleep(300 * time.Millisecond)
 				c.fault.inject(f)
-				f.checkNothingWaits(accepted, askTime-idleTime, askTime)
+				f.checkNothingWaits(accepted, soaker.AskTime-soaker.IdleTime, soaker.AskTime)
 				for n := range jobs {
 					f.waitForState(n, "completed", recoveryTime)
 				}
--- a/cmd/plantainrail/fault_test.go
+++ b/cmd/plantainrail/fault_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -17,98 +16,11 @@
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/assembler"
 	"github.com/plantainrail/plantainrail/receiver"
+	"github.com/plantainrail/plantainrail/soaker"
 	"github.com/plantainrail/plantainrail/standin/responder"
 	"github.com/plantainrail/plantainrail/standin/worker"
 )
 
-// tcpProxy forwards TCP connections to an address. It can close them, or stall them by
-// discarding what they carry.
-type tcpProxy struct {
-	listener net.Listener
-	to       string
-
-	// mu guards the fields below.
-	mu sync.Mutex
-	// open holds both connections of each forwarded connection.
-	open []net.Conn
-	// discarding is the set of the connections whose data is discarded.
-	discarding map[net.Conn]bool
-}
-
-// newTCPProxy starts a proxy that stops when the test ends.
-func newTCPProxy(t *testing.T, to string) *tcpProxy {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	r := &tcpProxy{listener: l, to: to, discarding: map[net.Conn]bool{}}
-	t.Cleanup(func() {
-		_ = l.Close()
-		r.closeAll()
-	})
-	go func() {
-		for {
-			inbound, err := l.Accept()
-			if err != nil {
-				return
-			}
-			outbound, err := net.Dial("tcp", to)
-			if err != nil {
-				_ = inbound.Close()
-				continue
-			}
-			r.mu.Lock()
-			r.open = append(r.open, inbound, outbound)
-			r.mu.Unlock()
-			go r.forward(inbound, outbound)
-			go r.forward(outbound, inbound)
-		}
-	}()
-	return r
-}
-
-// forward copies data from one connection to the other until either fails, and
-// discards it once the source is stalled.
-func (r *tcpProxy) forward(from, to net.Conn) {
-	defer from.Close()
-	defer to.Close()
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buffer)
-		if err != nil {
-			return
-		}
-		r.mu.Lock()
-		discard := r.discarding[from]
-		r.mu.Unlock()
-		if discard {
-			continue
-		}
-		if _, err := to.Write(buffer[:n]); err != nil {
-			return
-		}
-	}
-}
-
-// closeAll closes every open connection.
-func (r *tcpProxy) closeAll() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.open {
-		_ = c.Close()
-	}
-	r.open = nil
-}
-
-// discardAll stalls the open connections for good: they stay open, but their data is
-// discarded.
-func (r *tcpProxy) discardAll() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.open {
-		r.discarding[c] = true
-	}
-}
-
 // getJSON returns the JSON body of a response.
 func getJSON[T any](t *testing.T, url string) T {
 	t.Helper()
@@ -201,19 +113,24 @@
 // between an entry and the agents while a target runs a request. The agents reconnect,
 // and the caller must get the response of the one run of the request.
 func TestResponseSurvivesClosedAndStalledConnections(t *testing.T) {
-	for name, fault := range map[string]func(*tcpProxy){"cut": (*tcpProxy).closeAll, "silent": (*tcpProxy).discardAll} {
+	for name, fault := range map[string]func(*soaker.Link) int{
+		"cut":    (*soaker.Link).Disconnect,
+		"silent": func(k *soaker.Link) int { return k.Silence(true, true) },
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var proxies []*tcpProxy
+			var links []*soaker.Link
 			p := newTestCluster(t, 1, 2, func(address string) string {
-				r := newTCPProxy(t, address)
-				proxies = append(proxies, r)
-				return r.listener.Addr().String()
+				k, err := soaker.NewLink("127.0.0.1:0", address)
+				assert.NilError(t, err)
+				t.Cleanup(k.Close)
+				links = append(links, k)
+				return k.Address()
 			})
 			got := make(chan callResult, 1)
 			go func() { got <- post(p.entries[0], "/match?echo=kept&ms=1000", "") }()
 			p.waitUntilStarted(t, "kept")
-			fault(proxies[0])
+			assert.Check(t, fault(links[0]) > 0, "no connection is open")
 			a := <-got
 			assert.NilError(t, a.err)
 			assert.Equal(t, a.status, http.StatusOK, "%+v", a)
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -163,6 +163,20 @@
 	return longest
 }
 
+// HalfFull reports whether at least half of the workers' room is in use now.
+func HalfFull(workers []*runner.Worker) bool {
+	room, used := 0, 0
+	for _, w := range workers {
+		room += w.MaxRuns()
+		for _, s := range w.History() {
+			if s.End.IsZero() {
+				used++
+			}
+		}
+	}
+	return 2*used >= room
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -327,13 +327,22 @@
 	_ = f.record.Close()
 }
 
-// histories returns the runs on each worker.
-func (f *fleet) histories() [][]runner.Span {
-	var out [][]runner.Span
+// workers returns all workers.
+func (f *fleet) workers() []*runner.Worker {
+	var out []*runner.Worker
 	for _, p := range f.processes {
 		if p.worker != nil {
-			out = append(out, p.worker.History())
+			out = append(out, p.worker)
 		}
 	}
 	return out
 }
+
+// histories returns the runs on each worker.
+func (f *fleet) histories() [][]runner.Span {
+	var out [][]runner.Span
+	for _, w := range f.workers() {
+		out = append(out, w.History())
+	}
+	return out
+}
--- a/soaker/link.go
+++ b/soaker/link.go
@@ -32,8 +32,8 @@
 
 // The indexes of connection.ends.
 const (
-	clientEnd = 0
-	serverEnd = 1
+	clientEnd = iota
+	serverEnd
 )
 
 // NewLink starts a link that listens at an address and passes connections on to a target.
@@ -61,7 +61,7 @@
 // Close ends the link and its connections.
 func (k *Link) Close() {
 	_ = k.listener.Close()
-	k.Reset()
+	k.Disconnect()
 }
 
 // SetTarget sets the server of later connections.
@@ -72,13 +72,18 @@
 }
 
 // Reset resets the open connections, and returns their number.
-func (k *Link) Reset() int {
+func (k *Link) Reset() int { return k.endAll(reset) }
+
+// Disconnect closes the open connections in order, and returns their number.
+func (k *Link) Disconnect() int { return k.endAll(func(c net.Conn) { _ = c.Close() }) }
+
+// endAll ends both ends of all open connections, and returns their number.
+func (k *Link) endAll(end func(net.Conn)) int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for c := range k.open {
-		for _, end := range c.ends {
-			reset(end)
-		}
+		end(c.ends[clientEnd])
+		end(c.ends[serverEnd])
 	}
 	return len(k.open)
 }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -92,7 +92,7 @@
 			f.note("the soak itself stood still for %s", late)
 		}
 		last = now
-		if f.halfFull() {
+		if HalfFull(f.workers()) {
 			f.mu.Lock()
 			f.full = append(f.full, Stretch{now.Add(-checkInterval), now})
 			f.mu.Unlock()
@@ -138,23 +138,6 @@
 	return r
 }
 
-// halfFull reports whether at least half of the workers' room is in use.
-func (f *fleet) halfFull() bool {
-	room, used := 0, 0
-	for _, p := range f.processes {
-		if p.worker == nil {
-			continue
-		}
-		room += p.worker.MaxRuns()
-		for _, s := range p.worker.History() {
-			if s.End.IsZero() {
-				used++
-			}
-		}
-	}
-	return 2*used >= room
-}
-
 // checkEnd checks that all accepted jobs are done, as the workers and the entries tell, and that nothing ran
 // twice or beyond a worker's capacity.
 func (f *fleet) checkEnd() {
@@ -179,11 +162,8 @@
 	for _, v := range runner.Violations(f.histories()...) {
 		f.find("TWICE %s", v)
 	}
-	for _, p := range f.processes {
-		if p.worker == nil {
-			continue
-		}
-		for _, v := range p.worker.Overloads() {
+	for _, w := range f.workers() {
+		for _, v := range w.Overloads() {
 			f.find("LIMIT %s", v)
 		}
 	}
