Soak: an agent whose worker is gone for good starts again

A worker that was lost without its agent kept the agent from starting after later faults, so the series had fewer of the faults that it names.

--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -14,10 +14,14 @@
 	play func()
 }
 
-// faults draws a fault; each function draws one of a kind.
-var faultKinds = []func(f *fleet, r *rand.Rand) plannedFault{
-	silence, silence, silence, cut, resetLinks, delay, restart, kill, moveProcess, pause,
-	restartWorker, loseWorker, killAll, stopInWaves,
+// faultKind draws a fault of a kind.
+type faultKind func(f *fleet, r *rand.Rand) plannedFault
+
+// faultKinds are drawn equally often.
+var faultKinds = []faultKind{
+	silence, silence, silence, cut, resetLinks, delay,
+	ending("restart", syscall.SIGTERM, 1000, false), ending("kill", syscall.SIGKILL, 3000, false), ending("move", 0, 2000, true),
+	pause, restartWorker, loseWorker, killAll, stopInWaves,
 }
 
 // milliseconds draws a duration between two bounds.
@@ -124,20 +128,16 @@
 	}
 }
 
-func restart(f *fleet, r *rand.Rand) plannedFault {
-	p, downtime := f.anyOf(r, someRole(r)), milliseconds(r, 50, 1000)
-	return plannedFault{"restart of " + p.name, func() { f.again(p, syscall.SIGTERM, downtime, false) }}
-}
-
-func kill(f *fleet, r *rand.Rand) plannedFault {
-	p, downtime := f.anyOf(r, someRole(r)), milliseconds(r, 50, 3000)
-	return plannedFault{"kill of " + p.name, func() { f.again(p, syscall.SIGKILL, downtime, false) }}
-}
-
-func moveProcess(f *fleet, r *rand.Rand) plannedFault {
-	p, downtime := f.anyOf(r, someRole(r)), milliseconds(r, 50, 2000)
-	signal := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[r.IntN(2)]
-	return plannedFault{fmt.Sprint("move of ", p.name, " by ", signal), func() { f.again(p, signal, downtime, true) }}
+// ending returns the kind of faults that end a process by a signal, or one that is drawn if it is 0, and
+// start it again after up to maxDowntime milliseconds, at a new address if moved is set.
+func ending(name string, signal syscall.Signal, maxDowntime int, moved bool) faultKind {
+	return func(f *fleet, r *rand.Rand) plannedFault {
+		p, downtime, signal := f.anyOf(r, someRole(r)), milliseconds(r, 50, maxDowntime), signal
+		if signal == 0 {
+			signal = []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[r.IntN(2)]
+		}
+		return plannedFault{fmt.Sprint(name, " of ", p.name, " by ", signal), func() { f.again(p, signal, downtime, moved) }}
+	}
 }
 
 func pause(f *fleet, r *rand.Rand) plannedFault {
@@ -154,7 +154,8 @@
 	return plannedFault{"restart of the worker of " + p.name, func() {
 		p.turn.Lock()
 		defer p.turn.Unlock()
-		if p.isGone() {
+		if p.worker.MaxRuns() == 0 {
+			// The worker is gone for good.
 			return
 		}
 		p.worker.Crash()
@@ -163,13 +164,6 @@
 	}}
 }
 
-// isGone reports whether the process or its worker is not to start again.
-func (p *process) isGone() bool {
-	p.fleet.mu.Lock()
-	defer p.fleet.mu.Unlock()
-	return p.gone
-}
-
 // loseWorker ends a worker for good, in half of the cases with its agent. At most a third of the workers
 // are lost.
 func loseWorker(f *fleet, r *rand.Rand) plannedFault {
@@ -180,19 +174,16 @@
 	return plannedFault{"loss of the worker of " + p.name + with, func() {
 		p.turn.Lock()
 		defer p.turn.Unlock()
-		lost := 0
 		f.mu.Lock()
-		for _, other := range f.processes {
-			if other.gone {
-				lost++
-			}
+		allowed := !p.workerLost && 3*(f.workersLost+1) <= f.Agents
+		if allowed {
+			p.workerLost, p.gone = true, both
+			f.workersLost++
 		}
-		if p.gone || 3*(lost+1) > f.Agents {
-			f.mu.Unlock()
+		f.mu.Unlock()
+		if !allowed {
 			return
 		}
-		p.gone = true
-		f.mu.Unlock()
 		p.worker.Crash()
 		if both {
 			f.breakLinks(func(k *fleetLink) bool { return k.from == p }, func(k *Link) int { return k.Silence(true, true) })
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -67,6 +67,8 @@
 	mu    sync.Mutex
 	lives int
 	links []*fleetLink
+	// workersLost counts the workers that are gone for good.
+	workersLost int
 	// faults holds what has been played; the end is zero while it goes on.
 	faults []*playedFault
 	// stalls holds stretches in which the soak itself stood still.
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -49,8 +49,8 @@
 	exited chan struct{}
 	// expected is set when the program is to end.
 	expected bool
-	// gone is set when the process is not to start again.
-	gone bool
+	// gone is set when the process is not to start again, and workerLost when its worker is not.
+	gone, workerLost bool
 }
 
 // ip returns the address of the process.
