--- a/soaker/check.go
+++ b/soaker/check.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		for n := range j.Count * j.Steps {
-			out = append(out, taskWaits(j.task(n), j.Accepted, byTask[j.task(n)], now)...)
+			out = append(out, gaps(Wait{What: j.task(n), LongRunning: true}, j.Accepted, now, byTask[j.task(n)], RestartTime)...)
 		}
 	}
 	for i := range out {
@@ -104,21 +104,12 @@
 	if !all {
 		finished = now
 	}
-	return gaps(j.ID, j.Accepted, finished, runs, 0)
+	return gaps(Wait{What: j.ID}, j.Accepted, finished, runs, 0)
 }
 
-// taskWaits returns the stretches in which a long-running task was to run and did not.
-func taskWaits(task string, accepted time.Time, runs []runner.Span, now time.Time) []Wait {
-	waits := gaps(task, accepted, now, runs, RestartTime)
-	for i := range waits {
-		waits[i].LongRunning = true
-	}
-	return waits
-}
-
-// gaps returns the stretches between two instants in which none of the runs was active, nor had ended
-// within the allowed time.
-func gaps(what string, from, to time.Time, runs []runner.Span, allowed time.Duration) []Wait {
+// gaps returns w with each stretch between two instants in which none of the runs was active, nor had
+// ended within the allowed time.
+func gaps(w Wait, from, to time.Time, runs []runner.Span, allowed time.Duration) []Wait {
 	slices.SortFunc(runs, func(a, b runner.Span) int { return a.Start.Compare(b.Start) })
 	var out []Wait
 	for _, s := range runs {
@@ -126,7 +117,8 @@
 			return out
 		}
 		if s.Start.After(from) {
-			out = append(out, Wait{What: what, Stretch: Stretch{from, earlier(s.Start, to)}})
+			w.Stretch = Stretch{from, earlier(s.Start, to)}
+			out = append(out, w)
 		}
 		if s.End.IsZero() {
 			return out
@@ -134,7 +126,8 @@
 		from = later(from, s.End.Add(allowed))
 	}
 	if from.Before(to) {
-		out = append(out, Wait{What: what, Stretch: Stretch{from, to}})
+		w.Stretch = Stretch{from, to}
+		out = append(out, w)
 	}
 	return out
 }
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -145,7 +145,10 @@
 	return plannedFault{fmt.Sprint("pause of ", p.name, " for ", d), func() {
 		p.turn.Lock()
 		defer p.turn.Unlock()
-		p.pause(d)
+		// The program may have ended for good.
+		_ = p.command.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(d)
+		_ = p.command.Process.Signal(syscall.SIGCONT)
 	}}
 }
 
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -99,16 +99,19 @@
 }
 
 // newFleet starts a fleet.
-func newFleet(ctx context.Context, o Options) (*fleet, error) {
-	f := &fleet{Options: o, ctx: ctx, started: time.Now(), store: keeper.New(), reported: map[string]bool{}}
+func newFleet(ctx context.Context, o Options) (f *fleet, err error) {
+	f = &fleet{Options: o, ctx: ctx, started: time.Now(), store: keeper.New(), reported: map[string]bool{}}
 	if err := f.takeBlock(); err != nil {
 		return nil, err
 	}
-	record, err := os.Create(filepath.Join(o.Folder, "record"))
-	if err != nil {
-		return nil, err
+	defer func() {
+		if err != nil {
+			f.close()
+		}
+	}()
+	if f.record, err = os.Create(filepath.Join(o.Folder, "record")); err != nil {
+		return f, err
 	}
-	f.record = record
 	// With two zones, entries of one zone share a replica.
 	zones := 2 + int(o.Seed%2)
 	f.store.Put("keyed.op", "config", []byte(operatorConfig))
@@ -121,13 +124,13 @@
 		f.processes = append(f.processes, p)
 	}
 	for _, p := range f.processes {
-		if err := f.prepare(p); err != nil {
-			return nil, err
+		if err = f.prepare(p); err != nil {
+			return f, err
 		}
 	}
 	for _, p := range f.processes {
-		if err := p.start(); err != nil {
-			return nil, err
+		if err = p.start(); err != nil {
+			return f, err
 		}
 	}
 	return f, nil
@@ -201,9 +204,16 @@
 	return nil
 }
 
-// move gives a process a new address, and links from all others to it.
+// maxLives is the number of addresses: the last number is at most 255.
+const maxLives = 156
+
+// move gives a process a new address, if one is left, and links from all others to it.
 func (f *fleet) move(p *process) error {
 	f.mu.Lock()
+	if f.lives == maxLives {
+		f.mu.Unlock()
+		return nil
+	}
 	p.life = f.lives
 	f.lives++
 	life, target := p.life, fmt.Sprint(p.ip(), ":", peerPort)
@@ -319,7 +329,9 @@
 func (f *fleet) close() {
 	var group sync.WaitGroup
 	for _, p := range f.processes {
-		group.Go(func() { p.stop(syscall.SIGKILL) })
+		if p.command != nil {
+			group.Go(func() { p.stop(syscall.SIGKILL) })
+		}
 	}
 	group.Wait()
 	for _, k := range f.links {
--- a/soaker/link.go
+++ b/soaker/link.go
@@ -124,21 +124,18 @@
 
 // hold waits until data may pass, and reports whether it is to be discarded.
 func (k *Link) hold(c *connection, end int) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if time.Now().Before(k.delayUntil) {
-		delay := k.delay
-		k.mu.Unlock()
-		time.Sleep(delay)
+	for arrived := time.Now(); ; {
 		k.mu.Lock()
-	}
-	for time.Now().Before(k.cutUntil) {
-		wait := time.Until(k.cutUntil)
+		wait, silent := time.Until(k.cutUntil), c.silent[end]
+		if arrived.Before(k.delayUntil) {
+			wait = max(wait, time.Until(arrived.Add(k.delay)))
+		}
 		k.mu.Unlock()
+		if wait <= 0 {
+			return silent
+		}
 		time.Sleep(wait)
-		k.mu.Lock()
 	}
-	return c.silent[end]
 }
 
 func (k *Link) serve(client net.Conn) {
--- a/soaker/load.go
+++ b/soaker/load.go
@@ -35,15 +35,12 @@
 
 // call makes a call for a job and returns the HTTP status and the body, or status 0. Without a conclusive
 // answer, the next call goes to the next entry.
-func (c *client) call(method, id string, body []byte) (int, []byte) {
-	status, answer := c.try(method, id, body)
-	if status == 0 || status >= http.StatusInternalServerError {
-		c.entry = (c.entry + 1) % c.fleet.Entries
-	}
-	return status, answer
-}
-
-func (c *client) try(method, id string, body []byte) (int, []byte) {
+func (c *client) call(method, id string, body []byte) (status int, answer []byte) {
+	defer func() {
+		if status == 0 || status >= http.StatusInternalServerError {
+			c.entry = (c.entry + 1) % c.fleet.Entries
+		}
+	}()
 	req, err := http.NewRequestWithContext(c.fleet.ctx, method, "http://"+c.fleet.processes[c.entry].frontend()+"/q/"+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
@@ -56,8 +53,7 @@
 		return 0, nil
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil {
+	if answer, err = io.ReadAll(response.Body); err != nil {
 		return 0, nil
 	}
 	return response.StatusCode, answer
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -40,11 +40,12 @@
 
 	// turn is held while a fault stops the process.
 	turn sync.Mutex
+	// command is the program, and changes while turn is held.
+	command *exec.Cmd
 	// The fields below are guarded by the fleet's lock.
 	//
 	// life is the number of the process's address.
-	life    int
-	command *exec.Cmd
+	life int
 	// exited is closed when the program has ended.
 	exited chan struct{}
 	// expected is set when the program is to end.
@@ -122,31 +123,14 @@
 // stop ends the program by a signal, and by SIGKILL if it does not end within graceTime.
 func (p *process) stop(signal syscall.Signal) {
 	p.fleet.mu.Lock()
-	command, exited := p.command, p.exited
 	p.expected = true
 	p.fleet.mu.Unlock()
-	if command == nil {
-		return
-	}
 	// The program may have ended by itself.
-	_ = command.Process.Signal(signal)
+	_ = p.command.Process.Signal(signal)
 	select {
-	case <-exited:
+	case <-p.exited:
 	case <-time.After(graceTime):
-		_ = command.Process.Kill()
-		<-exited
-	}
-}
-
-// pause freezes the program for the given time.
-func (p *process) pause(d time.Duration) {
-	p.fleet.mu.Lock()
-	command := p.command
-	p.fleet.mu.Unlock()
-	if command == nil {
-		return
+		_ = p.command.Process.Kill()
+		<-p.exited
 	}
-	_ = command.Process.Signal(syscall.SIGSTOP)
-	time.Sleep(d)
-	_ = command.Process.Signal(syscall.SIGCONT)
 }
