--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -196,10 +196,15 @@
 	clientListener, err := f.net.Listen(name)
 	assert.NilError(f.t, err)
 	direct := platform.NewStore(f.storeAddress, f.client(name))
-	store := relayer.New(direct, f.client(name), logger())
+	relayClient := f.client(name)
+	store := relayer.New(direct, relayClient, logger())
 	silencer := newSilencer(store)
+	renew := func() {
+		direct.CloseIdleConnections()
+		relayClient.CloseIdleConnections()
+	}
 	d := decider.New(decider.Options{
-		Name: name, Address: peerListener.Addr().String(), Store: hedger.New(silencer), StoreLimits: cmp.Or(f.shape.limits, fleetLimits), Relay: store, SetPeers: store.SetPeers,
+		Name: name, Address: peerListener.Addr().String(), Store: hedger.New(silencer, renew), StoreLimits: cmp.Or(f.shape.limits, fleetLimits), Relay: store, SetPeers: store.SetPeers,
 		PeerClient: f.client(name), Zone: f.zoneOf(i), Cores: f.coresOf(i), Trim: direct.Trim,
 		ApplyOperatorRecord: (&platform.OperatorState{}).Apply, OperatorTopic: platform.OperatorTopic, Peers: peerListener, Clients: clientListener,
 		ClientHandler: platform.JobHandler, HealthHandler: platform.ReadyHandler, Now: time.Now, Logger: logger().Named(name),
--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -71,8 +71,12 @@
 	peers := platform.NewClient()
 	direct := platform.NewStore(s.StoreAddress, platform.NewClient())
 	store := relayer.New(direct, peers, logger)
+	renew := func() {
+		direct.CloseIdleConnections()
+		peers.CloseIdleConnections()
+	}
 	return o.Serve(decider.New(decider.Options{
-		Name: s.Name, Address: peerAddress, Store: hedger.New(store), StoreLimits: s.StoreLimits, Relay: store, SetPeers: store.SetPeers,
+		Name: s.Name, Address: peerAddress, Store: hedger.New(store, renew), StoreLimits: s.StoreLimits, Relay: store, SetPeers: store.SetPeers,
 		PeerClient: peers, Zone: s.Zone, Cores: s.Cores, StatusDuration: s.StatusDuration,
 		EvacuationBound: s.EvacuationBound, CancelBound: s.CancelBound, Trim: direct.Trim,
 		ReportStoreBytes:    func(bytes int64) { counters.SetGauge("plantainrail_store_bytes_estimate", bytes) },
--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -27,10 +27,12 @@
 // and reads, but not Newest.
 type Hedger struct {
 	plantainrail.Store
+	renew func()
 }
 
-// New returns a Hedger for a store.
-func New(store plantainrail.Store) *Hedger { return &Hedger{Store: store} }
+// New returns a Hedger for a store. It calls renew before each further try, which must keep that try
+// off the idle connections: they may be as silent as that of the try before.
+func New(store plantainrail.Store, renew func()) *Hedger { return &Hedger{Store: store, renew: renew} }
 
 // Append implements plantainrail.Store. An append with the field At, which is
 // stored only if the topic ends at that offset, is tried only once: if the first
@@ -40,19 +42,20 @@
 	if call.At != nil {
 		return h.Store.Append(ctx, call)
 	}
-	return hedge(ctx, hedgeDelay, func(ctx context.Context) (plantainrail.Offset, error) { return h.Store.Append(ctx, call) })
+	return hedge(ctx, hedgeDelay, h.renew, func(ctx context.Context) (plantainrail.Offset, error) { return h.Store.Append(ctx, call) })
 }
 
 // Read implements plantainrail.Store. The store may hold a read for as long as
 // it was asked to wait, so the hedge delay is added to that time.
 func (h *Hedger) Read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
-	return hedge(ctx, wait+hedgeDelay, func(ctx context.Context) (plantainrail.KeyedBatch, error) {
+	return hedge(ctx, wait+hedgeDelay, h.renew, func(ctx context.Context) (plantainrail.KeyedBatch, error) {
 		return h.Store.Read(ctx, topic, from, wait)
 	})
 }
 
-// outcome is the result of one try.
+// outcome is the result of one try. The tries are numbered from 0.
 type outcome[T any] struct {
+	try   int
 	value T
 	err   error
 }
@@ -63,18 +66,23 @@
 // an outage. hedge returns plantainrail.ErrRejected only when no try is
 // pending, since a pending one may still take effect. The call must return when
 // its context ends; when hedge returns, it cancels the context of the tries that
-// are still pending.
-func hedge[T any](ctx context.Context, delay time.Duration, call func(context.Context) (T, error)) (T, error) {
+// are still pending, of those before a conclusive one with the cause plantainrail.ErrOvertaken.
+func hedge[T any](ctx context.Context, delay time.Duration, renew func(), call func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// The buffer lets tries end after hedge has returned.
 	outcomes := make(chan outcome[T], maxPendingTries)
 	pending := 0
+	// ends holds the functions that end the tries, by number.
+	var ends []context.CancelCauseFunc
 	startTry := func() {
 		pending++
+		try := len(ends)
+		tryCtx, end := context.WithCancelCause(ctx)
+		ends = append(ends, end)
 		go func() {
-			value, err := call(ctx)
-			outcomes <- outcome[T]{value, err}
+			value, err := call(tryCtx)
+			outcomes <- outcome[T]{try, value, err}
 		}()
 	}
 	startTry()
@@ -87,6 +95,9 @@
 		case o := <-outcomes:
 			pending--
 			if conclusive(o.err) {
+				for _, end := range ends[:o.try] {
+					end(plantainrail.ErrOvertaken)
+				}
 				return o.value, o.err
 			}
 			if tries = tries.With(o.err); pending == 0 || tries.MaybeDone() {
@@ -94,6 +105,7 @@
 			}
 		case <-ticker.C:
 			if pending < maxPendingTries {
+				renew()
 				startTry()
 			}
 		}
--- a/hedger/hedger_test.go
+++ b/hedger/hedger_test.go
@@ -102,7 +102,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &fakeStore{answers: c.answers}
 				begin := time.Now()
-				offset, err := hedger.New(s).Append(t.Context(), c.call)
+				offset, err := hedger.New(s, func() {}).Append(t.Context(), c.call)
 				took := time.Since(begin)
 				if c.want == nil {
 					assert.NilError(t, err)
@@ -127,7 +127,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		begin := time.Now()
 		s := &outageStore{until: begin.Add(5700 * time.Millisecond)}
-		h := hedger.New(s)
+		h := hedger.New(s, func() {})
 		failures := 0
 		for {
 			calledAt := time.Now()
@@ -202,7 +202,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &fakeStore{answers: c.answers}
 				begin := time.Now()
-				_, err := hedger.New(s).Read(t.Context(), "jobs", 4, wait)
+				_, err := hedger.New(s, func() {}).Read(t.Context(), "jobs", 4, wait)
 				took := time.Since(begin)
 				if c.answers[0].err != nil {
 					assert.ErrorIs(t, err, c.answers[0].err)
--- a/store.go
+++ b/store.go
@@ -125,6 +125,9 @@
 	ErrFenced = errors.New("fenced by a higher epoch")
 	// ErrExpired means that retention has deleted the requested records.
 	ErrExpired = errors.New("records have expired")
+	// ErrOvertaken is the cause of the end of a try's context if a later try of the same call was
+	// answered first, which suggests that the connection of the earlier one is silent.
+	ErrOvertaken = errors.New("overtaken by a later try")
 )
 
 // WriteTries holds the errors of several tries of one write. It keeps a caller from
