Do not turn away from the store for an outdated failure

What callers saw: the failure of a read that an entry had sent 21 s before ended all of its open reads, on live connections, and sent its calls through other entries for two seconds, while newer calls to the store were answered.

Cause: an error did not tell when its call was sent, and the relayer took each for news.

Change: a call without an answer fails with an UnansweredError, which has the send time. If a call that was sent later has been answered, and the store has answered within the last 1.4 s, the failure is logged as outdated and a read is sent once more directly. The second condition is there so that an entry that was just cut off turns away as early as before; the second append in a row without an answer counts always, since a path may fail for appends only.

Evidence: TestOutdatedFailureIsNoReasonToTurnAway failed in the rows of a read before answers (refused, and the store turned away from) and of an append before an answer. Without the bound on the age of the last answer it failed in the row of a store that answers no more.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -27,6 +27,10 @@
 	// directRetryDelay is how long calls go through other entries before the store
 	// is called directly again.
 	directRetryDelay = 2 * time.Second
+	// maxAnswerAge is how long ago the store may have answered last for an earlier failure to be outdated. It is
+	// longer than the long poll of the operators' topic, which every entry reads, and shorter than
+	// the time in which other long polls fail, so that an entry that was just cut off turns away at once.
+	maxAnswerAge = 1400 * time.Millisecond
 	// peerAppendTimeout bounds an append through another entry. peerReadMargin is how
 	// long a read through another entry may take beyond its wait for records.
 	peerAppendTimeout = 1500 * time.Millisecond
@@ -57,6 +61,11 @@
 	// directFailure is closed and replaced when direct calls begin to fail. That cancels
 	// the pending direct reads, which are then retried through another entry.
 	directFailure chan struct{}
+	// answeredSentAt is the newest time at which a direct call was sent that the store has answered.
+	// answeredAt is when it has answered last.
+	answeredSentAt, answeredAt time.Time
+	// appendFailed is set from a failed direct append until the next one that the store answers.
+	appendFailed bool
 }
 
 // New returns a Relayer that calls the store with direct and other entries with
@@ -148,26 +157,52 @@
 
 // do calls the store directly, or through another entry for directRetryDelay after
 // a direct call has failed. A read that fails directly is retried through another
-// entry at once. The error of a failed append is returned to the caller, which knows
+// entry at once, and before that once more directly if its failure is outdated.
+// The error of a failed append is returned to the caller, which knows
 // whether the append may be applied twice. isRead must be set if and only if c is a read.
 func (r *Relayer) do(ctx context.Context, c storeCall, isRead bool) (storeResult, error) {
-	r.mu.Lock()
-	directFailure, viaPeer := r.directFailure, time.Now().Before(r.directRetryAt) && len(r.peers) > 0
-	r.mu.Unlock()
-	if !viaPeer {
-		result, err := r.tryDirect(ctx, c, directFailure)
-		if !isUnavailable(err) || ctx.Err() != nil {
-			return result, err
-		}
-		r.markDirectFailed(err)
-		if !isRead {
-			return result, err
+	directFailure, viaPeer := r.route()
+	if viaPeer {
+		return r.tryPeers(ctx, c)
+	}
+	until := time.Now().Add(c.Wait)
+	result, outdated, err := r.callDirect(ctx, c, directFailure)
+	if outdated && isRead {
+		if directFailure, viaPeer = r.route(); !viaPeer {
+			again := c
+			again.Wait = max(0, time.Until(until))
+			result, _, err = r.callDirect(ctx, again, directFailure)
 		}
 	}
+	if !isRead || !isUnavailable(err) || ctx.Err() != nil {
+		return result, err
+	}
 	return r.tryPeers(ctx, c)
 }
 
-// tryDirect calls the store directly. It cancels a read once directFailure is closed,
+// route reports whether calls go through another entry, and returns the channel that is closed when direct
+// calls begin to fail.
+func (r *Relayer) route() (directFailure <-chan struct{}, viaPeer bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.directFailure, time.Now().Before(r.directRetryAt) && len(r.peers) > 0
+}
+
+// callDirect calls the store directly, and notes whether the store has answered or has to be turned away
+// from. Outdated is set if the call has failed without showing anything new.
+func (r *Relayer) callDirect(ctx context.Context, c storeCall, directFailure <-chan struct{}) (result storeResult, outdated bool, err error) {
+	sentAt := time.Now()
+	result, err = r.tryDirect(ctx, c, directFailure)
+	switch {
+	case !isUnavailable(err):
+		r.noteAnswer(c, sentAt)
+	case ctx.Err() == nil:
+		outdated = r.noteFailure(c, err)
+	}
+	return result, outdated, err
+}
+
+// tryDirect makes one direct call. It cancels a read once directFailure is closed,
 // which means that another direct call has failed.
 func (r *Relayer) tryDirect(ctx context.Context, c storeCall, directFailure <-chan struct{}) (storeResult, error) {
 	if c.Append == nil {
@@ -213,20 +248,58 @@
 	return code == errorRejected || code == errorUnknown
 }
 
-// markDirectFailed makes do call the store through other entries for directRetryDelay and
-// cancels the pending direct reads. It has no effect while an earlier call of
-// markDirectFailed still applies.
-func (r *Relayer) markDirectFailed(err error) {
+// noteAnswer notes that the store has answered a direct call.
+func (r *Relayer) noteAnswer(c storeCall, sentAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if time.Now().Before(r.directRetryAt) {
-		return
+	r.answeredAt = time.Now()
+	if sentAt.After(r.answeredSentAt) {
+		r.answeredSentAt = sentAt
+	}
+	if c.Append != nil {
+		r.appendFailed = false
+	}
+}
+
+// noteFailure notes that a direct call has failed. It makes do call the store through other entries for
+// directRetryDelay and cancels the pending direct reads, unless an earlier failure still has this
+// effect or the failure is outdated, which it reports.
+func (r *Relayer) noteFailure(c storeCall, err error) (outdated bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	outdated = r.isOutdated(c, err)
+	r.appendFailed = r.appendFailed || c.Append != nil
+	switch {
+	case time.Now().Before(r.directRetryAt):
+		return false
+	case outdated:
+		r.logger.Info("store failure outdated", zap.Int64("newer", r.sinceSent(err).Milliseconds()), zap.Error(err))
+		return true
 	}
 	r.directRetryAt = time.Now().Add(directRetryDelay)
 	close(r.directFailure)
 	r.directFailure = make(chan struct{})
 	// Calls now go through other entries.
 	r.logger.Warn("store turned away from", zap.Int("peers", len(r.peers)), zap.Error(err))
+	return false
+}
+
+// isOutdated reports whether a direct call that got no answer was sent before one that the store has
+// answered, while the store still answers. A second append in a row without an answer counts in any case, since a
+// path to the store may fail for appends only. The caller holds the lock.
+func (r *Relayer) isOutdated(c storeCall, err error) bool {
+	return r.sinceSent(err) > 0 && time.Since(r.answeredAt) <= maxAnswerAge && (c.Append == nil || !r.appendFailed)
+}
+
+// sinceSent returns by how much a call that got no answer was sent before the newest one that the store
+// has answered. It is not positive if it was sent later, and zero for other errors. The caller holds
+// the lock.
+func (r *Relayer) sinceSent(err error) time.Duration {
+	var unanswered *plantainrail.UnansweredError
+	if !errors.As(err, &unanswered) {
+		return 0
+	}
+	return r.answeredSentAt.Sub(unanswered.SentAt)
 }
 
 // tryPeers makes the call through the other entries in turn until one of them
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/plantainrail/plantainrail"
@@ -95,3 +98,89 @@
 	assert.Equal(t, near.appends, 3)
 	assert.Equal(t, far.appends, 1)
 }
+
+// silentStore leaves the first reads of its topics, and the appends while appendsFail is set, without an
+// answer. It holds the other reads until their wait has passed.
+type silentStore struct {
+	plantainrail.Store
+	mu          sync.Mutex
+	reads       map[string]int
+	appendsFail bool
+}
+
+const callMargin = time.Second
+
+// fail returns the error of a call that had no answer for the time, or nil if the context ends first.
+func (s *silentStore) fail(ctx context.Context, after time.Duration) error {
+	sentAt := time.Now()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(after):
+		return &plantainrail.UnansweredError{SentAt: sentAt, Waited: after, Err: context.DeadlineExceeded}
+	}
+}
+
+func (s *silentStore) Read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
+	s.mu.Lock()
+	s.reads[topic]++
+	silent := topic == "silent" && s.reads[topic] == 1
+	s.mu.Unlock()
+	if silent {
+		return plantainrail.KeyedBatch{}, s.fail(ctx, wait+callMargin)
+	}
+	select {
+	case <-ctx.Done():
+		return plantainrail.KeyedBatch{}, ctx.Err()
+	case <-time.After(wait):
+		return plantainrail.KeyedBatch{Next: from}, nil
+	}
+}
+
+func (s *silentStore) Append(ctx context.Context, _ plantainrail.AppendCall) (plantainrail.Offset, error) {
+	if s.appendsFail {
+		return 0, s.fail(ctx, 2*callMargin)
+	}
+	return 1, nil
+}
+
+// Guards against an entry that turns away from a store that is well, and ends its open reads, because of a
+// call that was sent long before others were answered.
+func TestOutdatedFailureIsNoReasonToTurnAway(t *testing.T) {
+	const wait = 20 * time.Second
+	for _, c := range []struct {
+		name string
+		// answered holds the times of other reads that are answered.
+		answered []time.Duration
+		// appends is the number of appends in a row that get no answer; without them it is a read.
+		appends  int
+		turnAway bool
+	}{
+		{"read before answers", []time.Duration{time.Second, wait}, 0, false},
+		{"read without any answer since", nil, 0, true},
+		{"read, and the store answers no more", []time.Duration{time.Second}, 0, true},
+		{"append before an answer", []time.Duration{time.Second}, 1, false},
+		{"two appends in a row", []time.Duration{time.Second, 3 * time.Second}, 2, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				core, logs := observer.New(zap.InfoLevel)
+				store := &silentStore{reads: map[string]int{}, appendsFail: true}
+				r := relayer.New(store, nil, zap.New(core))
+				for _, at := range c.answered {
+					time.AfterFunc(at, func() { _, _ = r.Read(t.Context(), "other", 3, 0) })
+				}
+				if c.appends == 0 {
+					_, err := r.Read(t.Context(), "silent", 3, wait)
+					assert.Equal(t, err == nil, !c.turnAway, "%v", err)
+					assert.Equal(t, store.reads["silent"] == 2, !c.turnAway, "the read must be repeated")
+				}
+				for range c.appends {
+					_, err := r.Append(t.Context(), plantainrail.AppendCall{})
+					assert.ErrorIs(t, err, context.DeadlineExceeded)
+				}
+				assert.Equal(t, logs.FilterMessage("store turned away from").Len() == 1, c.turnAway)
+			})
+		})
+	}
+}
--- a/store.go
+++ b/store.go
@@ -130,6 +130,21 @@
 	ErrOvertaken = errors.New("overtaken by a later try")
 )
 
+// UnansweredError is the error of a call that got no complete answer. What it shows is as old as the
+// sending of the call, since its connection may have gone silent at any time since.
+type UnansweredError struct {
+	SentAt time.Time
+	// Waited is how long the call was open.
+	Waited time.Duration
+	Err    error
+}
+
+func (e *UnansweredError) Error() string {
+	return fmt.Sprintf("no answer after %s: %s", e.Waited.Round(time.Millisecond), e.Err)
+}
+
+func (e *UnansweredError) Unwrap() error { return e.Err }
+
 // WriteTries holds the errors of several tries of one write. It keeps a caller from
 // reporting a write as not done because its last try was rejected, although an earlier
 // one may have taken effect. The zero value stands for no try.
