Log a silence of connections

Change: the clients log "connections silent" with the host, the call without an answer, the age of the oldest call that has heard nothing (the most that the silence can have lasted), and the oldest eight such calls. The next line about a host comes only after the host has answered, so that one that is gone does not fill the log. The event is counted like all others and is context in job traces. NewClient takes the logger.

The fleet tests pass the logger of the component to the client.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -184,7 +184,9 @@
 }
 
 // client returns an HTTP client that dials as the named component.
-func (f *fleet) client(name string) *http.Client { return platform.NewClientOn(f.net.Dial(name)) }
+func (f *fleet) client(name string) *http.Client {
+	return platform.NewClientOn(f.net.Dial(name), logger().Named(name))
+}
 
 // startEntry starts entry i, or starts a new process of it after the earlier one was
 // stopped.
--- a/command/node/agent/agent.go
+++ b/command/node/agent/agent.go
@@ -69,10 +69,10 @@
 	defer closeLog()
 	o.ServeMetrics(s.IP, counters, logger)
 	// entryClient is the HTTP client for the connections to entries.
-	entryClient := platform.NewClient()
+	entryClient := platform.NewClient(logger)
 	return o.Serve(minder.New(minder.Options{
-		Node: s.Name, Worker: platform.NewWorker(s.WorkerAddress, platform.NewClient()),
-		Store:        platform.NewStore(s.StoreAddress, platform.NewClient()),
+		Node: s.Name, Worker: platform.NewWorker(s.WorkerAddress, platform.NewClient(logger)),
+		Store:        platform.NewStore(s.StoreAddress, platform.NewClient(logger)),
 		MembersTopic: decider.MembersTopic,
 		ParseMember: func(r plantainrail.KeyedRecord) (address string, owner bool, epoch int64, err error) {
 			member, err := decider.ParseMember(r)
--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -68,8 +68,8 @@
 	defer closeLog()
 	o.ServeMetrics(s.IP, counters, logger)
 	operator := &platform.OperatorState{}
-	peers := platform.NewClient()
-	direct := platform.NewStore(s.StoreAddress, platform.NewClient())
+	peers := platform.NewClient(logger)
+	direct := platform.NewStore(s.StoreAddress, platform.NewClient(logger))
 	store := relayer.New(direct, peers, logger)
 	renew := func() {
 		direct.CloseIdleConnections()
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -32,7 +32,8 @@
 var contextEvents = map[string]bool{
 	"ownership claimed": true, "ownership gained": true, "ownership lost": true, "entry started": true, "entry stopping": true,
 	"agent started": true, "progress not stored": true, "jobs not stored": true, "store lost": true, "store regained": true,
-	"store turned away from": true, "store failure outdated": true, "configuration taken": true, "VM seen": true, "VM resized": true, "VM gone": true, "agent lost": true,
+	"store turned away from": true, "store failure outdated": true, "connections silent": true,
+	"configuration taken": true, "VM seen": true, "VM resized": true, "VM gone": true, "agent lost": true,
 	"worker lost": true, "worker regained": true, "worker departed": true, "fillers paced": true, "lines dropped": true,
 }
 
