--- a/store.go
+++ b/store.go
@@ -125,8 +125,26 @@
 	ErrFenced = errors.New("fenced by a higher epoch")
 	// ErrExpired means that retention has deleted the requested records.
 	ErrExpired = errors.New("records have expired")
+	// ErrOvertaken is the cause of the end of a try's context if a later try of the same call was
+	// answered first, which suggests that the connection of the earlier one is silent.
+	ErrOvertaken = errors.New("overtaken by a later try")
 )
 
+// UnansweredError is the error of a call that got no complete answer. What it shows is as old as the
+// sending of the call, since its connection may have gone silent at any time since.
+type UnansweredError struct {
+	SentAt time.Time
+	// Waited is how long the call was open.
+	Waited time.Duration
+	Err    error
+}
+
+func (e *UnansweredError) Error() string {
+	return fmt.Sprintf("no answer after %s: %s", e.Waited.Round(time.Millisecond), e.Err)
+}
+
+func (e *UnansweredError) Unwrap() error { return e.Err }
+
 // WriteTries holds the errors of several tries of one write. It keeps a caller from
 // reporting a write as not done because its last try was rejected, although an earlier
 // one may have taken effect. The zero value stands for no try.
