Planner: a VM on which orders expire comes last once the wait is nearly over

Callers saw a task that waited for over three seconds while workers were free and nothing was reported against any VM (obstacles empty).

Cause: an expired order only lowered the score of its VM by less than any judgement does. So the VM took the task again and again, since nothing else spoke against it, and each time the task was bound for as long as an agent may keep a start. Two such orders use up the three seconds.

Change: a judgement `late`. It counts only in the last 1.5 s of the wait, when one more order that expires would make the task overdue, and only if another VM is large enough. Before that late VMs are taken as before, since the delay may be the owner's.

Ruled out: to try VMs in doubt at once in the last 1.5 s.

--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -53,6 +53,9 @@
 	judgedFailed = &judgement{"failed", 6}
 	// A filler would interfere too much with services on the VM; see rating.score.
 	judgedHarmful = &judgement{"harm", 7}
+	// An order has expired on the VM, and the tasks would be overdue before one more does. The VM comes
+	// last, since an order that expires takes longest to tell that it is not carried out.
+	judgedLate = &judgement{"late", 8}
 )
 
 // fact returns why the VM cannot take any task of the step.
@@ -99,6 +102,9 @@
 			out = append(out, judgedFilled)
 		}
 	}
+	if ready.shunsLate && v.late(now) {
+		out = append(out, judgedLate)
+	}
 	return out
 }
 
@@ -138,6 +144,27 @@
 	return v.probation || now.Before(v.pausedUntil) || now.Before(v.noRoomUntil)
 }
 
+// late reports whether an order has expired on the VM within latePause.
+func (v *vm) late(now time.Time) bool { return now.Before(v.lateUntil) }
+
+// shunsLate reports whether the tasks of the step had better not be ordered from a late VM: they would
+// be overdue if the order expires, and another VM could take them if it had the room.
+func (p *Planner) shunsLate(ready readyStep, now time.Time) bool {
+	if ready.wait.since.IsZero() || ready.wait.waited(now)+heldTime <= ready.wait.limit {
+		return false
+	}
+	late, other := false, false
+	for _, v := range p.ordered {
+		switch f := p.fact(v, p.vmPool(ready.job), ready); {
+		case f == "" && v.late(now):
+			late = true
+		case f == "", f == factResources && ready.definition().Reservation().Fits(v.Capacity):
+			other = other || !v.late(now)
+		}
+	}
+	return late && other
+}
+
 // proofTime is how long a run on probation must have run to count as proven for overdue tasks.
 func (v *vm) proofTime() time.Duration {
 	return min(max(proofFactor*v.failedAge, minProofTime), maxProofTime)
--- a/planner/patience.go
+++ b/planner/patience.go
@@ -73,6 +73,7 @@
 // trackWaits records since when jobs and long-running tasks that are ready have waited.
 func (p *Planner) trackWaits(ready []readyStep, now time.Time) {
 	idle := p.idlePools()
+	anyLate := slices.ContainsFunc(p.ordered, func(v *vm) bool { return v.late(now) })
 	var jobSince time.Time
 	for i := range ready {
 		r := &ready[i]
@@ -86,6 +87,7 @@
 		r.wait = newWait(since, r.definition().Lasting || idle[p.vmPool(r.job)], now)
 		r.wait.due = due
 		r.noTrial = r.job.failing
+		r.shunsLate = anyLate && p.shunsLate(*r, now)
 	}
 }
 
--- a/planner/patience_test.go
+++ b/planner/patience_test.go
@@ -81,3 +81,52 @@
 	assert.DeepEqual(t, unplaced[0].Judgements, map[planner.Obstacle]int{"strained": 1})
 	assert.Equal(t, len(h.tick().Unplaced), 0)
 }
+
+// Guards against a task that waits (LOST) for one order after the other to expire on the only VM against
+// which nothing speaks, while another VM could take it.
+func TestLateVMsComeLast(t *testing.T) {
+	for name, c := range map[string]struct {
+		arrange func(h *harness)
+		// node is the VM of the next order, after the wait.
+		node string
+		wait time.Duration
+	}{
+		"alone": {func(*harness) {}, "late", 0},
+		"beside a paused VM": {func(h *harness) {
+			h.submit("refused", plantainrail.Step{Count: 1, CPU: 1000})
+			for range 3 {
+				h.now = h.now.Add(2500 * time.Millisecond)
+				h.report(newVM("a", 1000))
+				for _, a := range h.tick().Assignments {
+					h.planner.ApplyRefusal(a.Incarnation, a.Order.Ref, plantainrail.RefusedNoResponse, h.now)
+				}
+			}
+			h.applyJob(planner.NewCancelRecord("refused"))
+		}, "a", 501 * time.Millisecond},
+		"beside a full VM": {func(h *harness) {
+			h.submit("full", plantainrail.Step{Count: 1, CPU: 1000})
+			h.begin(h.tick().Assignments[0])
+		}, "late", 501 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			if name != "alone" {
+				h.report(newVM("a", 1000))
+			}
+			c.arrange(h)
+			h.report(newVM("late", 9000))
+			h.submit("task", plantainrail.Step{Count: 1, CPU: 1000})
+			order := h.tick().Assignments[0]
+			assert.Equal(t, order.Incarnation.Node, "late")
+			h.now = h.now.Add(1500 * time.Millisecond)
+			h.planner.ApplyRefusal(order.Incarnation, order.Order.Ref, plantainrail.RefusedExpired, h.now)
+			if c.wait > 0 {
+				assert.Equal(t, len(h.tick().Assignments), 0)
+				h.now = h.now.Add(c.wait)
+			}
+			placed := h.tick().Assignments
+			assert.Equal(t, len(placed), 1)
+			assert.Equal(t, placed[0].Incarnation.Node, c.node)
+		})
+	}
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -17,6 +17,8 @@
 	noTrial bool
 	// wait is how long the tasks have waited, and what follows from that.
 	wait wait
+	// shunsLate means that VMs on which orders have expired come last; see Planner.shunsLate.
+	shunsLate bool
 	// beyondShare means that one filler of the step, or one gang, may go beyond maxFillerShare.
 	beyondShare bool
 }
@@ -50,8 +52,8 @@
 	suspects bool
 	// mayWait is set while a filler may still wait for a VM with less
 	// interference, and therefore does not take every VM.
-	mayWait                       bool
-	noTrial, overdue, beyondShare bool
+	mayWait                                  bool
+	noTrial, overdue, shunsLate, beyondShare bool
 }
 
 // place assigns tasks that are ready to VMs with enough free resources, in the order in which the
@@ -183,7 +185,7 @@
 	step := ready.definition()
 	s := shape{
 		pool: p.vmPool(ready.job), label: step.VMLabel, resources: step.Reservation(), filler: step.Filler, suspects: ready.hasSuspects(),
-		noTrial: ready.noTrial, overdue: ready.wait.overdue, beyondShare: ready.beyondShare,
+		noTrial: ready.noTrial, overdue: ready.wait.overdue, shunsLate: ready.shunsLate, beyondShare: ready.beyondShare,
 	}
 	if step.Filler {
 		s.image, s.fillerCPU, s.mayWait = step.Image, step.CPU, !ready.beyondShare && !ready.wait.overdue && ready.job.fillersMayWait(now)
@@ -317,7 +319,7 @@
 	r := &rating{planner: p, ready: ready, shape: s, now: now}
 	r.allDoubted = ready.wait.overdue && !slices.ContainsFunc(p.ordered, func(v *vm) bool {
 		f := p.fact(v, s.pool, ready)
-		return (f == "" || f == factResources) && !v.distrusted(now)
+		return (f == "" || f == factResources) && !v.distrusted(now) && !(ready.shunsLate && v.late(now))
 	})
 	for _, v := range p.ordered {
 		p.scores = append(p.scores, r.score(v))
@@ -342,7 +344,7 @@
 			score -= distrustWeight * doubt.rank
 		}
 	}
-	if r.now.Before(v.lateUntil) {
+	if v.late(r.now) {
 		score -= lateWeight
 	}
 	if r.shape.suspects {
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -20,8 +20,9 @@
 	// roomPause is how long a VM gets no tasks after its worker has refused one for want of
 	// room. It is the interval of the heartbeats, which show the worker's capacity.
 	roomPause = 1500 * time.Millisecond
-	// latePause is how long other VMs are preferred after an order has expired. It exceeds the 1.5 s for
-	// which an agent may keep a start.
+	// heldTime is how long an agent may keep a start.
+	heldTime = 1500 * time.Millisecond
+	// latePause is how long other VMs are preferred after an order has expired. It exceeds heldTime.
 	latePause = 4 * time.Second
 	// maxFillerShare bounds the share of a VM's processors that all its fillers
 	// together request.
