Planner: a run that has not begun does not end a job's wait

Callers saw a job with nothing running for over three seconds although VMs were free.

Cause: the planner took a job with a placed task for one that runs. A run that is ordered may never begin.

Change: jobs count the placed runs that are known to have begun. Without one the wait goes on, from the end of the last one that had begun, whatever is placed, also for tasks that wait beside it. Fillers beyond the share of a VM stay at one a job, placed or begun.

--- a/planner/job.go
+++ b/planner/job.go
@@ -137,6 +137,8 @@
 	// fillers; see Planner.placeReady. Neither is stored.
 	idleSince   time.Time
 	beyondShare bool
+	// running is the number of placed runs that are known to have begun. It is not stored.
+	running int
 	// assignedAt is when a task of the job was last placed. It is not stored.
 	assignedAt time.Time
 	// failing is set from a failed run until the next successful one. faultyOn holds the nodes on
--- a/planner/patience.go
+++ b/planner/patience.go
@@ -91,11 +91,11 @@
 	}
 }
 
-// trackIdle records, for a job with a task that is ready to be placed, since when nothing of the job
-// has been running, and returns that time, or zero if a task of the job is placed. A run that was
+// trackIdle records, for a job with a task whose turn has come, since when nothing of the job has been
+// running, and returns that time, or zero if a run of the job is known to have begun. A run that was
 // refused does not begin a new wait.
 func (j *Job) trackIdle(now time.Time) time.Time {
-	if !j.idle() {
+	if j.running > 0 {
 		return time.Time{}
 	}
 	if j.idleSince.IsZero() {
@@ -104,6 +104,14 @@
 	return j.idleSince
 }
 
+// trackPlaced does the same after a run of the job has ended, if other runs are placed. They may not
+// begin, and the tasks whose turn has come wait from now on.
+func (j *Job) trackPlaced(now time.Time) {
+	if !j.idle() {
+		j.trackIdle(now)
+	}
+}
+
 // trackTasks does the same for each waiting task of a long-running step, and returns the earliest
 // time, and the earliest at which one is due.
 func (r readyStep) trackTasks(now time.Time) (since, due time.Time) {
@@ -146,11 +154,6 @@
 // endWait records that a run has begun or ended.
 func (r *placedRun) endWait() { r.job.idleSince, r.task.waitingSince = time.Time{}, time.Time{} }
 
-// idle reports whether nothing of the job was placed when the tick began, and nothing since.
-func (r readyStep) idle(now time.Time) bool {
-	return !r.wait.since.IsZero() && !r.job.assignedAt.Equal(now)
-}
-
 // idle reports whether no task of the job is placed.
 func (j *Job) idle() bool {
 	for _, o := range j.occurrences {
--- a/planner/patience_test.go
+++ b/planner/patience_test.go
@@ -130,3 +130,35 @@
 		})
 	}
 }
+
+// Guards against a wait (LOST) that begins anew when a run that never began is given up: nothing of the
+// job has been running since the last other run ended.
+func TestRunsThatDoNotBeginDoNotEndAWait(t *testing.T) {
+	for name, c := range map[string]struct {
+		tasks  int
+		refuse bool
+	}{"the run is refused": {2, true}, "another task waits beside it": {3, false}} {
+		t.Run(name, func(t *testing.T) {
+			vms := []plantainrail.VM{newVM("a", 1000), newVM("b", 1000)}
+			h := newHarness(t, vms...)
+			h.submit("job", plantainrail.Step{Count: c.tasks, CPU: 1000})
+			placed := h.tick().Assignments
+			assert.Equal(t, len(placed), 2)
+			h.begin(placed[0])
+			h.now = h.now.Add(time.Second)
+			h.reportEnd(placed[0], 1, plantainrail.RunDone)
+			for i := range vms {
+				vms[i].Draining = true
+				h.report(vms[i])
+			}
+			h.tick()
+			h.now = h.now.Add(2500 * time.Millisecond)
+			if c.refuse {
+				h.planner.ApplyRefusal(placed[1].Incarnation, placed[1].Order.Ref, plantainrail.RefusedExpired, h.now)
+			}
+			unplaced := h.tick().Unplaced
+			assert.Equal(t, len(unplaced), 1)
+			assert.Equal(t, unplaced[0].Waited, 2500*time.Millisecond)
+		})
+	}
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -125,7 +125,7 @@
 	switch {
 	case len(out) > 0:
 		j.beyondShare = false
-	case ready.definition().Filler && ready.idle(now) && (j.beyondShare || ready.wait.waited(now) >= maxFillerWait):
+	case ready.definition().Filler && j.idle() && (j.beyondShare || ready.wait.waited(now) >= maxFillerWait):
 		j.beyondShare, ready.beyondShare = true, true
 		out = p.placeTasks(ready, now)
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -337,6 +337,7 @@
 		p.markStarted(run.job)
 		if run.begunAt.IsZero() {
 			run.begunAt = now
+			run.job.running++
 			run.endWait()
 		}
 		if status.Checkpoint != "" {
@@ -477,6 +478,7 @@
 			p.endJob(j, Failed)
 		}
 	}
+	j.trackPlaced(now)
 }
 
 // failures returns the number of failed runs that is compared with maxFailedRuns.
@@ -564,6 +566,7 @@
 			Crashes: run.task.Crashes, LateCrashes: run.task.lateCrashes,
 		})
 		p.requeue(v, run)
+		run.job.trackPlaced(now)
 	}
 	if failed != nil {
 		p.endJob(failed, Failed)
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -168,6 +168,9 @@
 		return
 	}
 	step := run.step()
+	if !run.begunAt.IsZero() {
+		run.job.running--
+	}
 	delete(v.runs, run.ref())
 	v.orderedRuns = slices.DeleteFunc(v.orderedRuns, func(r *placedRun) bool { return r == run })
 	v.headrooms, v.noRoomUntil = nil, time.Time{}
