Planner: a late VM is tried only after VMs that have just failed

Cause: the rank of `late` has no effect while the VMs that rank before it get no task at all, which is for 0.5 s after a failure.

Change: `late` yields 0.5 s later than the other judgements, when each of them may have been tried.

--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -133,6 +133,9 @@
 		return false
 	case slices.Contains(doubts, judgedFilled):
 		return false
+	case slices.Contains(doubts, judgedLate) && r.ready.wait.waited(r.now) <= r.ready.wait.limit+minSpacing:
+		// Until then other VMs in doubt that have just failed may be tried.
+		return false
 	case r.now.Sub(v.failedAt) < spacing, r.now.Sub(v.refusedAt) < minSpacing:
 		return false
 	}
--- a/planner/patience_test.go
+++ b/planner/patience_test.go
@@ -94,7 +94,7 @@
 		"alone": {func(*harness) {}, "late", 0},
 		"beside a paused VM": {func(h *harness) {
 			h.submit("refused", plantainrail.Step{Count: 1, CPU: 1000})
-			for range 3 {
+			for range 4 {
 				h.now = h.now.Add(2500 * time.Millisecond)
 				h.report(newVM("a", 1000))
 				for _, a := range h.tick().Assignments {
@@ -106,7 +106,7 @@
 		"beside a full VM": {func(h *harness) {
 			h.submit("full", plantainrail.Step{Count: 1, CPU: 1000})
 			h.begin(h.tick().Assignments[0])
-		}, "late", 501 * time.Millisecond},
+		}, "late", 1001 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
@@ -122,7 +122,9 @@
 			h.planner.ApplyRefusal(order.Incarnation, order.Order.Ref, plantainrail.RefusedExpired, h.now)
 			if c.wait > 0 {
 				assert.Equal(t, len(h.tick().Assignments), 0)
-				h.now = h.now.Add(c.wait)
+				h.now = h.now.Add(c.wait - time.Millisecond)
+				assert.Equal(t, len(h.tick().Assignments), 0)
+				h.now = h.now.Add(time.Millisecond)
 			}
 			placed := h.tick().Assignments
 			assert.Equal(t, len(placed), 1)
