Planner: a VM that does not answer starts counts as late

Cause: once its first pauses are over, nothing speaks against a VM whose worker is mute. Like an order that expires, a start without an answer takes 1.5 s to be known as refused.

Change: such a refusal, if it came a second or more after the order, marks the VM as late, like an expired order.

Ruled out: to mark VMs whose starts are refused at once, too.

--- a/planner/patience_test.go
+++ b/planner/patience_test.go
@@ -85,28 +85,31 @@
 // Guards against a task that waits (LOST) for one order after the other to expire on the only VM against
 // which nothing speaks, while another VM could take it.
 func TestLateVMsComeLast(t *testing.T) {
+	pauseOther := func(h *harness) {
+		h.submit("refused", plantainrail.Step{Count: 1, CPU: 1000})
+		for range 4 {
+			h.now = h.now.Add(2500 * time.Millisecond)
+			h.report(newVM("a", 1000))
+			for _, a := range h.tick().Assignments {
+				h.planner.ApplyRefusal(a.Incarnation, a.Order.Ref, plantainrail.RefusedNoResponse, h.now)
+			}
+		}
+		h.applyJob(planner.NewCancelRecord("refused"))
+	}
 	for name, c := range map[string]struct {
 		arrange func(h *harness)
+		reason  plantainrail.RefusalReason
 		// node is the VM of the next order, after the wait.
 		node string
 		wait time.Duration
 	}{
-		"alone": {func(*harness) {}, "late", 0},
-		"beside a paused VM": {func(h *harness) {
-			h.submit("refused", plantainrail.Step{Count: 1, CPU: 1000})
-			for range 4 {
-				h.now = h.now.Add(2500 * time.Millisecond)
-				h.report(newVM("a", 1000))
-				for _, a := range h.tick().Assignments {
-					h.planner.ApplyRefusal(a.Incarnation, a.Order.Ref, plantainrail.RefusedNoResponse, h.now)
-				}
-			}
-			h.applyJob(planner.NewCancelRecord("refused"))
-		}, "a", 501 * time.Millisecond},
+		"alone":                                 {func(*harness) {}, plantainrail.RefusedExpired, "late", 0},
+		"beside a paused VM":                    {pauseOther, plantainrail.RefusedExpired, "a", 501 * time.Millisecond},
+		"beside a paused VM, without an answer": {pauseOther, plantainrail.RefusedNoResponse, "a", 501 * time.Millisecond},
 		"beside a full VM": {func(h *harness) {
 			h.submit("full", plantainrail.Step{Count: 1, CPU: 1000})
 			h.begin(h.tick().Assignments[0])
-		}, "late", 1001 * time.Millisecond},
+		}, plantainrail.RefusedExpired, "late", 1001 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
@@ -119,7 +122,7 @@
 			order := h.tick().Assignments[0]
 			assert.Equal(t, order.Incarnation.Node, "late")
 			h.now = h.now.Add(1500 * time.Millisecond)
-			h.planner.ApplyRefusal(order.Incarnation, order.Order.Ref, plantainrail.RefusedExpired, h.now)
+			h.planner.ApplyRefusal(order.Incarnation, order.Order.Ref, c.reason, h.now)
 			if c.wait > 0 {
 				assert.Equal(t, len(h.tick().Assignments), 0)
 				h.now = h.now.Add(c.wait - time.Millisecond)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -390,7 +390,7 @@
 	run := v.runs[ref]
 	p.requeue(v, run)
 	if !run.stopping {
-		v.pauseAfterRefusal(reason, now)
+		v.pauseAfterRefusal(run, reason, now)
 	}
 }
 
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -22,6 +22,8 @@
 	roomPause = 1500 * time.Millisecond
 	// heldTime is how long an agent may keep a start.
 	heldTime = 1500 * time.Millisecond
+	// unansweredTime is the time from which a refusal for want of an answer came late.
+	unansweredTime = time.Second
 	// latePause is how long other VMs are preferred after an order has expired. It exceeds heldTime.
 	latePause = 4 * time.Second
 	// maxFillerShare bounds the share of a VM's processors that all its fillers
@@ -124,7 +126,7 @@
 	// pause.
 	pauseDoublings int
 	// lateUntil is until when other VMs are preferred, since an order expired before the agent could
-	// carry it out.
+	// carry it out or the worker did not answer a start.
 	lateUntil time.Time
 	// noRoomUntil is when the VM may get tasks again after a refusal for want of room, as
 	// long as its capacity is still noRoomCapacity and none of its runs has ended.
@@ -218,8 +220,12 @@
 // and not in the run. A refusal for want of room is no sign of a failing worker: its
 // capacity has shrunk and its agent has not reported that yet, or a run that the owner
 // does not know takes the room. An order that was carried out too late keeps no task off the VM,
-// since the delay may be the owner's, but others come first.
-func (v *vm) pauseAfterRefusal(reason plantainrail.RefusalReason, now time.Time) {
+// since the delay may be the owner's, but others come first. The same holds after the pause if the start
+// was refused late, since the worker did not answer.
+func (v *vm) pauseAfterRefusal(run *placedRun, reason plantainrail.RefusalReason, now time.Time) {
+	if reason == plantainrail.RefusedNoResponse && now.Sub(run.orderedSince) >= unansweredTime {
+		v.lateUntil = now.Add(latePause)
+	}
 	switch reason {
 	case plantainrail.RefusedUnhealthy, plantainrail.RefusedNoResponse:
 		v.refusedAt = now
