--- a/planner/patience_test.go
+++ b/planner/patience_test.go
@@ -81,3 +81,89 @@
 	assert.DeepEqual(t, unplaced[0].Judgements, map[planner.Obstacle]int{"strained": 1})
 	assert.Equal(t, len(h.tick().Unplaced), 0)
 }
+
+// Guards against a task that waits (LOST) for one order after the other to expire on the only VM against
+// which nothing speaks, while another VM could take it.
+func TestLateVMsComeLast(t *testing.T) {
+	pauseOther := func(h *harness) {
+		h.submit("refused", plantainrail.Step{Count: 1, CPU: 1000})
+		for range 4 {
+			h.now = h.now.Add(2500 * time.Millisecond)
+			h.report(newVM("a", 1000))
+			for _, a := range h.tick().Assignments {
+				h.planner.ApplyRefusal(a.Incarnation, a.Order.Ref, plantainrail.RefusedNoResponse, h.now)
+			}
+		}
+		h.applyJob(planner.NewCancelRecord("refused"))
+	}
+	for name, c := range map[string]struct {
+		arrange func(h *harness)
+		reason  plantainrail.RefusalReason
+		// node is the VM of the next order, after the wait.
+		node string
+		wait time.Duration
+	}{
+		"alone":                                 {func(*harness) {}, plantainrail.RefusedExpired, "late", 0},
+		"beside a paused VM":                    {pauseOther, plantainrail.RefusedExpired, "a", 501 * time.Millisecond},
+		"beside a paused VM, without an answer": {pauseOther, plantainrail.RefusedNoResponse, "a", 501 * time.Millisecond},
+		"beside a full VM": {func(h *harness) {
+			h.submit("full", plantainrail.Step{Count: 1, CPU: 1000})
+			h.begin(h.tick().Assignments[0])
+		}, plantainrail.RefusedExpired, "late", 1001 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			if name != "alone" {
+				h.report(newVM("a", 1000))
+			}
+			c.arrange(h)
+			h.report(newVM("late", 9000))
+			h.submit("task", plantainrail.Step{Count: 1, CPU: 1000})
+			order := h.tick().Assignments[0]
+			assert.Equal(t, order.Incarnation.Node, "late")
+			h.now = h.now.Add(1500 * time.Millisecond)
+			h.planner.ApplyRefusal(order.Incarnation, order.Order.Ref, c.reason, h.now)
+			if c.wait > 0 {
+				assert.Equal(t, len(h.tick().Assignments), 0)
+				h.now = h.now.Add(c.wait - time.Millisecond)
+				assert.Equal(t, len(h.tick().Assignments), 0)
+				h.now = h.now.Add(time.Millisecond)
+			}
+			placed := h.tick().Assignments
+			assert.Equal(t, len(placed), 1)
+			assert.Equal(t, placed[0].Incarnation.Node, c.node)
+		})
+	}
+}
+
+// Guards against a wait (LOST) that begins anew when a run that never began is given up: nothing of the
+// job has been running since the last other run ended.
+func TestRunsThatDoNotBeginDoNotEndAWait(t *testing.T) {
+	for name, c := range map[string]struct {
+		tasks  int
+		refuse bool
+	}{"the run is refused": {2, true}, "another task waits beside it": {3, false}} {
+		t.Run(name, func(t *testing.T) {
+			vms := []plantainrail.VM{newVM("a", 1000), newVM("b", 1000)}
+			h := newHarness(t, vms...)
+			h.submit("job", plantainrail.Step{Count: c.tasks, CPU: 1000})
+			placed := h.tick().Assignments
+			assert.Equal(t, len(placed), 2)
+			h.begin(placed[0])
+			h.now = h.now.Add(time.Second)
+			h.reportEnd(placed[0], 1, plantainrail.RunDone)
+			for i := range vms {
+				vms[i].Draining = true
+				h.report(vms[i])
+			}
+			h.tick()
+			h.now = h.now.Add(2500 * time.Millisecond)
+			if c.refuse {
+				h.planner.ApplyRefusal(placed[1].Incarnation, placed[1].Order.Ref, plantainrail.RefusedExpired, h.now)
+			}
+			unplaced := h.tick().Unplaced
+			assert.Equal(t, len(unplaced), 1)
+			assert.Equal(t, unplaced[0].Waited, 2500*time.Millisecond)
+		})
+	}
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -343,6 +343,7 @@
 		p.markStarted(run.job)
 		if run.begunAt.IsZero() {
 			run.begunAt = now
+			run.job.running++
 			run.endWait()
 		}
 		if status.Checkpoint != "" {
@@ -395,7 +396,7 @@
 	run := v.runs[ref]
 	p.requeue(v, run)
 	if !run.stopping {
-		v.pauseAfterRefusal(reason, now)
+		v.pauseAfterRefusal(run, reason, now)
 	}
 }
 
@@ -477,6 +478,7 @@
 	if !step.Lasting {
 		p.countOutcome(j, run.id, end.Outcome, now)
 	}
+	j.trackPlaced(now)
 }
 
 // countOutcome completes a task whose run is done, and counts the failure of one whose run has failed.
@@ -597,6 +599,7 @@
 			Crashes: run.task.Crashes, LateCrashes: run.task.lateCrashes,
 		})
 		p.requeue(v, run)
+		run.job.trackPlaced(now)
 	}
 	if failed != nil {
 		p.endJob(failed, Failed)
