Turn away from a store that is gone as early as before

Cause: an answer within the last 1.4 s counted, but such a read fails a second after it should have been answered, so it may have been answered before the store was gone.

Change: only an answer within the last second makes a failure outdated.

Evidence: the row "read that should have been answered after the last answer" of TestOutdatedFailureIsNoReasonToTurnAway failed with 1.4 s. The answers of its other rows come later now, within the last second.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -27,10 +27,9 @@
 	// directRetryDelay is how long calls go through other entries before the store
 	// is called directly again.
 	directRetryDelay = 2 * time.Second
-	// maxAnswerAge is how long ago the store may have answered last for an earlier failure to be outdated. It is
-	// longer than the long poll of the operators' topic, which every entry reads, and shorter than
-	// the time in which other long polls fail, so that an entry that was just cut off turns away at once.
-	maxAnswerAge = 1400 * time.Millisecond
+	// maxAnswerAge is how long ago the store may have answered last for a failure to be outdated. A read that
+	// fails should have been answered a second ago; an answer since then shows that the store is there.
+	maxAnswerAge = time.Second
 	// peerAppendTimeout bounds an append through another entry. peerReadMargin is how
 	// long a read through another entry may take beyond its wait for records.
 	peerAppendTimeout = 1500 * time.Millisecond
@@ -288,7 +287,7 @@
 // answered, while the store still answers. A second append in a row without an answer counts in any case, since a
 // path to the store may fail for appends only. The caller holds the lock.
 func (r *Relayer) isOutdated(c storeCall, err error) bool {
-	return r.sinceSent(err) > 0 && time.Since(r.answeredAt) <= maxAnswerAge && (c.Append == nil || !r.appendFailed)
+	return r.sinceSent(err) > 0 && time.Since(r.answeredAt) < maxAnswerAge && (c.Append == nil || !r.appendFailed)
 }
 
 // sinceSent returns by how much a call that got no answer was sent before the newest one that the store
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -156,11 +156,12 @@
 		appends  int
 		turnAway bool
 	}{
-		{"read before answers", []time.Duration{time.Second, wait}, 0, false},
+		{"read before answers", []time.Duration{time.Second, wait + callMargin/2}, 0, false},
 		{"read without any answer since", nil, 0, true},
 		{"read, and the store answers no more", []time.Duration{time.Second}, 0, true},
-		{"append before an answer", []time.Duration{time.Second}, 1, false},
-		{"two appends in a row", []time.Duration{time.Second, 3 * time.Second}, 2, true},
+		{"read that should have been answered after the last answer", []time.Duration{wait - callMargin/5}, 0, true},
+		{"append before an answer", []time.Duration{3 * callMargin / 2}, 1, false},
+		{"two appends in a row", []time.Duration{3 * callMargin / 2, 7 * callMargin / 2}, 2, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
