--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -14,14 +15,23 @@
 	play func()
 }
 
-// faultKind draws a fault of a kind.
-type faultKind func(f *fleet, r *rand.Rand) plannedFault
+// faultKind is a kind of faults. Its draw function draws one.
+type faultKind struct {
+	name string
+	draw func(f *fleet, r *rand.Rand) plannedFault
+}
 
 // faultKinds are drawn equally often.
 var faultKinds = []faultKind{
-	silence, silence, silence, cut, resetLinks, delay,
-	ending("restart", syscall.SIGTERM, 1000, false), ending("kill", syscall.SIGKILL, 3000, false), ending("move", 0, 2000, true),
-	pause, restartWorker, loseWorker, killAll, stopInWaves,
+	{"silence", silence}, {"silence", silence}, {"silence", silence}, {"cut", cut}, {"reset", resetLinks}, {"delay", delay},
+	{"restart", ending("restart", syscall.SIGTERM, 1000, false)}, {"kill", ending("kill", syscall.SIGKILL, 3000, false)},
+	{"move", ending("move", 0, 2000, true)}, {"pause", pause}, {"worker-restart", restartWorker}, {"worker-loss", loseWorker},
+	{"kill-all", killAll}, {"wave", stopInWaves},
+}
+
+// kindsNamed returns the kinds with the names, or all kinds without a name.
+func kindsNamed(names []string) []faultKind {
+	return slices.DeleteFunc(slices.Clone(faultKinds), func(k faultKind) bool { return len(names) > 0 && !slices.Contains(names, k.name) })
 }
 
 // milliseconds draws a duration between two bounds.
@@ -128,9 +138,9 @@
 	}
 }
 
-// ending returns the kind of faults that end a process by a signal, or one that is drawn if it is 0, and
+// ending draws faults that end a process by a signal, or one that is drawn if it is 0, and
 // start it again after up to maxDowntime milliseconds, at a new address if moved is set.
-func ending(name string, signal syscall.Signal, maxDowntime int, moved bool) faultKind {
+func ending(name string, signal syscall.Signal, maxDowntime int, moved bool) func(*fleet, *rand.Rand) plannedFault {
 	return func(f *fleet, r *rand.Rand) plannedFault {
 		p, downtime, signal := f.anyOf(r, someRole(r)), milliseconds(r, 50, maxDowntime), signal
 		if signal == 0 {
@@ -264,11 +274,11 @@
 // playBursts plays the series. Each burst of faults that overlap is followed by a calm time, which is
 // longer than CalmTime and IdleTime together.
 func (f *fleet) playBursts() {
-	r := rand.New(rand.NewPCG(f.Seed, 0))
+	r, kinds := rand.New(rand.NewPCG(f.Seed, 0)), kindsNamed(f.Kinds)
 	for range f.Bursts {
 		var group sync.WaitGroup
 		for range 1 + r.IntN(maxFaults) {
-			p, after := faultKinds[r.IntN(len(faultKinds))](f, r), milliseconds(r, 0, int(burstTime.Milliseconds()))
+			p, after := kinds[r.IntN(len(kinds))].draw(f, r), milliseconds(r, 0, int(burstTime.Milliseconds()))
 			group.Go(func() {
 				time.Sleep(after)
 				f.play(p)
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -48,6 +48,8 @@
 	Seed uint64
 	// Bursts is the number of bursts of faults, each of which is followed by a calm time.
 	Entries, Agents, Bursts int
+	// Kinds holds the names of the kinds of faults; all kinds if it is empty.
+	Kinds []string
 }
 
 // fleet is the program's processes and the stand-ins around them.
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	soakEntries = flag.Int("soak.entries", 3, "number of entries in TestSoak")
 	soakAgents  = flag.Int("soak.agents", 9, "number of agents in TestSoak")
 	soakBursts  = flag.Int("soak.bursts", 3, "number of bursts of faults in TestSoak")
+	soakKinds   = flag.String("soak.kinds", "", "kinds of faults in TestSoak, joined by commas: names of faultKinds; empty for all")
 	soakKeep    = flag.Bool("soak.keep", false, "keep the logs of all seeds of TestSoak")
 	soakProgram = flag.String("soak.program", "", "path of the program of TestSoak; empty for one that is built from the present code")
 )
@@ -34,6 +36,10 @@
 		output, err := exec.Command("go", "build", "-o", program, "../cmd/plantainrail").CombinedOutput()
 		assert.NilError(t, err, "%s", output)
 	}
+	var kinds []string
+	if *soakKinds != "" {
+		kinds = strings.Split(*soakKinds, ",")
+	}
 	for seed := *soakSeed; seed < *soakSeed+*soakSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			// The folder is kept if a rule is broken.
@@ -41,7 +47,7 @@
 			assert.NilError(t, err)
 			began := time.Now()
 			report, err := soaker.Run(t.Context(), soaker.Options{
-				Program: program, Folder: folder, Seed: seed, Entries: *soakEntries, Agents: *soakAgents, Bursts: *soakBursts,
+				Program: program, Folder: folder, Seed: seed, Entries: *soakEntries, Agents: *soakAgents, Bursts: *soakBursts, Kinds: kinds,
 			})
 			assert.NilError(t, err)
 			t.Logf("seed %d: %d jobs, %d faults, longest wait %.1f s, longest calm wait %.1f s, %d findings, took %.0f s",
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/plantainrail/plantainrail/standin/runner"
 )
 
@@ -36,6 +38,9 @@
 
 // Run starts a fleet, plays a series of faults while clients submit jobs, and reports what it has found.
 func Run(ctx context.Context, o Options) (Report, error) {
+	if len(kindsNamed(o.Kinds)) == 0 {
+		return Report{}, errors.Errorf("no kind of faults is named %v", o.Kinds)
+	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	f, err := newFleet(ctx, o)
