--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -23,10 +23,20 @@
 
 // faultKinds are drawn equally often.
 var faultKinds = []faultKind{
-	{"silence", silence}, {"silence", silence}, {"silence", silence}, {"cut", cut}, {"reset", resetLinks}, {"delay", delay},
-	{"restart", ending("restart", syscall.SIGTERM, 1000, false)}, {"kill", ending("kill", syscall.SIGKILL, 3000, false)},
-	{"move", ending("move", 0, 2000, true)}, {"pause", pause}, {"worker-restart", restartWorker}, {"worker-loss", loseWorker},
-	{"kill-all", killAll}, {"wave", stopInWaves},
+	{"silence", silence},
+	{"silence", silence},
+	{"silence", silence},
+	{"cut", cut},
+	{"reset", resetLinks},
+	{"delay", delay},
+	{"restart", ending("restart", syscall.SIGTERM, 1000, false)},
+	{"kill", ending("kill", syscall.SIGKILL, 3000, false)},
+	{"move", ending("move", 0, 2000, true)},
+	{"pause", pause},
+	{"worker-restart", restartWorker},
+	{"worker-loss", loseWorker},
+	{"kill-all", killAll},
+	{"wave", stopInWaves},
 }
 
 // kindsNamed returns the kinds with the names, or all kinds without a name.
@@ -138,8 +148,8 @@
 	}
 }
 
-// ending draws faults that end a process by a signal, or one that is drawn if it is 0, and
-// start it again after up to maxDowntime milliseconds, at a new address if moved is set.
+// ending returns a function that draws a fault: a process ends by a signal, or a drawn one if it is 0, and
+// starts again after up to maxDowntime milliseconds, at a new address if moved is set.
 func ending(name string, signal syscall.Signal, maxDowntime int, moved bool) func(*fleet, *rand.Rand) plannedFault {
 	return func(f *fleet, r *rand.Rand) plannedFault {
 		p, downtime, signal := f.anyOf(r, someRole(r)), milliseconds(r, 50, maxDowntime), signal
