Planner: half of the memory is no fact for fillers beyond the share

Callers saw fillers of a job that waited for over three seconds while the VM's memory was free.

Cause: that fillers beyond the share leave half of the memory to others was a fact, which excludes the VM for as long as others reserve that memory.

Change: it is a judgement, `memory`.

--- a/planner/backlog_test.go
+++ b/planner/backlog_test.go
@@ -57,6 +57,38 @@
 	}
 }
 
+// Guards against a filler of a starving job that waits (LOST) beside free memory, since earlier fillers leave
+// less than half of it. VMs with more of it come first.
+func TestStarvingFillerTakesMemoryInTheEnd(t *testing.T) {
+	for _, c := range []struct {
+		// memory is the other VM's.
+		memory int
+		node   string
+	}{{650, "a"}, {1400, "b"}} {
+		t.Run(c.node, func(t *testing.T) {
+			vms := []plantainrail.VM{newVM("a", 4000), newVM("b", 1000)}
+			h := newHarness(t, vms[0])
+			h.submit("first", plantainrail.Step{Count: 3, CPU: 1000, Memory: 1700, Filler: true})
+			assert.Equal(t, len(h.tick().Assignments), 3)
+			vms[1].Capacity.Memory = c.memory
+			h.report(vms[1])
+			h.submit("second", plantainrail.Step{Count: 1, CPU: 1000, Memory: 100, Filler: true})
+			assert.Equal(t, h.tick().Assignments[0].Incarnation.Node, "b")
+			h.submit("later", plantainrail.Step{Count: 1, CPU: 1000, Memory: 600, Filler: true})
+			for begin := h.now; ; h.now = h.now.Add(100 * time.Millisecond) {
+				assert.Assert(t, h.now.Sub(begin) < maxStarvation)
+				for _, vm := range vms {
+					h.report(vm)
+				}
+				if placed := h.tick().Assignments; len(placed) > 0 {
+					assert.Equal(t, placed[0].Incarnation.Node, c.node)
+					return
+				}
+			}
+		})
+	}
+}
+
 // Load pattern: a burst of jobs of fillers. Guards against a gang of fillers that waits (LOST) for as
 // long as the fillers of earlier jobs request all that fillers may request, if there is room for some of
 // its members: the try of placing them must not start its wait anew.
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -48,14 +48,16 @@
 	judgedStrained = &judgement{"strained", 4}
 	// The fillers on the VM request too many processors; see Planner.placeReady.
 	judgedFilled = &judgement{"filled", 5}
+	// A filler beyond the share of the VM would leave less than half of its memory to others.
+	judgedScarce = &judgement{"memory", 6}
 	// The task has failed before, its newest run was on the VM's node, and another VM may
 	// take it later; see rating.choose.
-	judgedFailed = &judgement{"failed", 6}
+	judgedFailed = &judgement{"failed", 7}
 	// A filler would interfere too much with services on the VM; see rating.score.
-	judgedHarmful = &judgement{"harm", 7}
+	judgedHarmful = &judgement{"harm", 8}
 	// An order has expired on the VM, and the tasks would be overdue before one more does. The VM comes
 	// last, since an order that expires takes longest to tell that it is not carried out.
-	judgedLate = &judgement{"late", 8}
+	judgedLate = &judgement{"late", 9}
 )
 
 // fact returns why the VM cannot take any task of the step.
@@ -74,8 +76,6 @@
 		return factLabel
 	case !step.Reservation().Fits(v.Capacity.Sub(v.reserved)):
 		return factResources
-	case ready.beyondShare && 2*(v.reserved.Memory+step.Reservation().Memory) > v.Capacity.Memory:
-		return factResources
 	case step.MaxPerVM > 0 && v.runsOfStep(ready.taskID(0)) >= step.MaxPerVM:
 		return factPerVM
 	}
@@ -101,6 +101,9 @@
 		if v.filled(ready) {
 			out = append(out, judgedFilled)
 		}
+		if ready.beyondShare && 2*(v.reserved.Memory+step.Reservation().Memory) > v.Capacity.Memory {
+			out = append(out, judgedScarce)
+		}
 	}
 	if ready.shunsLate && v.late(now) {
 		out = append(out, judgedLate)
