Let no entry wait for news of owners and replicas on a silent connection

What callers saw: a zone without a replica, and entries that sent agents to an owner that was gone, for up to 21 s after their long polls of the members and of the replicas' claims had gone silent.

Cause: both polls last 20 s and nothing ended them. An entry read its own claim as replica only by the poll, so with a silent one its zone had neither a replica nor a candidate for the ownership. Entries that do not claim learned of a new owner only then as well.

Change: - Entries that follow the jobs (three to six of a fleet) wait for one second, and end the long poll when they begin to follow. With the second try of the hedger they are behind for 1.5 s at most. - The replica's answer to a ping tells up to which offset it has read both topics. An entry that has read less for 0.3 s ends its long poll and reads at once. Answers of earlier builds tell nothing, and change nothing. - A claim as replica reads the claims right before, so that it does not replace a newer replica, and after its write. - After a conditional append that was refused since the topic had grown, a claim of the ownership reads and tries again at once (it slept for 0.6 s), and a resignation reads and tries again (it was given up).

Ruled out: short waits for all entries, which cost 100 calls a second on a site of 55 entries. Not changed: the entry's registration, since nothing that the entry does waits for its own record.

Evidence: on the row "silent, reads hang" of TestReplicaIsReplaced fails ("no other entry of the zone follows the jobs" after 4 s), and so does TestEntriesKnowTheOwnerWhileReadsOfMembersHang for three entries a zone (four entries name the lost owner after 2.5 s). Both pass now. The store of two unit tests of replicas now answers reads, since a claim makes some; what they check is unchanged.

--- a/assembler/fleet_replica_test.go
+++ b/assembler/fleet_replica_test.go
@@ -141,12 +141,15 @@
 	for _, c := range []struct {
 		name string
 		lose func(f *fleet, replica int)
+		// silent means that the others' long polls are silent.
+		silent bool
 	}{
 		{"power lost", func(f *fleet, i int) {
 			f.net.setFault(f.entries[i].name, down)
 			f.entries[i].stop()
-		}},
-		{"silent", func(f *fleet, i int) { f.net.setFault(f.entries[i].name, blackholed) }},
+		}, false},
+		{"silent", func(f *fleet, i int) { f.net.setFault(f.entries[i].name, blackholed) }, false},
+		{"silent, reads hang", func(f *fleet, i int) { f.net.setFault(f.entries[i].name, blackholed) }, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runInFleet(t, widerFleet, func(f *fleet) {
@@ -156,6 +159,12 @@
 				time.Sleep(followDelay)
 				synctest.Wait()
 				lost := f.replicas()[0]
+				for _, e := range f.others(lost) {
+					if c.silent {
+						e.store.silence("members")
+						e.store.silence("replicas")
+					}
+				}
 				c.lose(f, lost)
 				client := f.client("client")
 				defer client.CloseIdleConnections()
--- a/assembler/fleet_takeover_test.go
+++ b/assembler/fleet_takeover_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/decider"
 )
 
 // silencer is a store whose reads can be made to hang, as those on a connection that has gone
@@ -224,6 +225,41 @@
 	}
 }
 
+// Guards against entries that send agents to an owner that is gone for as long as their long polls of the
+// members are silent (LOST).
+func TestEntriesKnowTheOwnerWhileReadsOfMembersHang(t *testing.T) {
+	// limit is the wait of an entry that follows the jobs, the delay of its second read, and the time
+	// until another one hears of it.
+	const limit = 2500 * time.Millisecond
+	for _, shape := range fleetShapes {
+		t.Run(shape.name, func(t *testing.T) {
+			runInFleet(t, shape, func(f *fleet) {
+				lost := f.owner()
+				for _, e := range f.others(lost) {
+					e.store.silence("members")
+				}
+				f.net.setFault(f.entries[lost].name, down)
+				f.entries[lost].stop()
+				for f.entries[lost].decider.Owns() {
+					time.Sleep(10 * time.Millisecond)
+				}
+				owner := f.owner()
+				time.Sleep(limit)
+				client := f.client("vm-9")
+				defer client.CloseIdleConnections()
+				for _, e := range f.others(lost) {
+					session, known, _ := decider.Dial(f.ctx, client, e.decider.Address)
+					if session != nil {
+						session.Close()
+						known = e.decider.Address
+					}
+					assert.Check(t, known == f.entries[owner].decider.Address, "%s names %q as the owner", e.name, known)
+				}
+			})
+		})
+	}
+}
+
 // Guards against starts in an evacuated zone (EVAC) of runs that were assigned before all entries
 // lost power: the zone was evacuated meanwhile.
 func TestNothingStartsInAZoneThatWasEvacuatedDuringAPowerLoss(t *testing.T) {
--- a/decider/claim.go
+++ b/decider/claim.go
@@ -143,6 +143,7 @@
 		d.owner = newOwner(d, d.claim.Epoch)
 		go d.owner.run(ctx)
 	}
+	d.endLongPolls()
 	d.broadcastChange()
 }
 
@@ -189,11 +190,22 @@
 		if _, _, err := d.advance(ctx, d.members, 0); err != nil {
 			d.Logger.Warn("claims not read", zap.Error(err))
 		}
+		if movedTopic(err) {
+			// What was stored meanwhile need not be a claim.
+			continue
+		}
 		_ = clocker.Sleep(ctx, ownerTimeout/2)
 	}
 	return ctx.Err()
 }
 
+// movedTopic reports whether an append was refused since the topic has grown. Whoever appends on the
+// condition of its end has to read it again at once: the open long poll may be silent.
+func movedTopic(err error) bool {
+	var moved *plantainrail.OffsetMismatchError
+	return errors.As(err, &moved)
+}
+
 // shouldClaim reports whether the entry should claim ownership. It should if
 // nobody owns the jobs, the owner was an earlier process of this entry, or the
 // owner has timed out. It should not while it owns the jobs, does not follow them or
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -14,7 +14,11 @@
 // records. Topics for which the age of the newest read matters have short waits.
 // jobsPollWait also applies to the progress topic.
 const (
+	// membersPollWait is that of the members and of the replicas' claims on most entries, which hear
+	// from the replica of their zone what they lack. An entry that follows the jobs decides by them
+	// and asks nobody, so its waits are ownMembersPollWait.
 	membersPollWait       = 20 * time.Second
+	ownMembersPollWait    = time.Second
 	configurationPollWait = 1200 * time.Millisecond
 	jobsPollWait          = 500 * time.Millisecond
 )
@@ -45,9 +49,9 @@
 			d.ownerSeenAt = time.Time{}
 		},
 	}
-	d.members = &view{topic: MembersTopic, wait: every(membersPollWait), apply: d.applyMembers}
+	d.members = &view{topic: MembersTopic, wait: d.membersWait, apply: d.applyMembers}
 	d.replicaClaims = &view{
-		topic: replicasTopic, wait: every(membersPollWait),
+		topic: replicasTopic, wait: d.membersWait,
 		apply: func(_ context.Context, b plantainrail.KeyedBatch) { d.applyReplicas(b) },
 	}
 	for _, v := range d.views() {
@@ -60,6 +64,30 @@
 	return []*view{d.operators, d.jobs, d.progress, d.members, d.replicaClaims}
 }
 
+// membersWait returns the maximum wait of the next read of the members or of the replicas' claims.
+func (d *Decider) membersWait() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.follows() {
+		return ownMembersPollWait
+	}
+	return membersPollWait
+}
+
+// endLongPolls ends the open reads of members and replicas' claims that may last for longer than an
+// entry that follows the jobs should wait, if this one does. It must be called whenever it may have
+// begun to. The caller holds the lock.
+func (d *Decider) endLongPolls() {
+	if !d.follows() {
+		return
+	}
+	for _, v := range []*view{d.members, d.replicaClaims} {
+		if v.pollWait > ownMembersPollWait {
+			v.endPoll()
+		}
+	}
+}
+
 // progressWait returns the maximum wait of the next read of progress. It ends when the owner
 // times out, so that this is noticed at once.
 func (d *Decider) progressWait() time.Duration {
--- a/decider/odd_record_test.go
+++ b/decider/odd_record_test.go
@@ -25,9 +25,20 @@
 	return raw
 }
 
-// appendOnlyStore records appends. Its other calls are not made.
+// emptyStore has no records to read.
+type emptyStore struct{ plantainrail.Store }
+
+func (emptyStore) Newest(context.Context, string) (plantainrail.KeyedBatch, error) {
+	return plantainrail.KeyedBatch{}, nil
+}
+
+func (emptyStore) Read(context.Context, string, plantainrail.Offset, time.Duration) (plantainrail.KeyedBatch, error) {
+	return plantainrail.KeyedBatch{}, nil
+}
+
+// appendOnlyStore records appends, and reads nothing.
 type appendOnlyStore struct {
-	plantainrail.Store
+	emptyStore
 	appended []plantainrail.KeyedRecord
 }
 
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -96,14 +96,27 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
 	defer cancel()
-	o.decider.mu.Lock()
-	at := o.decider.members.next
-	o.decider.mu.Unlock()
-	_, err = o.decider.Store.Append(ctx, plantainrail.AppendCall{
-		Topic: MembersTopic, At: &at, Records: []plantainrail.KeyedRecord{{Key: claimKey, Value: raw}},
-	})
-	if err != nil {
-		o.decider.Logger.Warn("resignation not stored", zap.Error(err))
+	for {
+		o.decider.mu.Lock()
+		at, newest := o.decider.members.next, o.decider.claim.Epoch
+		o.decider.mu.Unlock()
+		if newest != o.epoch {
+			return
+		}
+		_, err = o.decider.Store.Append(ctx, plantainrail.AppendCall{
+			Topic: MembersTopic, At: &at, Records: []plantainrail.KeyedRecord{{Key: claimKey, Value: raw}},
+		})
+		if movedTopic(err) {
+			// An entry may have registered, which this one has not read.
+			_, _, err = o.decider.advance(ctx, o.decider.members, 0)
+			if err == nil {
+				continue
+			}
+		}
+		if err != nil {
+			o.decider.Logger.Warn("resignation not stored", zap.Error(err))
+		}
+		return
 	}
 }
 
--- a/decider/query.go
+++ b/decider/query.go
@@ -51,6 +51,10 @@
 	Fresh bool `cbor:"3,keyasint,omitempty"`
 	// Pending holds the numbers of pending jobs by queue.
 	Pending map[string]int `cbor:"4,keyasint,omitempty"`
+	// Members and Replicas are the offsets up to which the entry has read the topics of the members
+	// and of the replicas' claims, beside Pending. Entries of an earlier build leave them out.
+	Members  plantainrail.Offset `cbor:"5,keyasint,omitempty"`
+	Replicas plantainrail.Offset `cbor:"6,keyasint,omitempty"`
 }
 
 // serveQuery answers the query of another entry. It responds with status 421 if this
@@ -82,7 +86,7 @@
 	if q.ID == "" {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		return jobAnswer{Fresh: d.catalogFresh(), Pending: d.catalog.Pending()}
+		return jobAnswer{Fresh: d.catalogFresh(), Pending: d.catalog.Pending(), Members: d.members.next, Replicas: d.replicaClaims.next}
 	}
 	wait := unknownJobWait
 	if q.Immediate {
--- a/decider/replica.go
+++ b/decider/replica.go
@@ -37,6 +37,9 @@
 	claimDelayPerCore = 40 * time.Millisecond
 	maxClaimDelay     = 500 * time.Millisecond
 	claimJitter       = 60 * time.Millisecond
+	// lagTime is how long an entry may have read less than its replica. The store answers both their
+	// long polls at the same time.
+	lagTime = 300 * time.Millisecond
 )
 
 // replicaClaim is the record that makes an entry the replica of its zone. Its key is the
@@ -127,6 +130,7 @@
 		d.Logger.Info("replica known", zap.String("zone", r.Key), zap.String("entry", c.Name), zap.Bool("resigned", c.Resigned), zap.Int64("offset", int64(r.Offset)))
 	}
 	d.dropUnfollowed()
+	d.endLongPolls()
 	d.broadcastChange()
 }
 
@@ -220,15 +224,41 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.pending, d.pendingReadAt = answer.Pending, d.Now()
+	d.noteReplicaOffsets(answer)
 	return true
 }
 
+// noteReplicaOffsets compares what the entry has read of the members and of the replicas' claims with what
+// its replica has. A view that is behind for lagTime has a silent long poll, which is ended, so that
+// the next read follows at once. The caller holds the lock.
+func (d *Decider) noteReplicaOffsets(answer jobAnswer) {
+	for v, next := range map[*view]plantainrail.Offset{d.members: answer.Members, d.replicaClaims: answer.Replicas} {
+		if v.pollWait == 0 || v.next >= next {
+			continue
+		}
+		from := v.next
+		time.AfterFunc(lagTime, func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if v.next == from && v.pollWait > 0 {
+				d.Logger.Warn("view behind the replica's", zap.String("topic", v.topic), zap.Int64("offset", int64(from)), zap.Int64("replica", int64(next)))
+				v.endPoll()
+			}
+		})
+	}
+}
+
 // claimReplica makes this entry the replica of its zone, unless another claim than the
 // given one is known after the delay. A failed write is logged; the caller tries again.
 func (d *Decider) claimReplica(ctx context.Context, known replicaClaim) {
 	if known.Name != d.Name {
 		_ = clocker.Sleep(ctx, claimDelay(d.Cores, known)+rand.N(claimJitter))
 	}
+	// The open long poll may be silent, and then shows neither another entry's claim nor this one.
+	if _, _, err := d.advance(ctx, d.replicaClaims, 0); err != nil {
+		d.Logger.Warn("claims of replicas not read", zap.Error(err))
+		return
+	}
 	d.mu.Lock()
 	superseded := d.replicas[d.Zone] != known || d.stopping
 	d.mu.Unlock()
@@ -237,6 +267,9 @@
 	}
 	err := d.writeReplica(ctx, replicaClaim{Name: d.Name, Address: d.Address, Nonce: d.nonce, Cores: d.Cores})
 	d.Logger.Info("replica claimed", zap.String("zone", d.Zone), zap.String("earlier", known.Name), zap.Error(err))
+	if _, _, err := d.advance(ctx, d.replicaClaims, 0); err != nil {
+		d.Logger.Warn("claims of replicas not read", zap.Error(err))
+	}
 }
 
 // resignReplica lets another entry of the zone take this one's place.
--- a/decider/replica_test.go
+++ b/decider/replica_test.go
@@ -15,7 +15,7 @@
 
 // claimStore sends the times of appends to a channel.
 type claimStore struct {
-	plantainrail.Store
+	emptyStore
 	appended chan time.Time
 }
 
--- a/decider/view.go
+++ b/decider/view.go
@@ -52,6 +52,10 @@
 	asOf time.Time
 	// resets is the number of calls of reset.
 	resets int
+	// endPoll ends the open read of follow early, and pollWait is the wait of that read; 0 if none is
+	// open.
+	endPoll  context.CancelFunc
+	pollWait time.Duration
 }
 
 // readResult is a read of a topic from an offset on and its outcome.
@@ -91,7 +95,7 @@
 // follow reads the topic of a view until the context ends, beginning with the newest record
 // of each key, and retries failed reads. It returns the context's error.
 func (d *Decider) follow(ctx context.Context, v *view) error {
-	storeLost, confirm := false, false
+	storeLost, atOnce := false, false
 	for ctx.Err() == nil {
 		if v.resumeSignal != nil {
 			if resume := v.resumeSignal(); resume != nil {
@@ -103,12 +107,16 @@
 			}
 		}
 		wait := v.wait()
-		if storeLost || confirm {
-			// Such a read shows at once that the store is reachable again, or that there are
-			// no more records.
+		if storeLost || atOnce {
+			// Such a read shows at once that the store is reachable again, that there are
+			// no more records, or what the read lacked that was ended.
 			wait = 0
 		}
-		records, _, err := d.advance(ctx, v, wait)
+		records, ended, err := d.poll(ctx, v, wait)
+		if ended {
+			atOnce = true
+			continue
+		}
 		if err != nil {
 			if !storeLost && ctx.Err() == nil {
 				d.Logger.Warn("store lost", zap.String("topic", v.topic), zap.Error(err))
@@ -124,7 +132,7 @@
 			d.Logger.Info("store regained", zap.String("topic", v.topic))
 			storeLost = false
 		}
-		confirm = v.confirm && records > 0
+		atOnce = v.confirm && records > 0
 		if v.batchDelay > 0 && records > 0 {
 			_ = clocker.Sleep(ctx, v.batchDelay)
 		}
@@ -132,14 +140,33 @@
 	return ctx.Err()
 }
 
+// poll is advance for a read that view.endPoll may end. Ended is set if that has happened.
+func (d *Decider) poll(ctx context.Context, v *view, wait time.Duration) (records int, ended bool, err error) {
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.mu.Lock()
+	v.endPoll, v.pollWait = func() { ended = true; cancel() }, wait
+	d.mu.Unlock()
+	records, _, err = d.advanceBy(ctx, readCtx, v, wait)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v.pollWait = 0
+	return records, ended && err != nil && ctx.Err() == nil, err
+}
+
 // advance reads the next records of a view, waits up to the given time for the first, applies
 // them and returns their number, and whether the view is whole as of the call. It may be called
 // while another read of the view is open.
 func (d *Decider) advance(ctx context.Context, v *view, wait time.Duration) (records int, whole bool, err error) {
+	return d.advanceBy(ctx, ctx, v, wait)
+}
+
+// advanceBy is advance with a context of its own for the read.
+func (d *Decider) advanceBy(ctx, readCtx context.Context, v *view, wait time.Duration) (records int, whole bool, err error) {
 	d.mu.Lock()
 	r := readResult{from: v.next, resets: v.resets, sentAt: d.Now(), wait: wait}
 	d.mu.Unlock()
-	r.batch, r.complete, err = d.read(ctx, v.topic, r.from, wait)
+	r.batch, r.complete, err = d.read(readCtx, v.topic, r.from, wait)
 	if err != nil {
 		return 0, false, err
 	}
