Replace silent sessions of agents within two seconds

What callers saw: tasks that waited for an agent whose session, or whose long poll of the members, had gone silent.

Cause: a session ended 3 s after the last message, plus up to 0.5 s of the ticker. The agent sought the owner in the store 2.5 s after the last granted renewal, looked at once a second. A redial could then hang for a second on an owner without power although its successor was known by then.

Change: - Both ends of the sessions of package decider announce that they keep them alive (Frame.Alive) and send something every 1.1 s. Renewals, every second, usually do, so there are no more messages than before but one a session. An end that was told so ends the session after 1.8 s without data, and 0.05 s in which it reads what came while the process stood still. Ends of earlier builds announce nothing and keep 3 s, and so do the sessions of receiver and agent, but without the ticker's half second. Sessions of agents with lost workers no longer end every 3.5 s. - After a silent session the agent redials at once, and another entry before the owner. - It reads the members 2 s after a session was closed, or 0.75 s after one has ended since it was silent, by a timer. On a session that lives but grants nothing it does so after 2.5 s, as before: the owner is there, and has lost the store. - News of an owner end the dial that is under way, and a hint that is older than the news is not followed.

Tried: seeking 2 s after the last message. Messages every 0.4 s would avoid both and cost 600 a second with 240 agents. So the agents ask the other entries first, which costs no read.

The network of the tests can now lose data in one direction.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,7 +41,9 @@
 	storeAddress string
 	entries      []*fleetEntry
 	vms          []*fleetVM
-	group        errgroup.Group
+	// agentReads is the number of the agents' reads of the store.
+	agentReads atomic.Int64
+	group      errgroup.Group
 }
 
 type fleetEntry struct {
@@ -244,7 +247,7 @@
 	v.stop = stop
 	entryClient := f.client(v.name)
 	m := minder.New(minder.Options{
-		Node: v.name, Worker: platform.NewWorker(v.workerAddress, f.client(v.name)), Store: platform.NewStore(f.storeAddress, f.client(v.name)),
+		Node: v.name, Worker: platform.NewWorker(v.workerAddress, f.client(v.name)), Store: readCounter{platform.NewStore(f.storeAddress, f.client(v.name)), &f.agentReads},
 		MembersTopic: decider.MembersTopic,
 		ParseMember: func(r plantainrail.KeyedRecord) (string, bool, int64, error) {
 			member, err := decider.ParseMember(r)
@@ -262,6 +265,18 @@
 	f.group.Go(func() error { return m.Run(ctx) })
 }
 
+// readCounter counts the reads of agents.
+type readCounter struct {
+	plantainrail.Store
+	reads *atomic.Int64
+}
+
+// Read implements plantainrail.Store.
+func (c readCounter) Read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
+	c.reads.Add(1)
+	return c.Store.Read(ctx, topic, from, wait)
+}
+
 // sendHeartbeat sends the VM's agent a heartbeat that was not sent by the worker's present
 // incarnation. It names the ID and the start in Unix milliseconds.
 func (f *fleet) sendHeartbeat(v *fleetVM, id string, startedMS int64) {
--- a/assembler/network_test.go
+++ b/assembler/network_test.go
@@ -38,6 +38,10 @@
 	// stalled drops all further data on the connections that are open when the
 	// fault is injected; new ones work.
 	stalled
+	// requestsStalled and repliesStalled are stalled for what the connections' listeners receive, and for
+	// what they send.
+	requestsStalled
+	repliesStalled
 	// repliesHeld keeps the data that listeners send back until the fault ends.
 	repliesHeld
 	// blackholed drops all data on open and new connections.
@@ -158,7 +162,7 @@
 			affected = append(affected, c)
 		}
 	}
-	if f == stalled {
+	if f == stalled || f == requestsStalled || f == repliesStalled {
 		// The fault must not apply to new connections.
 		n.faults[name] = healthy
 	}
@@ -167,8 +171,8 @@
 		switch f {
 		case down:
 			c.close()
-		case stalled:
-			c.stall()
+		case stalled, requestsStalled, repliesStalled:
+			c.stall(f != repliesStalled, f != requestsStalled)
 		}
 	}
 }
@@ -191,10 +195,10 @@
 	client, server net.Conn
 	clientRelay    net.Conn
 	serverRelay    net.Conn
-	// mu guards stalled.
-	mu        sync.Mutex
-	stalled   bool
-	closeOnce sync.Once
+	// mu guards requestsStalled and repliesStalled.
+	mu                              sync.Mutex
+	requestsStalled, repliesStalled bool
+	closeOnce                       sync.Once
 }
 
 // connect opens a connection of the component named from to a listener. The caller
@@ -252,7 +256,7 @@
 		for replies && c.network.faultBetween(c.from, c.to) == repliesHeld {
 			time.Sleep(10 * time.Millisecond)
 		}
-		if c.dropsData() {
+		if c.dropsData(replies) {
 			continue
 		}
 		if _, err := destination.Write(buffer[:n]); err != nil {
@@ -261,17 +265,18 @@
 	}
 }
 
-// dropsData reports whether the connection is stalled or its link is blackholed.
-func (c *connection) dropsData() bool {
+// dropsData reports whether the connection is stalled in the direction or its link is blackholed.
+func (c *connection) dropsData(replies bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.stalled || c.network.faultBetween(c.from, c.to) == blackholed
+	return replies && c.repliesStalled || !replies && c.requestsStalled || c.network.faultBetween(c.from, c.to) == blackholed
 }
 
-func (c *connection) stall() {
+// stall drops all further data in the directions.
+func (c *connection) stall(requests, replies bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stalled = true
+	c.requestsStalled, c.repliesStalled = c.requestsStalled || requests, c.repliesStalled || replies
 }
 
 // close closes both ends and ends the relays.
--- a/decider/dial.go
+++ b/decider/dial.go
@@ -29,5 +29,7 @@
 		}
 		return nil, owner, errors.Wrap(err, "open session")
 	}
-	return linker.New(connection), "", nil
+	session = linker.New(connection)
+	session.KeepAlive()
+	return session, "", nil
 }
--- a/decider/session.go
+++ b/decider/session.go
@@ -70,6 +70,7 @@
 		return
 	}
 	session := linker.New(connection)
+	session.KeepAlive()
 	a := &agentSession{owner: o, session: session, connectedAt: connectedAt, heardAt: connectedAt}
 	err = session.Run(context.WithoutCancel(req.Context()), a)
 	o.removeAgent(a, err)
--- a/linker/frame.go
+++ b/linker/frame.go
@@ -56,6 +56,8 @@
 
 	Work   *WorkReport `cbor:"30,keyasint,omitempty"`
 	Orders *WorkOrders `cbor:"31,keyasint,omitempty"`
+	// Alive means that the sender keeps the session alive; see Session.KeepAlive.
+	Alive bool `cbor:"32,keyasint,omitempty"`
 }
 
 // AttemptRef names one attempt of a task.
--- a/linker/session.go
+++ b/linker/session.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/plantainrail/plantainrail/charter"
+	"github.com/plantainrail/plantainrail/clocker"
 )
 
 const (
@@ -18,6 +19,13 @@
 	HeartbeatInterval = time.Second
 	// SessionTimeout is how long a session may receive nothing before it is ended.
 	SessionTimeout = 3 * time.Second
+	// aliveTimeout takes the place of SessionTimeout once the peer has told that it keeps the session
+	// alive: it has then sent something every aliveInterval at the latest. That is above the interval
+	// at which agents ask for renewals of their leases, which usually are enough.
+	aliveTimeout  = 1800 * time.Millisecond
+	aliveInterval = 1100 * time.Millisecond
+	// readGrace is the time in which what has arrived is read, after a pause of this process.
+	readGrace = 50 * time.Millisecond
 	// writeTimeout bounds one write to the connection.
 	writeTimeout = SessionTimeout
 	// maxMessageBytes bounds one received message.
@@ -63,6 +71,10 @@
 	// lastReceived is when the last message arrived, in nanoseconds since started.
 	lastReceived atomic.Int64
 	started      time.Time
+	// keepsAlive is set by KeepAlive, peerKeepsAlive once the peer has sent Frame.Alive, and silent if
+	// the session has ended because nothing arrived.
+	keepsAlive             bool
+	peerKeepsAlive, silent atomic.Bool
 
 	mu    sync.Mutex
 	state charter.State
@@ -90,6 +102,17 @@
 	}
 }
 
+// KeepAlive makes the session send something every aliveInterval, so that the peer notices early when
+// it goes silent. It must be called before Run.
+func (s *Session) KeepAlive() {
+	s.keepsAlive = true
+	// Peers of an earlier build pass over the frame.
+	_ = s.Send(Frame{Alive: true})
+}
+
+// Silent reports whether the session has ended because nothing arrived.
+func (s *Session) Silent() bool { return s.silent.Load() }
+
 // Run serves the session until it ends, and returns the error that ended it. It never
 // returns nil.
 func (s *Session) Run(ctx context.Context, h Handler) error {
@@ -196,16 +219,23 @@
 // cannot be encoded or written ends the session.
 func (s *Session) writeLoop(ctx context.Context) {
 	var buffer bytes.Buffer
+	alive := time.NewTimer(aliveInterval)
+	defer alive.Stop()
 	for {
 		frames := s.nextBatch()
 		if len(frames) == 0 {
 			select {
 			case <-s.wake:
-				continue
+			case <-alive.C:
+				if s.keepsAlive {
+					_ = s.Send(Frame{Alive: true})
+				}
 			case <-ctx.Done():
 				return
 			}
+			continue
 		}
+		alive.Reset(aliveInterval)
 		buffer.Reset()
 		if err := Encode(&buffer, frames); err != nil {
 			s.end("fail")
@@ -283,6 +313,10 @@
 // that stream. A frame that opens a stream creates it. Frames of unknown streams are
 // ignored, since this side may have removed the stream before they arrived.
 func (s *Session) dispatch(h Handler, f Frame) {
+	if f.Alive {
+		s.peerKeepsAlive.Store(true)
+		return
+	}
 	if f.Stream == 0 {
 		h.Frame(s, f)
 		return
@@ -312,21 +346,24 @@
 	}
 }
 
-// watchSilence ends the session when nothing has arrived for SessionTimeout.
+// watchSilence ends the session when nothing has arrived for the timeout.
 func (s *Session) watchSilence(ctx context.Context) {
-	ticker := time.NewTicker(SessionTimeout / 6)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if s.SinceLastMessage() > SessionTimeout {
-				s.end("silence")
-				return
-			}
+	for clocker.Sleep(ctx, max(s.timeout()-s.SinceLastMessage(), readGrace)) == nil {
+		if s.SinceLastMessage() < s.timeout() || clocker.Sleep(ctx, readGrace) != nil || s.SinceLastMessage() < s.timeout() {
+			continue
 		}
+		s.silent.Store(true)
+		s.end("silence")
+		return
+	}
+}
+
+// timeout returns how long the session may receive nothing.
+func (s *Session) timeout() time.Duration {
+	if s.peerKeepsAlive.Load() {
+		return aliveTimeout
 	}
+	return SessionTimeout
 }
 
 // OpenStream opens a stream by sending its first frame, in which Open or Resolve is
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -134,10 +134,10 @@
 	pacing     pacing
 	// timeOver is what ReportTimeOver receives.
 	timeOver time.Duration
-	// session is the current session with the owner; nil if there is none. sessionEndedAt is when
-	// the last one ended.
-	session        *linker.Session
-	sessionEndedAt time.Time
+	// session is the current session with the owner; nil if there is none. Then the agent seeks the owner
+	// from seekAt on.
+	session *linker.Session
+	seekAt  time.Time
 	// renewalSequence is the sequence number of the last renewal request.
 	renewalSequence uint64
 	// renewalSentAt holds the send times of the session's last maxRenewals renewal requests, by
@@ -154,6 +154,8 @@
 	// waits for it.
 	changed chan struct{}
 	entries directory
+	// endDial ends the newest attempt to open a session, if it is under way.
+	endDial context.CancelFunc
 	// endLongRead ends a read of the members topic that may last for membersWait; nil if there is
 	// none.
 	endLongRead context.CancelFunc
--- a/minder/session.go
+++ b/minder/session.go
@@ -21,9 +21,13 @@
 	// one while the agent seeks the owner: nothing else ends a read whose answer was lost.
 	membersWait = 20 * time.Second
 	seekWait    = time.Second
-	// renewalDelay is how long after a granted request for a renewal the owner counts as found. Most
-	// changes of the owner take less, so that they cause no reads.
-	renewalDelay = 2500 * time.Millisecond
+	// seekDelay is how long the owner counts as found after its session was closed, silentSeekDelay after a
+	// session has ended since it was silent, and renewalDelay after a granted request for a renewal on a session
+	// that lives. Until then the agent asks the entries that it knows. Most changes of the owner
+	// take less from when it is lost, so that they cause no reads of the store.
+	seekDelay       = 2 * time.Second
+	silentSeekDelay = 750 * time.Millisecond
+	renewalDelay    = 2500 * time.Millisecond
 	// retryDelay is the delay after a failed read of the store.
 	retryDelay = 300 * time.Millisecond
 	// maxRenewals bounds the renewal requests whose send times are kept. A later grant of an
@@ -105,18 +109,20 @@
 	return batch, err != nil && readCtx.Err() != nil && ctx.Err() == nil, err
 }
 
-// ownerSought reports whether the agent has to find the owner: nobody has granted its worker a lease for
-// renewalDelay or, if the worker gets none, there has been no session for as long. The caller holds the
+// ownerSought reports whether the agent has to find the owner: it had a session, which has ended a while ago, or
+// on the present one no lease was granted for renewalDelay, though its worker needs one. The caller holds the
 // lock.
 func (m *Minder) ownerSought() bool {
 	found := m.Now().Add(-renewalDelay)
 	switch {
 	case m.vm.Incarnation.IsZero():
 		return false
+	case m.session == nil:
+		return !m.seekAt.After(m.Now())
 	case m.unreachable || m.departed:
-		return m.session == nil && m.sessionEndedAt.Before(found)
+		return false
 	}
-	return m.leaseUntil.Before(found.Add(m.Lease))
+	return !m.dialedAt.After(found) && !m.leaseUntil.After(found.Add(m.Lease))
 }
 
 // seekOwner ends a long read of the members topic if the owner has to be found. The caller holds the
@@ -148,6 +154,11 @@
 	}
 	m.entries.ownerAddress, m.entries.ownerEpoch = address, epoch
 	m.entries.add(address)
+	m.entries.ownerNext(true)
+	if m.endDial != nil {
+		// It may be to an earlier owner that is without power.
+		m.endDial()
+	}
 	if m.session != nil && epoch > m.epoch {
 		m.Logger.Info("owner changed", zap.String("address", address), zap.Int64("epoch", epoch))
 		m.session.Close()
@@ -172,36 +183,50 @@
 }
 
 // next returns the address to try. While an owner is known, every second call returns its
-// address, and the other calls return the addresses of all known entries in turn. Without
+// address, and the other calls return the addresses of all other known entries in turn. Without
 // an owner each address is returned twice in a row. The result is empty if no address is
 // known.
 func (d *directory) next() string {
 	d.tries++
-	if d.ownerAddress != "" && d.tries%2 == 1 || len(d.addresses) == 0 {
+	others := slices.DeleteFunc(slices.Clone(d.addresses), func(address string) bool { return address == d.ownerAddress })
+	if d.ownerAddress != "" && d.tries%2 == 1 || len(others) == 0 {
 		return d.ownerAddress
 	}
-	return d.addresses[(d.tries/2)%len(d.addresses)]
+	return others[(d.tries/2)%len(others)]
+}
+
+// ownerNext makes the next call of next return the owner's address, if one is known, or another one.
+func (d *directory) ownerNext(owner bool) {
+	if d.tries%2 == 0 != owner {
+		d.tries++
+	}
 }
 
 // maintainSession keeps a session with the owner open until the context ends, and
 // returns the context's error. If an entry that does not own the jobs names the
 // owner, the owner is tried next.
 func (m *Minder) maintainSession(ctx context.Context) error {
-	ownerHint := ""
+	ownerHint, knownEpoch := "", int64(0)
 	for ctx.Err() == nil {
 		m.mu.Lock()
 		address := ownerHint
-		if address == "" {
+		if address == "" || knownEpoch != m.entries.ownerEpoch {
+			// A hint from before the newest claim was read may name its predecessor.
 			address = m.entries.next()
 		}
+		knownEpoch = m.entries.ownerEpoch
 		workerKnown := !m.vm.Incarnation.IsZero()
+		dialCtx, cancel := context.WithCancel(ctx)
+		m.endDial = cancel
 		m.mu.Unlock()
 		if address == "" || !workerKnown {
+			cancel()
 			_ = clocker.Sleep(ctx, redialDelay)
 			continue
 		}
 		dialedAt := m.Now()
-		session, owner, err := m.Dial(ctx, address)
+		session, owner, err := m.Dial(dialCtx, address)
+		cancel()
 		if err != nil {
 			m.Logger.Debug("owner not reached", zap.String("address", address), zap.String("owner", owner), zap.Error(err))
 			ownerHint = ""
@@ -215,6 +240,10 @@
 		m.openSession(session, address, dialedAt)
 		err = session.Run(ctx, m)
 		m.closeSession(session, err)
+		if session.Silent() {
+			// The silence was delay enough.
+			continue
+		}
 		_ = clocker.Sleep(ctx, redialDelay)
 	}
 	return ctx.Err()
@@ -244,7 +273,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.session == session {
-		m.session, m.sessionEndedAt = nil, m.Now()
+		delay := seekDelay
+		if session.Silent() {
+			delay = silentSeekDelay
+			// The owner may be without power, and the others then know its successor.
+			m.entries.ownerNext(false)
+		}
+		m.session, m.seekAt = nil, m.Now().Add(delay)
+		time.AfterFunc(delay, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.seekOwner()
+		})
 	}
 	m.Logger.Info("session closed", zap.Int64("epoch", m.epoch), zap.Error(err))
 }
