Ask a worker at once after a poll without an answer

What callers saw: the tasks of a worker that was lost without a word ran again up to a second later than they could.

Cause: after a poll of 1.7 s without an answer the next one waited for an end of a run again, for another 1.7 s. Until then the agent went on renewing the lease of a worker that nobody had heard of, and starts there were refused although the worker answered the next connection.

Change: the next poll does not wait, so a worker that is there shows it at once, 1.85 s after the silence at the latest, and one that is not counts as unreachable after 2.55 s instead of 3.55 s. A worker may still take 0.7 s longer than it was asked to; a time-out blames no task, and a worker that answers later is taken back with its next answer.

Looked at and left: 1 s of wait and 0.7 s of margin for a poll, since a shorter wait doubles the calls and a shorter margin blames slow workers.

--- a/assembler/fleet_silence_test.go
+++ b/assembler/fleet_silence_test.go
@@ -124,3 +124,30 @@
 		})
 	}
 }
+
+// Guards against tasks of a worker that is lost without a word, which wait for as long as its agent goes on
+// renewing its lease.
+func TestSilentWorkerIsGivenUp(t *testing.T) {
+	// limit is the time until two calls to the worker have failed, the lease that is then left, and half a
+	// second for a new start.
+	const limit = 2600*time.Millisecond + decider.LeaseDuration + 500*time.Millisecond
+	for phase := range 4 {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			runInFleet(t, fleetShape{entries: 3, zones: 3, vms: 2}, func(f *fleet) {
+				f.submit(1, "", []map[string]any{{"count": 4, "cpu": 1000, "longRunning": true}})
+				time.Sleep(time.Second + time.Duration(phase)*290*time.Millisecond)
+				v := f.vms[0]
+				f.net.setFault(linkName(v.name, v.name+workerSuffix), blackholed)
+				time.Sleep(limit)
+				running := 0
+				for _, s := range f.vms[1].worker.History() {
+					if s.End.IsZero() {
+						running++
+					}
+				}
+				assert.Check(t, running == 4, "%d of 4 tasks run on the other worker", running)
+				f.checkRuns()
+			})
+		})
+	}
+}
--- a/minder/lease.go
+++ b/minder/lease.go
@@ -55,8 +55,9 @@
 		case len(m.ends) > 0:
 			// The wait of at most acknowledgmentWait after each call replaces the long poll.
 			renewal.Wait = 0
-		case m.unreachable || m.clock.readAt.IsZero():
-			// The reply shows a new incarnation, or the clock without which no lease can be set.
+		case m.pollFailed || m.unreachable || m.clock.readAt.IsZero():
+			// The reply shows that the worker is there, a new incarnation, or the clock without which
+			// no lease can be set.
 			renewal.Wait = 0
 		case m.runMissing:
 			renewal.Wait = missingTime
