Give up a claim of the ownership without an answer after half a second

What callers saw: nobody owned the jobs for over two seconds more if the append of the claim met a silent connection.

Cause: claims depend on the end of the topic, so the hedger tries them once, and the store's adapter waits for 2 s; the entry then slept for another 0.6 s.

Change: the append of a claim has half a second, which a store that is ninety times slower than usual keeps, and is followed by a read and, unless that shows a claim, by the next try. A claim that is stored later is read by all, its writer included.

Evidence: the row "power lost, claims unanswered" of TestOwnerIsReplacedWhileReadsOfMembersHang fails without the change and holds with it.

--- a/assembler/fleet_takeover_test.go
+++ b/assembler/fleet_takeover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +23,8 @@
 	mu sync.Mutex
 	// silencedAt is when the reads of a topic that were open then became silent.
 	silencedAt map[string]time.Time
+	// lost holds the topics whose next append does not arrive.
+	lost map[string]bool
 	// delay is how much later each call returns, and readDelay how much later than that a read.
 	delay, readDelay time.Duration
 	// unreadable makes all reads fail, and no call returns before thawsAt.
@@ -30,7 +33,7 @@
 }
 
 func newSilencer(store plantainrail.Store) *silencer {
-	return &silencer{Store: store, silencedAt: map[string]time.Time{}}
+	return &silencer{Store: store, silencedAt: map[string]time.Time{}, lost: map[string]bool{}}
 }
 
 // silence makes the open reads of a topic hang.
@@ -40,6 +43,13 @@
 	s.silencedAt[topic] = time.Now()
 }
 
+// loseAppend makes the next append to a topic hang, which does not arrive.
+func (s *silencer) loseAppend(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost[topic] = true
+}
+
 // slowDown makes each call return later.
 func (s *silencer) slowDown(delay time.Duration) {
 	s.mu.Lock()
@@ -90,11 +100,28 @@
 func (s *silencer) Append(ctx context.Context, call plantainrail.AppendCall) (plantainrail.Offset, error) {
 	s.awaitThaw()
 	defer s.wait()
+	s.mu.Lock()
+	lost := s.lost[call.Topic]
+	delete(s.lost, call.Topic)
+	s.mu.Unlock()
+	if lost {
+		timer := time.NewTimer(silentAppendTime)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		return 0, errors.Wrap(context.DeadlineExceeded, "silent connection")
+	}
 	return s.Store.Append(ctx, call)
 }
 
-// silentReadMargin is how long a silent read takes beyond its wait, as in package platform.
-const silentReadMargin = time.Second
+const (
+	// silentReadMargin is how long a silent read takes beyond its wait, and silentAppendTime how long a
+	// silent append takes, as in package platform.
+	silentReadMargin = time.Second
+	silentAppendTime = 2 * time.Second
+)
 
 // Read implements plantainrail.Store.
 func (s *silencer) Read(ctx context.Context, topic string, from plantainrail.Offset, wait time.Duration) (plantainrail.KeyedBatch, error) {
@@ -195,6 +222,13 @@
 			f.net.setFault(f.entries[owner].name, down)
 			f.entries[owner].stop()
 		}},
+		{"power lost, claims unanswered", func(f *fleet, owner int) {
+			for _, e := range f.others(owner) {
+				e.store.loseAppend("members")
+			}
+			f.net.setFault(f.entries[owner].name, down)
+			f.entries[owner].stop()
+		}},
 		{"resigned", func(f *fleet, owner int) {
 			f.group.Go(func() error {
 				// The test may end before the drain does.
@@ -225,6 +259,23 @@
 	}
 }
 
+// Guards against jobs that nobody owns for as long as a silent owner would take, because the store refuses a
+// resignation on the condition of an end that is not the topic's any more.
+func TestResignationIsStoredAfterANewEntry(t *testing.T) {
+	const limit = 600 * time.Millisecond
+	runInFleet(t, smallFleet, func(f *fleet) {
+		owner := f.owner()
+		f.entries[owner].store.silence("members")
+		f.killEntry((owner+1)%len(f.entries), 10*time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		begin := time.Now()
+		f.group.Go(func() error { _ = f.entries[owner].decider.Drain(f.ctx); return nil })
+		synctest.Wait()
+		f.owner()
+		assert.Check(t, time.Since(begin) <= limit, "no entry owned the jobs for %s", time.Since(begin))
+	})
+}
+
 // Guards against entries that send agents to an owner that is gone for as long as their long polls of the
 // members are silent (LOST).
 func TestEntriesKnowTheOwnerWhileReadsOfMembersHang(t *testing.T) {
--- a/decider/claim.go
+++ b/decider/claim.go
@@ -163,9 +163,14 @@
 	d.SetPeers(peers)
 }
 
-// campaignInterval is the time between two checks whether the entry should claim
-// ownership.
-const campaignInterval = 100 * time.Millisecond
+const (
+	// campaignInterval is the time between two checks whether the entry should claim
+	// ownership.
+	campaignInterval = 100 * time.Millisecond
+	// claimTimeout bounds the append of a claim, which no second try hedges. A store that is ninety times
+	// slower than usual answers within it, and a claim that is stored later is read.
+	claimTimeout = 500 * time.Millisecond
+)
 
 // campaign claims ownership of the jobs whenever shouldClaim reports so, until
 // the context ends. It returns the context's error, or an error if the claim
@@ -181,17 +186,19 @@
 		if err != nil {
 			return errors.Wrap(err, "encode ownership claim")
 		}
-		_, err = d.Store.Append(ctx, plantainrail.AppendCall{
+		claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+		_, err = d.Store.Append(claimCtx, plantainrail.AppendCall{
 			Topic: MembersTopic, At: &at, Records: []plantainrail.KeyedRecord{{Key: claimKey, Value: raw}},
 		})
+		cancel()
 		d.Logger.Info("ownership claimed", zap.Int64("offset", int64(at)), zap.Error(err))
 		// The topic tells whether this claim or another entry's was stored. The open long poll
 		// may be on a connection that has gone silent.
 		if _, _, err := d.advance(ctx, d.members, 0); err != nil {
 			d.Logger.Warn("claims not read", zap.Error(err))
 		}
-		if movedTopic(err) {
-			// What was stored meanwhile need not be a claim.
+		if movedTopic(err) || errors.Is(err, context.DeadlineExceeded) {
+			// What was stored meanwhile need not be a claim, and the next append has another connection.
 			continue
 		}
 		_ = clocker.Sleep(ctx, ownerTimeout/2)
