--- a/decider/session.go
+++ b/decider/session.go
@@ -110,7 +110,7 @@
 	}
 	delete(o.agents, a.incarnation)
 	o.planner.Disconnect(a.incarnation)
-	o.decider.Logger.Info("agent lost", zap.String("node", a.incarnation.Node), zap.String("worker", a.incarnation.ID), zap.Error(err))
+	o.decider.Logger.Info("agent lost", zap.String("node", a.incarnation.Node), zap.String("worker", a.incarnation.ID), zap.Bool("silent", a.session.Silent()), zap.Error(err))
 }
 
 // Frame implements linker.Handler.
--- a/minder/session.go
+++ b/minder/session.go
@@ -286,7 +286,7 @@
 			m.seekOwner()
 		})
 	}
-	m.Logger.Info("session closed", zap.Int64("epoch", m.epoch), zap.Error(err))
+	m.Logger.Info("session closed", zap.Int64("epoch", m.epoch), zap.Bool("silent", session.Silent()), zap.Error(err))
 }
 
 // renewPeriodically asks the owner for a renewal of the lease at every
