--- a/decider/session.go
+++ b/decider/session.go
@@ -70,6 +70,7 @@
 		return
 	}
 	session := linker.New(connection)
+	session.KeepAlive()
 	a := &agentSession{owner: o, session: session, connectedAt: connectedAt, heardAt: connectedAt}
 	err = session.Run(context.WithoutCancel(req.Context()), a)
 	o.removeAgent(a, err)
@@ -109,7 +110,7 @@
 	}
 	delete(o.agents, a.incarnation)
 	o.planner.Disconnect(a.incarnation)
-	o.decider.Logger.Info("agent lost", zap.String("node", a.incarnation.Node), zap.String("worker", a.incarnation.ID), zap.Error(err))
+	o.decider.Logger.Info("agent lost", zap.String("node", a.incarnation.Node), zap.String("worker", a.incarnation.ID), zap.Bool("silent", a.session.Silent()), zap.Error(err))
 }
 
 // Frame implements linker.Handler.
