Give lost workers up in time after all processes have ended

Callers saw: a long-running task of a worker that is gone for good waited for more than the rule allows (LOST) after all entries and agents had ended.

Cause: nobody that still runs knows when the worker's lease was renewed last, so a new owner waited for 8.9 s after the takeover: 3 s in which an earlier owner may still renew, and the lease of 5.5 s with its margins. The 3 s are for an owner that is frozen or cut off. They were also added where no such owner can exist.

Change: the 3 s are left out if the last owner is known to have ended (an earlier process of the same entry at the same address, or one that has resigned) and the owners before it renew no more, which each owner tells in its heartbeats. Leases and the time for which owners renew are as before. A resignation is no longer stored after a newer claim. Earlier versions ignore the new fields, and without them 3 s count as before.

TestOwnersInARowAwaitThoseThatMayRenew fails without the heartbeats' bound (two runs of a task at once).

The series of TestNothingWaitsAfterSeededFaults moved to runSeededFaults, unchanged.

--- a/assembler/fleet_lost_test.go
+++ b/assembler/fleet_lost_test.go
@@ -160,45 +160,59 @@
 // Guards against tasks that could run and do not (LOST): jobs are accepted before and between three random
 // faults, connections go silent meanwhile, and all processes end right after a job was accepted.
 func TestNothingWaitsAfterSeededFaults(t *testing.T) {
+	for seed := *lostSeed; seed < *lostSeed+*lostSeeds; seed++ {
+		runSeededFaults(t, seed)
+	}
+}
+
+// Guards against tasks of a worker that is gone for good which wait for longer than the rule allows (LOST),
+// since the agent that knew the end of its lease has ended as well, and the new owner waits for renewals by
+// owners that have ended. In these series the worker is lost and all processes end at last.
+func TestLostWorkerIsGivenUpThoughAllProcessesEnd(t *testing.T) {
+	for _, seed := range []uint64{1182, 3101, 8085, 8289, 8301, 8511} {
+		runSeededFaults(t, seed)
+	}
+}
+
+// runSeededFaults plays one series of TestNothingWaitsAfterSeededFaults.
+func runSeededFaults(t *testing.T, seed uint64) {
 	// recoveryTime is how long the jobs may take to complete after the faults.
 	const recoveryTime = 30 * time.Second
-	for seed := *lostSeed; seed < *lostSeed+*lostSeeds; seed++ {
-		random := rand.New(rand.NewPCG(seed, 0))
-		shape := fleetShapes[random.IntN(len(fleetShapes))]
-		faults := make([]fleetFault, 3)
-		name := fmt.Sprint(seed, " ", shape.name)
-		for i := range faults {
-			faults[i] = fleetFaults[random.IntN(len(fleetFaults))]
-			name += ", " + faults[i].name
-		}
-		t.Run(name, func(t *testing.T) {
-			runInFleet(t, shape, func(f *fleet) {
-				jobs := []acceptedJob{{1000, 1, 3, true}}
-				f.submit(1000, "", []map[string]any{{"count": 3, "cpu": 1000, "longRunning": true}})
-				for i, fault := range faults {
-					for n := 10 * i; n < 10*i+2; n++ {
-						f.submit(n, fmt.Sprint(200+random.IntN(3000)), jobSteps)
-						jobs = append(jobs, acceptedJob{n, 2, 3, false})
-					}
-					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
-					if random.IntN(3) == 0 {
-						time.AfterFunc(time.Duration(random.IntN(3000))*time.Millisecond, f.silence)
-					}
-					fault.inject(f)
-				}
-				if last := random.IntN(4); last < 2 {
-					f.submit(100, "500", jobSteps)
-					jobs = append(jobs, acceptedJob{100, 2, 3, false})
-					[]fleetFault{everythingWithoutPower, allProcessesKilled}[last].inject(f)
+	random := rand.New(rand.NewPCG(seed, 0))
+	shape := fleetShapes[random.IntN(len(fleetShapes))]
+	faults := make([]fleetFault, 3)
+	name := fmt.Sprint(seed, " ", shape.name)
+	for i := range faults {
+		faults[i] = fleetFaults[random.IntN(len(fleetFaults))]
+		name += ", " + faults[i].name
+	}
+	t.Run(name, func(t *testing.T) {
+		runInFleet(t, shape, func(f *fleet) {
+			jobs := []acceptedJob{{1000, 1, 3, true}}
+			f.submit(1000, "", []map[string]any{{"count": 3, "cpu": 1000, "longRunning": true}})
+			for i, fault := range faults {
+				for n := 10 * i; n < 10*i+2; n++ {
+					f.submit(n, fmt.Sprint(200+random.IntN(3000)), jobSteps)
+					jobs = append(jobs, acceptedJob{n, 2, 3, false})
 				}
-				f.checkNothingWaits(jobs, askTime-idleTime, recoveryTime)
-				for _, j := range jobs[1:] {
-					assert.Check(t, f.jobState(j.number) == "completed", "job %d has not completed: %v", j.number, f.runsOf(j.number))
+				time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+				if random.IntN(3) == 0 {
+					time.AfterFunc(time.Duration(random.IntN(3000))*time.Millisecond, f.silence)
 				}
-				f.checkRuns()
-			})
+				fault.inject(f)
+			}
+			if last := random.IntN(4); last < 2 {
+				f.submit(100, "500", jobSteps)
+				jobs = append(jobs, acceptedJob{100, 2, 3, false})
+				[]fleetFault{everythingWithoutPower, allProcessesKilled}[last].inject(f)
+			}
+			f.checkNothingWaits(jobs, askTime-idleTime, recoveryTime)
+			for _, j := range jobs[1:] {
+				assert.Check(t, f.jobState(j.number) == "completed", "job %d has not completed: %v", j.number, f.runsOf(j.number))
+			}
+			f.checkRuns()
 		})
-	}
+	})
 }
 
 // runsOf describes the runs of job n.
@@ -242,6 +256,71 @@
 	}
 }
 
+// Guards against tasks of a lost worker that wait for too long (LOST) if its agent and the owner's entry are gone
+// for good with it, as in an availability zone without power.
+func TestWorkerLostWithOwnerAndAgentIsGivenUp(t *testing.T) {
+	runInFleet(t, smallFleet, func(f *fleet) {
+		f.submit(1, "", []map[string]any{{"count": 4, "cpu": 1000, "longRunning": true}})
+		time.Sleep(time.Second)
+		owner, v := f.entries[f.owner()], f.vms[0]
+		f.net.setFault(owner.name, down)
+		f.net.setFault(v.name, down)
+		owner.stop()
+		v.stop()
+		v.worker.Crash()
+		time.Sleep(restartTime + idleTime)
+		assert.Check(t, f.runningCount(1) == 4, "only %d of 4 tasks run", f.runningCount(1))
+		f.checkRuns()
+	})
+}
+
+// Guards against tasks that run twice (TWICE) since the second of two new owners in a row takes the one before it
+// for the last that has renewed leases. Their predecessor, cut off from everything but an agent, still does.
+func TestOwnersInARowAwaitThoseThatMayRenew(t *testing.T) {
+	runInFleet(t, smallFleet, func(f *fleet) {
+		f.submit(1, "", []map[string]any{{"count": 4, "cpu": 1000, "longRunning": true}})
+		time.Sleep(time.Second)
+		first := f.owner()
+		setLinks := func(state fault) {
+			for _, name := range []string{f.entries[first].name, f.vms[0].name} {
+				f.net.setFault(linkName(name, "store"), state)
+				for _, e := range f.others(first) {
+					f.net.setFault(linkName(name, e.name), state)
+				}
+			}
+		}
+		setLinks(blackholed)
+		cutAt := time.Now()
+		for range 2 {
+			f.killEntry(f.ownerBeside(first), 10*time.Millisecond)
+		}
+		second := f.ownerBeside(first)
+		assert.Check(t, time.Since(cutAt) < 3*time.Second, "the first owner renews no more")
+		time.Sleep(time.Until(cutAt.Add(15 * time.Second)))
+		assert.Check(t, f.entries[second].decider.Owns())
+		assert.Check(t, f.runningCount(1) == 4, "only %d of 4 tasks run", f.runningCount(1))
+		f.checkRuns()
+		setLinks(healthy)
+		time.Sleep(10 * time.Second)
+		f.checkRuns()
+	})
+}
+
+// ownerBeside returns the index of an entry that owns the jobs beside the excluded one, and waits up to ten
+// seconds for it.
+func (f *fleet) ownerBeside(excluded int) int {
+	for range 500 {
+		for i, e := range f.entries {
+			if i != excluded && e.decider.Owns() {
+				return i
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatal("no other entry owns the jobs")
+	return 0
+}
+
 // Guards against a task that waits for good (LOST) since its worker answers neither its start nor the
 // stop that follows, but everything else, and against services there that are given up for it (AVAIL).
 func TestTaskOfAnUnansweredStopIsPlacedAgain(t *testing.T) {
--- a/decider/claim.go
+++ b/decider/claim.go
@@ -34,8 +34,12 @@
 	Nonce string `cbor:"2,keyasint"`
 	// Resigned is set when the owner has given up its ownership.
 	Resigned bool `cbor:"3,keyasint,omitempty"`
+	// Ended is the epoch of the ownership that a resignation ends; 0 from an earlier version.
+	Ended int64 `cbor:"4,keyasint,omitempty"`
 	// Epoch is the record's offset plus one; the record does not contain it.
 	Epoch int64 `cbor:"-"`
+	// obscured is set if a record that cannot be read may hide a newer claim.
+	obscured bool
 }
 
 // MemberRecord is a decoded record of the members topic.
@@ -127,12 +131,13 @@
 		c, err := parseClaim(r)
 		if err != nil {
 			d.Logger.Error("claim unreadable", zap.Int64("offset", int64(r.Offset)), zap.Error(err))
+			d.claim.obscured = true
 			continue
 		}
 		if c.Epoch <= d.claim.Epoch {
 			continue
 		}
-		d.claim, d.ownerSeenAt = c, d.Now()
+		d.earlierClaim, d.claim, d.ownerSeenAt = d.claim, c, d.Now()
 		d.Logger.Info("owner known", zap.String("owner", c.Name), zap.Int64("epoch", c.Epoch), zap.Bool("resigned", c.Resigned))
 	}
 	ownClaim := d.claim.Nonce == d.nonce && !d.claim.Resigned
@@ -141,6 +146,7 @@
 	}
 	if ownClaim && d.owner == nil && d.claim.Epoch > 0 && !d.stopping {
 		d.owner = newOwner(d, d.claim.Epoch)
+		d.owner.earlier = d.earlierClaim
 		go d.owner.run(ctx)
 	}
 	d.broadcastChange()
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -156,8 +156,11 @@
 	// stateChanged is closed and replaced whenever the catalog, the configuration, the
 	// replicas or the owner may have changed.
 	stateChanged chan struct{}
-	// claim is the newest claim that was read; its epoch is 0 if there is none.
-	claim claim
+	// claim is the newest claim that was read; its epoch is 0 if there is none. earlierClaim is the
+	// one before it.
+	claim, earlierClaim claim
+	// tenure is what the newest heartbeat tells that was read.
+	tenure tenure
 	// owner is set while this entry owns the jobs, from when its own claim is read
 	// until the ownership is released.
 	owner     *owner
@@ -167,6 +170,8 @@
 	// nonce distinguishes this process's claims from those of earlier processes of
 	// the same entry.
 	nonce string
+	// startedAt is when Run was called.
+	startedAt time.Time
 	// servers are the HTTP servers for agents and other entries, for clients and for
 	// the load balancer, in this order.
 	servers [3]http.Server
@@ -190,6 +195,7 @@
 // loops stop, but serving goes on: Run returns the error only after the context has
 // ended.
 func (d *Decider) Run(ctx context.Context) error {
+	d.startedAt = d.Now()
 	d.Logger.Info("entry started", zap.String("entry", d.Name), zap.String("address", d.Address))
 	// The topics are followed until serving has ended, since requests in flight need
 	// them.
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -130,7 +130,11 @@
 		d.ownerSeenAt = d.Now()
 	}
 	for _, r := range b.Records {
-		if r.Offset < d.progress.next || r.Key == heartbeatKey {
+		if r.Offset < d.progress.next {
+			continue
+		}
+		if r.Key == heartbeatKey {
+			d.tenure = d.tenure.withHeartbeat(r.Value, d.Now())
 			continue
 		}
 		if err := d.catalog.ApplyProgress(r); err != nil {
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -21,7 +21,6 @@
 	// progress topic.
 	writerName = "owner"
 	// heartbeatKey is the key of the owner's heartbeats in the progress topic.
-	// Their value is not read.
 	heartbeatKey = "beat"
 )
 
@@ -58,6 +57,11 @@
 	// sequence is the sequence number of the next write. Only the goroutine of run
 	// uses it.
 	sequence int64
+	// earlier is the newest claim before the owner's own. renewalsEnd is a time after which no earlier owner
+	// has renewed a lease, and heartbeatAt is when the newest heartbeat was written. Only the goroutine of run
+	// uses them.
+	earlier                  claim
+	renewalsEnd, heartbeatAt time.Time
 }
 
 func newOwner(d *Decider, epoch int64) *owner {
@@ -89,7 +93,7 @@
 // read the whole topic, so that it cannot follow a newer claim.
 func (o *owner) resign() {
 	o.stop("resigned")
-	raw, err := cbor.Marshal(claim{Name: o.decider.Name, Nonce: o.decider.nonce, Resigned: true})
+	raw, err := cbor.Marshal(claim{Name: o.decider.Name, Nonce: o.decider.nonce, Resigned: true, Ended: o.epoch})
 	if err != nil {
 		o.decider.Logger.Error("resignation not encoded", zap.Error(err))
 		return
@@ -97,8 +101,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
 	defer cancel()
 	o.decider.mu.Lock()
-	at := o.decider.members.next
+	at, succeeded := o.decider.members.next, o.decider.claim.Epoch != o.epoch
 	o.decider.mu.Unlock()
+	if succeeded {
+		// The resignation would end the ownership of the newer claim.
+		return
+	}
 	_, err = o.decider.Store.Append(ctx, plantainrail.AppendCall{
 		Topic: MembersTopic, At: &at, Records: []plantainrail.KeyedRecord{{Key: claimKey, Value: raw}},
 	})
@@ -219,20 +227,25 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.planner = planner.New(book, planner.Timeouts{Lease: LeaseDuration, TakeoverGrace: renewalWindow}, d.Now())
+	now := d.Now()
+	o.renewalsEnd = succession{
+		name: d.Name, address: d.Address, nonce: d.nonce, startedAt: d.startedAt, claim: o.earlier, tenure: d.tenure,
+	}.renewalsEnd(now)
+	// The agents need time to connect, also if no lease can have been renewed lately.
+	grace := max(o.renewalsEnd.Sub(now), 0)
+	o.planner = planner.New(book, planner.Timeouts{Lease: LeaseDuration, TakeoverGrace: grace}, now)
 	o.planner.Configure(d.configuration)
 	d.Logger.Info("ownership gained", zap.Int64("epoch", o.epoch), zap.Int64("offset", int64(end)), zap.Int64("jobs", int64(d.jobs.next)),
-		zap.Int("unknown", book.UnknownProgress()))
+		zap.Int("unknown", book.UnknownProgress()), zap.Int64("grace", grace.Milliseconds()))
 	return nil
 }
 
 // round runs the planner once, stores the jobs that changed, in as many appends as the
-// limit of a call requires, sends the orders to the agents and waits for the next round. If
-// there is nothing to store and the newest confirmed write was sent at least
-// heartbeatInterval ago, it stores a heartbeat. It returns an error if the progress cannot be
+// limit of a call requires, sends the orders to the agents and waits for the next round. It stores a
+// heartbeat where one is due. It returns an error if the progress cannot be
 // encoded, the write fails or the context ends.
 func (o *owner) round(ctx context.Context) error {
-	deletions := o.progressDeletions()
+	deletions, hasRoom := o.progressDeletions(), o.decider.hasRoom()
 	o.mu.Lock()
 	now := o.decider.Now()
 	plan := o.planner.Tick(now)
@@ -245,15 +258,20 @@
 	for incarnation := range o.agents {
 		appliedEnds[incarnation] = o.planner.LastAppliedEnd(incarnation)
 	}
-	heartbeat := len(records) == 0 && now.Sub(o.confirmedWriteAt) >= heartbeatInterval
+	heartbeat := len(records) == 0 && now.Sub(o.confirmedWriteAt) >= heartbeatInterval || hasRoom && o.heartbeatDue(now)
 	o.mu.Unlock()
 	if err != nil {
 		return err
 	}
+	batches := o.decider.StoreLimits.Batches(records)
 	if heartbeat {
-		records = heartbeatRecords()
+		beat, err := o.heartbeat(now)
+		if err != nil {
+			return err
+		}
+		batches = append(batches, beat)
 	}
-	for _, batch := range o.decider.StoreLimits.Batches(records) {
+	for _, batch := range batches {
 		refused, err := o.store(ctx, batch)
 		if err == nil {
 			err = o.abandonRefused(ctx, refused, &plan)
@@ -266,8 +284,17 @@
 	return o.waitForRound(ctx)
 }
 
-func heartbeatRecords() []plantainrail.KeyedRecord {
-	return []plantainrail.KeyedRecord{{Key: heartbeatKey, Value: []byte{1}}}
+// heartbeatDue reports whether a heartbeat is due also beside other writes, since it tells the next owner
+// something new: that this owner has taken over, or that no lease is left that an earlier one has renewed.
+func (o *owner) heartbeatDue(now time.Time) bool {
+	return o.heartbeatAt.IsZero() || o.heartbeatAt.Before(o.renewalsEnd) && !now.Before(o.renewalsEnd)
+}
+
+// heartbeat returns the record of a heartbeat that is written now.
+func (o *owner) heartbeat(now time.Time) ([]plantainrail.KeyedRecord, error) {
+	record, err := newHeartbeat(o.epoch, o.renewalsEnd, now)
+	o.heartbeatAt = now
+	return []plantainrail.KeyedRecord{record}, err
 }
 
 // store appends records and returns those that the store never accepts; the others are
@@ -288,7 +315,11 @@
 	}
 	// The store may refuse everything at present. The record is at fault if it is refused
 	// again after a heartbeat was accepted.
-	if err := o.appendAndApply(ctx, heartbeatRecords()); err != nil {
+	beat, err := o.heartbeat(o.decider.Now())
+	if err != nil {
+		return nil, err
+	}
+	if err := o.appendAndApply(ctx, beat); err != nil {
 		return nil, err
 	}
 	if err := o.appendAndApply(ctx, records); !errors.Is(err, plantainrail.ErrUnacceptable) {
--- a/decider/storesize.go
+++ b/decider/storesize.go
@@ -99,6 +99,13 @@
 	return d.storeSize.bytes < nearlyFullBytes && d.Now().Sub(d.storeSize.fullAt) >= fullPause
 }
 
+// hasRoom is storeHasRoom for callers without the lock.
+func (d *Decider) hasRoom() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.storeHasRoom()
+}
+
 // confirmWithoutRoom shows that this is still the owner when the store has no room for the call: an
 // append without records needs none, and fails if a higher epoch has written. Leases can then
 // be renewed. It uses up the sequence number of the call, none of whose tries may have taken
--- /dev/null
+++ b/decider/succession.go
@@ -0,0 +1,105 @@
+package decider
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+// heartbeat is the value of the owner's heartbeats in the progress topic. It tells the next owner how
+// long the owners before this one could renew leases. Earlier versions write a value that cannot be
+// decoded.
+type heartbeat struct {
+	// Epoch is that of the owner.
+	Epoch int64 `cbor:"0,keyasint"`
+	// RenewalsMS is how long after the write owners with lower epochs may still renew leases, in
+	// milliseconds. A nil pointer, from a record without it, says nothing.
+	RenewalsMS *int64 `cbor:"1,keyasint"`
+}
+
+// newHeartbeat returns the record of a heartbeat that is written at the given time or later, by the owner
+// with the epoch. Owners with lower epochs have renewed no lease after renewalsEnd.
+func newHeartbeat(epoch int64, renewalsEnd, now time.Time) (plantainrail.KeyedRecord, error) {
+	// Whole milliseconds, rounded up.
+	left := (max(renewalsEnd.Sub(now), 0) + time.Millisecond - 1).Milliseconds()
+	raw, err := cbor.Marshal(heartbeat{Epoch: epoch, RenewalsMS: &left})
+	return plantainrail.KeyedRecord{Key: heartbeatKey, Value: raw}, errors.Wrap(err, "encode heartbeat")
+}
+
+// tenure is what the newest heartbeat tells of the owner that wrote it.
+type tenure struct {
+	// epoch is the owner's; 0 if the heartbeat is of an earlier version or cannot be read.
+	epoch int64
+	// renewalsEnd is a time after which owners with lower epochs have renewed no lease.
+	renewalsEnd time.Time
+}
+
+// withHeartbeat returns the tenure after a newer heartbeat was read at the given time. The heartbeat was
+// written before that, so it bounds the renewals by a later time than its writer did.
+func (t tenure) withHeartbeat(value []byte, now time.Time) tenure {
+	var h heartbeat
+	if err := cbor.Unmarshal(value, &h); err != nil || h.Epoch <= 0 || h.RenewalsMS == nil ||
+		*h.RenewalsMS < 0 || *h.RenewalsMS > renewalWindow.Milliseconds() {
+		return tenure{}
+	}
+	end := now.Add(time.Duration(*h.RenewalsMS) * time.Millisecond)
+	if t.epoch == h.Epoch && t.renewalsEnd.Before(end) {
+		return t
+	}
+	return tenure{epoch: h.Epoch, renewalsEnd: end}
+}
+
+// succession is what a new owner knows of the owners before it, once it has fenced them and read all that
+// they have written.
+type succession struct {
+	// name, address and nonce are those of the new owner, whose process has started at startedAt.
+	name, address, nonce string
+	startedAt            time.Time
+	// claim is the newest claim or resignation before the new owner's own claim, and tenure what the newest
+	// heartbeat tells.
+	claim  claim
+	tenure tenure
+}
+
+// renewalsEnd returns a time after which no earlier owner has renewed a lease. An owner renews for
+// renewalWindow after its newest confirmed write, which may have been just before it was fenced, unless it is
+// known to have ended. What is known of the last owner says nothing about those before it, which may
+// live on: that is in its heartbeats.
+func (s succession) renewalsEnd(now time.Time) time.Time {
+	unknown := now.Add(renewalWindow)
+	last, end := s.claim.Epoch, now
+	switch {
+	case s.claim.Epoch == 0 || s.claim.obscured:
+		return unknown
+	case s.claim.Resigned:
+		// It renewed nothing after it wrote the resignation.
+		last = s.claim.Ended
+	case s.claim.Name != s.name:
+		return unknown
+	case s.claim.Nonce == s.nonce:
+		// A process begins no term before its last one has ended.
+	case sameHost(s.claim.Address, s.address):
+		// This process has replaced the owner's.
+		end = s.startedAt
+	default:
+		return unknown
+	}
+	if last == 0 || s.tenure.epoch != last {
+		return unknown
+	}
+	if s.tenure.renewalsEnd.After(end) {
+		return s.tenure.renewalsEnd
+	}
+	return end
+}
+
+// sameHost reports whether two addresses are of the same host.
+func sameHost(a, b string) bool {
+	x, errX := netip.ParseAddrPort(a)
+	y, errY := netip.ParseAddrPort(b)
+	return errX == nil && errY == nil && x.Addr() == y.Addr()
+}
