Count the wait for a silent owner from its newest record

Cause: another entry takes over after 1.2 s of silence, and counted the 3 s for which the silent owner may renew leases from the takeover.

Change: it counts them from when it has read the owner's newest record. That was not true before: an append that is repeated after a lost answer, and one without records in a full store, confirmed an owner without a new record. Now an owner counts its 3 s from the first try that may have stored a record; after such an append it stores a heartbeat at once. An append without records counts only from 2.5 s after the newest record was answered, and a new owner relies on no record that may be older than 2.4 s. Owners of earlier versions are awaited for 3 s as before. Starts are bounded by the newest accepted write as before.

--- a/decider/owner.go
+++ b/decider/owner.go
@@ -47,6 +47,10 @@
 	// confirmedWriteAt is when the newest write that the store has accepted was
 	// sent.
 	confirmedWriteAt time.Time
+	// renewableFrom is when the write was sent for renewalWindow after which leases may be renewed, and
+	// answeredAt when the newest append of records was answered, or failed and may still have been done; see
+	// confirm.
+	renewableFrom, answeredAt time.Time
 	// operatorsAsOf and jobsAsOf are when the views were whole that the planner knows.
 	operatorsAsOf, jobsAsOf time.Time
 	// waitingStarts are assignments that are stored but not ordered, since startsWaitSince,
@@ -177,20 +181,26 @@
 	call := plantainrail.AppendCall{
 		Topic: progressTopic, Records: records, Writer: &plantainrail.Writer{Name: writerName, Epoch: o.epoch, Sequence: o.sequence},
 	}
+	var tries plantainrail.WriteTries
+	var stored time.Time
 	for {
 		sent := o.decider.Now()
+		if !tries.MaybeDone() {
+			stored = sent
+		}
 		offset, err := o.decider.Store.Append(ctx, call)
 		var sequenceErr *plantainrail.SequenceError
 		switch {
 		case err == nil:
 			o.sequence++
-			o.mu.Lock()
-			o.confirmedWriteAt = sent
-			o.mu.Unlock()
+			o.confirm(sent, stored)
 			return offset, nil
 		case errors.Is(err, plantainrail.ErrFenced), errors.As(err, &sequenceErr), ctx.Err() != nil:
 			return 0, err
 		}
+		if tries = tries.With(err); tries.MaybeDone() {
+			o.noteUnanswered()
+		}
 		o.decider.Logger.Warn("progress not stored", zap.Int("records", len(records)), zap.Int64("sequence", o.sequence), zap.Error(err))
 		// A refusal of no record or of a heartbeat does not depend on what was sent.
 		if errors.Is(err, plantainrail.ErrUnacceptable) && len(records) > 0 && records[0].Key != heartbeatKey {
@@ -230,6 +240,7 @@
 	now := d.Now()
 	o.renewalsEnd = succession{
 		name: d.Name, address: d.Address, nonce: d.nonce, startedAt: d.startedAt, claim: o.earlier, tenure: d.tenure,
+		newestAt: d.progress.newestAt, newestAfter: d.progress.newestAfter,
 	}.renewalsEnd(now)
 	// The agents need time to connect, also if no lease can have been renewed lately.
 	grace := max(o.renewalsEnd.Sub(now), 0)
@@ -258,7 +269,7 @@
 	for incarnation := range o.agents {
 		appliedEnds[incarnation] = o.planner.LastAppliedEnd(incarnation)
 	}
-	heartbeat := len(records) == 0 && now.Sub(o.confirmedWriteAt) >= heartbeatInterval || hasRoom && o.heartbeatDue(now)
+	heartbeat := len(records) == 0 && now.Sub(o.renewableFrom) >= heartbeatInterval || hasRoom && o.heartbeatDue(now)
 	o.mu.Unlock()
 	if err != nil {
 		return err
@@ -284,19 +295,6 @@
 	return o.waitForRound(ctx)
 }
 
-// heartbeatDue reports whether a heartbeat is due also beside other writes, since it tells the next owner
-// something new: that this owner has taken over, or that no lease is left that an earlier one has renewed.
-func (o *owner) heartbeatDue(now time.Time) bool {
-	return o.heartbeatAt.IsZero() || o.heartbeatAt.Before(o.renewalsEnd) && !now.Before(o.renewalsEnd)
-}
-
-// heartbeat returns the record of a heartbeat that is written now.
-func (o *owner) heartbeat(now time.Time) ([]plantainrail.KeyedRecord, error) {
-	record, err := newHeartbeat(o.epoch, o.renewalsEnd, now)
-	o.heartbeatAt = now
-	return []plantainrail.KeyedRecord{record}, err
-}
-
 // store appends records and returns those that the store never accepts; the others are
 // stored. Its errors are those of append.
 func (o *owner) store(ctx context.Context, records []plantainrail.KeyedRecord) (refused []plantainrail.KeyedRecord, err error) {
@@ -465,7 +463,7 @@
 	o.mu.Lock()
 	now := o.decider.Now()
 	next := o.planner.NextTick(now)
-	if heartbeatAt := o.confirmedWriteAt.Add(heartbeatInterval); heartbeatAt.Before(next) {
+	if heartbeatAt := o.renewableFrom.Add(heartbeatInterval); heartbeatAt.Before(next) {
 		next = heartbeatAt
 	}
 	o.mu.Unlock()
--- a/decider/session.go
+++ b/decider/session.go
@@ -186,7 +186,7 @@
 func (o *owner) applyLease(a *agentSession, r linker.WorkReport, now time.Time) (renewed bool) {
 	// Only an owner whose write was confirmed recently may renew leases, since another
 	// entry may own the jobs by now.
-	renewed = r.Sequence > 0 && now.Sub(o.confirmedWriteAt) < renewalWindow
+	renewed = r.Sequence > 0 && now.Sub(o.renewableFrom) < renewalWindow
 	if renewed {
 		o.planner.Renew(a.incarnation, now)
 	}
--- a/decider/storesize.go
+++ b/decider/storesize.go
@@ -127,7 +127,7 @@
 			call.Writer = &plantainrail.Writer{Name: writerName, Epoch: o.epoch, Sequence: o.sequence}
 			o.mu.Lock()
 			defer o.mu.Unlock()
-			o.confirmedWriteAt = sent
+			o.confirmUnseen(sent)
 			return nil
 		case errors.Is(err, plantainrail.ErrFenced), errors.As(err, &sequenceErr), ctx.Err() != nil:
 			return err
--- a/decider/succession.go
+++ b/decider/succession.go
@@ -63,12 +63,23 @@
 	// heartbeat tells.
 	claim  claim
 	tenure tenure
+	// newestAt is when the newest record of the progress topic was read, and newestAfter a time before which it
+	// was not yet stored.
+	newestAt, newestAfter time.Time
 }
 
-// renewalsEnd returns a time after which no earlier owner has renewed a lease. An owner renews for
-// renewalWindow after its newest confirmed write, which may have been just before it was fenced, unless it is
-// known to have ended. What is known of the last owner says nothing about those before it, which may
-// live on: that is in its heartbeats.
+const (
+	// unseenDelay is how long after its newest record an owner renews no leases for an append without records,
+	// and seenLimit how old that record may be for the next owner to count from it. The difference covers
+	// reads and writes at nearly the same time.
+	unseenDelay = 2500 * time.Millisecond
+	seenLimit   = 2400 * time.Millisecond
+)
+
+// renewalsEnd returns a time after which no earlier owner has renewed a lease. An owner that has fallen silent
+// renews for renewalWindow after it sent the newest record that is read, or after a later append without
+// records, which may have been just before it was fenced; see confirmUnseen. What is known of the last owner
+// says nothing about those before it, which may live on: that is in its heartbeats.
 func (s succession) renewalsEnd(now time.Time) time.Time {
 	unknown := now.Add(renewalWindow)
 	last, end := s.claim.Epoch, now
@@ -78,13 +89,13 @@
 	case s.claim.Resigned:
 		// It renewed nothing after it wrote the resignation.
 		last = s.claim.Ended
-	case s.claim.Name != s.name:
-		return unknown
-	case s.claim.Nonce == s.nonce:
+	case s.claim.Name == s.name && s.claim.Nonce == s.nonce:
 		// A process begins no term before its last one has ended.
-	case sameHost(s.claim.Address, s.address):
+	case s.claim.Name == s.name && sameHost(s.claim.Address, s.address):
 		// This process has replaced the owner's.
 		end = s.startedAt
+	case now.Sub(s.newestAfter) < seenLimit:
+		end = s.newestAt.Add(renewalWindow)
 	default:
 		return unknown
 	}
@@ -103,3 +114,45 @@
 	y, errY := netip.ParseAddrPort(b)
 	return errX == nil && errY == nil && x.Addr() == y.Addr()
 }
+
+// confirm notes that the store has accepted a write whose answered try was sent at the first time, and whose
+// records were stored after the second one, since an earlier try may have stored them. The next owner counts
+// the renewalWindow from the newest record that it reads, so this owner counts it from the second time.
+func (o *owner) confirm(sent, stored time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.confirmedWriteAt, o.answeredAt = sent, o.decider.Now()
+	if stored.After(o.renewableFrom) {
+		o.renewableFrom = stored
+	}
+}
+
+// noteUnanswered notes that an append has failed that may have been done.
+func (o *owner) noteUnanswered() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.answeredAt = o.decider.Now()
+}
+
+// confirmUnseen notes that the store has accepted an append without records, which the next owner does not
+// see. It allows renewals only once the newest record is so old that the next owner does not count from it.
+// The caller holds the lock.
+func (o *owner) confirmUnseen(sent time.Time) {
+	o.confirmedWriteAt = sent
+	if sent.Sub(o.answeredAt) >= unseenDelay {
+		o.renewableFrom = sent
+	}
+}
+
+// heartbeatDue reports whether a heartbeat is due also beside other writes, since it tells the next owner
+// something new: that this owner has taken over, or that no lease is left that an earlier one has renewed.
+func (o *owner) heartbeatDue(now time.Time) bool {
+	return o.heartbeatAt.IsZero() || o.heartbeatAt.Before(o.renewalsEnd) && !now.Before(o.renewalsEnd)
+}
+
+// heartbeat returns the record of a heartbeat that is written now.
+func (o *owner) heartbeat(now time.Time) ([]plantainrail.KeyedRecord, error) {
+	record, err := newHeartbeat(o.epoch, o.renewalsEnd, now)
+	o.heartbeatAt = now
+	return []plantainrail.KeyedRecord{record}, err
+}
--- a/decider/succession_test.go
+++ b/decider/succession_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
 )
 
 // Guards against runs that are taken for lost while an earlier owner may still renew their lease (TWICE), and
@@ -50,6 +55,70 @@
 	}
 }
 
+// Guards against tasks of lost workers that wait for longer than a silent owner may renew leases (LOST), and
+// against a new owner that counts from a record after which that one may have renewed more (TWICE).
+func TestRenewalsEndAfterASilentOwner(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	after := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	silent, settled := claim{Name: "b", Address: "10.0.0.2:80", Nonce: "1", Epoch: 7}, tenure{7, after(-20_000)}
+	for _, c := range []struct {
+		name        string
+		claim       claim
+		tenure      tenure
+		newestAt    time.Time
+		newestAfter time.Time
+		// end is in milliseconds from now.
+		end int
+	}{
+		{"its newest record was read", silent, settled, after(-1300), after(-1900), 1700},
+		{"that may be older than the limit", silent, settled, after(-1300), after(-2400), 3000},
+		{"nothing read before that record", silent, settled, after(-1300), time.Time{}, 3000},
+		{"an owner before it may renew for longer", silent, tenure{7, after(2000)}, after(-1300), after(-1900), 2000},
+		{"an earlier version, or no heartbeat", silent, tenure{}, after(-1300), after(-1900), 3000},
+		{"heartbeat of the owner before it", silent, tenure{5, after(-20_000)}, after(-1300), after(-1900), 3000},
+		{"a record may hide a newer claim", claim{Name: "b", Epoch: 7, obscured: true}, settled, after(-1300), after(-1900), 3000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := succession{name: "a", address: "10.0.0.1:80", nonce: "2", claim: c.claim, tenure: c.tenure, newestAt: c.newestAt, newestAfter: c.newestAfter}
+			assert.Equal(t, s.renewalsEnd(now).Sub(now), time.Duration(c.end)*time.Millisecond)
+		})
+	}
+}
+
+// Guards against an owner that renews leases for longer than the next one counts from its newest record (TWICE).
+func TestOwnerRenewsFromItsNewestRecord(t *testing.T) {
+	lost, full, away := errors.New("no answer"), errors.Wrap(plantainrail.ErrFull, "507"), errors.Wrap(plantainrail.ErrRejected, "503")
+	for _, c := range []struct {
+		name    string
+		answers []error
+		// from is when the counting begins, from the append on.
+		from time.Duration
+	}{
+		{"stored at once", []error{nil}, 0},
+		{"refused at first", []error{away, away, nil}, 2 * retryDelay},
+		{"a try without an answer may have stored it", []error{away, lost, lost, nil}, retryDelay},
+		{"no room at first", []error{full, nil, nil}, retryDelay},
+		{"no room after a try without an answer", []error{lost, full, nil, nil}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newOwner(New(Options{Logger: zap.NewNop(), Now: time.Now, Store: &answersStore{answers: c.answers}}), 1)
+				o.answeredAt = time.Now().Add(-unseenDelay)
+				before := time.Now()
+				_, err := o.append(t.Context(), []plantainrail.KeyedRecord{{Key: "a", Value: []byte{1}}})
+				assert.NilError(t, err)
+				assert.Equal(t, o.renewableFrom.Sub(before), c.from)
+				assert.Equal(t, o.answeredAt, time.Now())
+				seen := o.renewableFrom
+				o.confirmUnseen(o.answeredAt.Add(unseenDelay - 1))
+				assert.Equal(t, o.renewableFrom, seen)
+				o.confirmUnseen(o.answeredAt.Add(unseenDelay))
+				assert.Equal(t, o.renewableFrom, o.answeredAt.Add(unseenDelay))
+			})
+		})
+	}
+}
+
 // Guards against heartbeats of earlier versions and of other writers that are taken for knowledge (TWICE).
 func TestHeartbeatsTellOfEarlierOwners(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
--- a/decider/view.go
+++ b/decider/view.go
@@ -50,6 +50,9 @@
 	// asOf is the time up to which the view is whole: everything that was stored before has
 	// been applied. It is zero until a read has reached the topic's end.
 	asOf time.Time
+	// newestAt is when the newest record was applied, and newestAfter a time before which it was not yet
+	// stored. Records that this entry has written itself do not count.
+	newestAt, newestAfter time.Time
 	// resets is the number of calls of reset.
 	resets int
 }
@@ -83,7 +86,7 @@
 
 // reset forgets what was read. Reads that are open are dropped.
 func (v *view) reset() {
-	v.next, v.asOf = unread, time.Time{}
+	v.next, v.asOf, v.newestAt, v.newestAfter = unread, time.Time{}, time.Time{}, time.Time{}
 	v.resets++
 	clear(v.keys)
 }
@@ -155,6 +158,9 @@
 	if v.resets != r.resets || v.wanted != nil && !v.wanted() || v.next > r.from && r.complete {
 		return false
 	}
+	if slices.ContainsFunc(r.batch.Records, func(record plantainrail.KeyedRecord) bool { return record.Offset >= v.next }) {
+		v.newestAt, v.newestAfter = d.Now(), v.asOf
+	}
 	// The view is whole before apply lets others see what has changed.
 	asOf := r.wholeAsOf(d.Now())
 	if asOf.After(v.asOf) {
