--- a/decider/owner.go
+++ b/decider/owner.go
@@ -21,7 +21,6 @@
 	// progress topic.
 	writerName = "owner"
 	// heartbeatKey is the key of the owner's heartbeats in the progress topic.
-	// Their value is not read.
 	heartbeatKey = "beat"
 )
 
@@ -51,6 +50,10 @@
 	// storedThrough is the offset after the newest record of progress that the store has accepted from this
 	// owner, or the topic's end when it was fenced.
 	storedThrough plantainrail.Offset
+	// renewableFrom is when the write was sent for renewalWindow after which leases may be renewed, and
+	// answeredAt when the newest append of records was answered, or failed and may still have been done; see
+	// confirm.
+	renewableFrom, answeredAt time.Time
 	// operatorsAsOf and jobsAsOf are when the views were whole that the planner knows.
 	operatorsAsOf, jobsAsOf time.Time
 	// waitingStarts are assignments that are stored but not ordered, since startsWaitSince,
@@ -61,6 +64,11 @@
 	// sequence is the sequence number of the next write. Only the goroutine of run
 	// uses it.
 	sequence int64
+	// earlier is the newest claim before the owner's own. renewalsEnd is a time after which no earlier owner
+	// has renewed a lease, and heartbeatAt is when the newest heartbeat was written. Only the goroutine of run
+	// uses them.
+	earlier                  claim
+	renewalsEnd, heartbeatAt time.Time
 }
 
 func newOwner(d *Decider, epoch int64) *owner {
@@ -92,7 +100,7 @@
 // read the whole topic, so that it cannot follow a newer claim.
 func (o *owner) resign() {
 	o.stop("resigned")
-	raw, err := cbor.Marshal(claim{Name: o.decider.Name, Nonce: o.decider.nonce, Resigned: true})
+	raw, err := cbor.Marshal(claim{Name: o.decider.Name, Nonce: o.decider.nonce, Resigned: true, Ended: o.epoch})
 	if err != nil {
 		o.decider.Logger.Error("resignation not encoded", zap.Error(err))
 		return
@@ -185,21 +193,29 @@
 	call := plantainrail.AppendCall{
 		Topic: progressTopic, Records: records, Writer: &plantainrail.Writer{Name: writerName, Epoch: o.epoch, Sequence: o.sequence},
 	}
+	var tries plantainrail.WriteTries
+	var stored time.Time
 	for {
 		sent := o.decider.Now()
+		if !tries.MaybeDone() {
+			stored = sent
+		}
 		offset, err := o.decider.Store.Append(ctx, call)
 		var sequenceErr *plantainrail.SequenceError
 		switch {
 		case err == nil:
 			o.sequence++
+			o.confirm(sent, stored)
 			o.mu.Lock()
-			o.confirmedWriteAt = sent
 			o.storedThrough = max(o.storedThrough, offset+plantainrail.Offset(len(records)))
 			o.mu.Unlock()
 			return offset, nil
 		case errors.Is(err, plantainrail.ErrFenced), errors.As(err, &sequenceErr), ctx.Err() != nil:
 			return 0, err
 		}
+		if tries = tries.With(err); tries.MaybeDone() {
+			o.noteUnanswered()
+		}
 		o.decider.Logger.Warn("progress not stored", zap.Int("records", len(records)), zap.Int64("sequence", o.sequence), zap.Error(err))
 		// A refusal of no record or of a heartbeat does not depend on what was sent.
 		if errors.Is(err, plantainrail.ErrUnacceptable) && len(records) > 0 && records[0].Key != heartbeatKey {
@@ -236,20 +252,26 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.planner = planner.New(book, planner.Timeouts{Lease: LeaseDuration, TakeoverGrace: renewalWindow}, d.Now())
+	now := d.Now()
+	o.renewalsEnd = succession{
+		name: d.Name, address: d.Address, nonce: d.nonce, startedAt: d.startedAt, claim: o.earlier, tenure: d.tenure,
+		newestAt: d.progress.newestAt, newestAfter: d.progress.newestAfter,
+	}.renewalsEnd(now)
+	// The agents need time to connect, also if no lease can have been renewed lately.
+	grace := max(o.renewalsEnd.Sub(now), 0)
+	o.planner = planner.New(book, planner.Timeouts{Lease: LeaseDuration, TakeoverGrace: grace}, now)
 	o.planner.Configure(d.configuration)
 	d.Logger.Info("ownership gained", zap.Int64("epoch", o.epoch), zap.Int64("offset", int64(end)), zap.Int64("jobs", int64(d.jobs.next)),
-		zap.Int("unknown", book.UnknownProgress()))
+		zap.Int("unknown", book.UnknownProgress()), zap.Int64("grace", grace.Milliseconds()))
 	return nil
 }
 
 // round runs the planner once, stores the jobs that changed, in as many appends as the
-// limit of a call requires, sends the orders to the agents and waits for the next round. If
-// there is nothing to store and the newest confirmed write was sent at least
-// heartbeatInterval ago, it stores a heartbeat. It returns an error if the progress cannot be
+// limit of a call requires, sends the orders to the agents and waits for the next round. It stores a
+// heartbeat where one is due. It returns an error if the progress cannot be
 // encoded, the write fails or the context ends.
 func (o *owner) round(ctx context.Context) error {
-	deletions := o.progressDeletions()
+	deletions, hasRoom := o.progressDeletions(), o.decider.hasRoom()
 	o.mu.Lock()
 	now := o.decider.Now()
 	plan := o.planner.Tick(now)
@@ -262,15 +284,20 @@
 	for incarnation := range o.agents {
 		appliedEnds[incarnation] = o.planner.LastAppliedEnd(incarnation)
 	}
-	heartbeat := len(records) == 0 && now.Sub(o.confirmedWriteAt) >= heartbeatInterval
+	heartbeat := len(records) == 0 && now.Sub(o.renewableFrom) >= heartbeatInterval || hasRoom && o.heartbeatDue(now)
 	o.mu.Unlock()
 	if err != nil {
 		return err
 	}
+	batches := o.decider.StoreLimits.Batches(records)
 	if heartbeat {
-		records = heartbeatRecords()
+		beat, err := o.heartbeat(now)
+		if err != nil {
+			return err
+		}
+		batches = append(batches, beat)
 	}
-	for _, batch := range o.decider.StoreLimits.Batches(records) {
+	for _, batch := range batches {
 		refused, err := o.store(ctx, batch)
 		if err == nil {
 			err = o.abandonRefused(ctx, refused, &plan)
@@ -283,10 +310,6 @@
 	return o.waitForRound(ctx)
 }
 
-func heartbeatRecords() []plantainrail.KeyedRecord {
-	return []plantainrail.KeyedRecord{{Key: heartbeatKey, Value: []byte{1}}}
-}
-
 // store appends records and returns those that the store never accepts; the others are
 // stored. Its errors are those of append.
 func (o *owner) store(ctx context.Context, records []plantainrail.KeyedRecord) (refused []plantainrail.KeyedRecord, err error) {
@@ -305,7 +328,11 @@
 	}
 	// The store may refuse everything at present. The record is at fault if it is refused
 	// again after a heartbeat was accepted.
-	if err := o.appendAndApply(ctx, heartbeatRecords()); err != nil {
+	beat, err := o.heartbeat(o.decider.Now())
+	if err != nil {
+		return nil, err
+	}
+	if err := o.appendAndApply(ctx, beat); err != nil {
 		return nil, err
 	}
 	if err := o.appendAndApply(ctx, records); !errors.Is(err, plantainrail.ErrUnacceptable) {
@@ -454,7 +481,7 @@
 	o.mu.Lock()
 	now := o.decider.Now()
 	next := o.planner.NextTick(now)
-	if heartbeatAt := o.confirmedWriteAt.Add(heartbeatInterval); heartbeatAt.Before(next) {
+	if heartbeatAt := o.renewableFrom.Add(heartbeatInterval); heartbeatAt.Before(next) {
 		next = heartbeatAt
 	}
 	o.mu.Unlock()
