--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -19,29 +19,31 @@
 type faultKind struct {
 	name string
 	draw func(f *fleet, r *rand.Rand) plannedFault
+	// byName is set if the kind is only drawn in series that name it, so that the other seeds keep
+	// their series.
+	byName bool
 }
 
 // faultKinds are drawn equally often.
 var faultKinds = []faultKind{
-	{"silence", silence},
-	{"silence", silence},
-	{"silence", silence},
-	{"cut", cut},
-	{"reset", resetLinks},
-	{"delay", delay},
-	{"restart", ending("restart", syscall.SIGTERM, 1000, false)},
-	{"kill", ending("kill", syscall.SIGKILL, 3000, false)},
-	{"move", ending("move", 0, 2000, true)},
-	{"pause", pause},
-	{"worker-restart", restartWorker},
-	{"worker-loss", loseWorker},
-	{"kill-all", killAll},
-	{"wave", stopInWaves},
+	{name: "silence", draw: silence}, {name: "silence", draw: silence}, {name: "silence", draw: silence},
+	{name: "cut", draw: cut}, {name: "reset", draw: resetLinks}, {name: "delay", draw: delay},
+	{name: "restart", draw: ending("restart", syscall.SIGTERM, 1000, false)},
+	{name: "kill", draw: ending("kill", syscall.SIGKILL, 3000, false)},
+	{name: "move", draw: ending("move", 0, 2000, true)},
+	{name: "pause", draw: pause},
+	{name: "worker-restart", draw: restartWorker},
+	{name: "worker-loss", draw: loseWorker},
+	{name: "kill-all", draw: killAll},
+	{name: "wave", draw: stopInWaves},
+	{name: "entries-move", draw: moveEntries, byName: true},
 }
 
-// kindsNamed returns the kinds with the names, or all kinds without a name.
+// kindsNamed returns the kinds with the names, or all usual kinds without a name.
 func kindsNamed(names []string) []faultKind {
-	return slices.DeleteFunc(slices.Clone(faultKinds), func(k faultKind) bool { return len(names) > 0 && !slices.Contains(names, k.name) })
+	return slices.DeleteFunc(slices.Clone(faultKinds), func(k faultKind) bool {
+		return len(names) == 0 && k.byName || len(names) > 0 && !slices.Contains(names, k.name)
+	})
 }
 
 // milliseconds draws a duration between two bounds.
@@ -252,6 +254,18 @@
 	}}
 }
 
+// moveEntries replaces all entries by processes at new addresses, one after the other.
+func moveEntries(f *fleet, r *rand.Rand) plannedFault {
+	step, downtime := milliseconds(r, 50, 1500), milliseconds(r, 50, 1000)
+	signal := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[r.IntN(2)]
+	return plannedFault{fmt.Sprint("move of all entries by ", signal, " every ", step), func() {
+		f.eachOf(f.processes[:f.Entries], func(i int, p *process) {
+			time.Sleep(time.Duration(i) * step)
+			f.again(p, signal, downtime, true)
+		})
+	}}
+}
+
 // eachOf calls a function for all processes at once, and waits for the calls.
 func (f *fleet) eachOf(processes []*process, do func(i int, p *process)) {
 	var group sync.WaitGroup
