--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -26,8 +26,12 @@
 
 // faultKinds are drawn equally often.
 var faultKinds = []faultKind{
-	{name: "silence", draw: silence}, {name: "silence", draw: silence}, {name: "silence", draw: silence},
-	{name: "cut", draw: cut}, {name: "reset", draw: resetLinks}, {name: "delay", draw: delay},
+	{name: "silence", draw: silence},
+	{name: "silence", draw: silence},
+	{name: "silence", draw: silence},
+	{name: "cut", draw: cut},
+	{name: "reset", draw: resetLinks},
+	{name: "delay", draw: delay},
 	{name: "restart", draw: ending("restart", syscall.SIGTERM, 1000, false)},
 	{name: "kill", draw: ending("kill", syscall.SIGKILL, 3000, false)},
 	{name: "move", draw: ending("move", 0, 2000, true)},
