--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -26,6 +26,9 @@
 	soakProgram = flag.String("soak.program", "", "path of the program of TestSoak; empty for one that is built from the present code")
 )
 
+// maxPrinted is the number of findings of a seed that TestSoak prints. All are in the record.
+const maxPrinted = 10
+
 // Guards against tasks that could run and do not (LOST) or run twice (TWICE) in the real processes, while
 // connections break and processes end, freeze, move and start again.
 func TestSoak(t *testing.T) {
@@ -52,7 +55,11 @@
 			assert.NilError(t, err)
 			t.Logf("seed %d: %d jobs, %d faults, longest wait %.1f s, longest calm wait %.1f s, %d findings, took %.0f s",
 				seed, report.Accepted, report.Faults, report.LongestWait.Seconds(), report.LongestCalmWait.Seconds(), len(report.Findings), time.Since(began).Seconds())
-			for _, finding := range report.Findings {
+			for i, finding := range report.Findings {
+				if i == maxPrinted {
+					t.Errorf("seed %d: %d more findings, in the record", seed, len(report.Findings)-i)
+					break
+				}
 				t.Error(finding)
 			}
 			if t.Failed() || *soakKeep {
