Planner: a slow start does not hold a job that is about to starve

Callers saw sound jobs wait for over three seconds beside the only sound VM. The slow start admits two runs of overdue tasks in 1.5 s, others get them, and each failed run starts it anew.

Cause: the judgement `trial` yields to two tasks at a time, however many wait, so it keeps others from running.

Change: where every VM that could take the task is in doubt, each job has one run on trial, and each long-running task runs, from 0.5 s after the others yield, whatever the slow start says. Such a step does not tell other jobs' steps that no VM takes them.

--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -142,7 +142,20 @@
 	case r.now.Sub(v.failedAt) < spacing, r.now.Sub(v.refusedAt) < minSpacing:
 		return false
 	}
-	return !v.probation || !v.slowStartFull(r.ready, slots, r.now)
+	return !v.probation || !v.slowStartFull(r.ready, slots, r.now) || r.lastCall() && !r.hasTrial(v)
+}
+
+// lastCall reports whether the tasks are about to starve and only VMs in doubt are left. Then a slow start
+// does not keep the job from having one run on trial, or a long-running task from running.
+func (r *rating) lastCall() bool {
+	return r.allDoubted && r.ready.wait.waited(r.now) > r.ready.wait.limit+minSpacing
+}
+
+// hasTrial reports whether the VM runs a task of the job on trial, which is enough for tasks that are not
+// long-running.
+func (r *rating) hasTrial(v *vm) bool {
+	return !r.ready.definition().Lasting &&
+		slices.ContainsFunc(v.trialRuns(r.ready, r.now), func(t *placedRun) bool { return t.job == r.ready.job })
 }
 
 // distrusted reports whether failures or refusals speak against the VM.
--- a/planner/patience_test.go
+++ b/planner/patience_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -167,3 +168,34 @@
 		})
 	}
 }
+
+// Guards against sound jobs that wait (LOST) for a slow start of the only VM, whose runs have failed late.
+// Each gets one run on trial in the end.
+func TestSlowStartsDoNotHoldStarvingJobs(t *testing.T) {
+	vm := newVM("a", 9000)
+	h := newHarness(t, vm)
+	for i := range 2 {
+		h.submit(fmt.Sprint("poison", i), plantainrail.Step{Count: 1, CPU: 1000})
+	}
+	h.now = h.now.Add(time.Millisecond)
+	failed := h.tick().Assignments
+	h.now = h.now.Add(time.Second)
+	for i, a := range failed {
+		h.reportEnd(a, int64(i+1), plantainrail.RunFailed)
+		h.applyJob(planner.NewCancelRecord(a.Order.Ref.Task.Job))
+	}
+	h.tick()
+	h.now = h.now.Add(time.Second)
+	for i := range 8 {
+		h.submit(fmt.Sprint("job", i), plantainrail.Step{Count: 2, CPU: 100})
+	}
+	placed := map[string]int{}
+	for begin := h.now; h.now.Sub(begin) < 2900*time.Millisecond; h.now = h.now.Add(100 * time.Millisecond) {
+		h.report(vm)
+		for _, a := range h.tick().Assignments {
+			placed[a.Order.Ref.Task.Job]++
+		}
+	}
+	assert.Equal(t, len(placed), 8)
+	assert.Equal(t, placed["job7"], 1)
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -223,7 +223,7 @@
 				// The step's other tasks do not avoid the VM that this one avoids.
 				continue
 			}
-			if ready.definition().MaxPerVM == 0 {
+			if ready.definition().MaxPerVM == 0 && !r.lastCall() {
 				p.unplaceable[taskShape] = true
 			}
 			break
