--- a/minder/session.go
+++ b/minder/session.go
@@ -197,7 +197,7 @@
 
 // ownerNext makes the next call of next return the owner's address, if one is known, or another one.
 func (d *directory) ownerNext(owner bool) {
-	if d.tries%2 == 0 != owner {
+	if (d.tries%2 == 0) != owner {
 		d.tries++
 	}
 }
