Report no refusal before the owner's list of a session is read

Callers could see a task run twice at the same time (TWICE). A run is ordered and its start waits, since the worker does not answer. The session ends, and on the next one the owner sends its list, which holds the run. Before the agent reads it, the start gives up, and the agent reports the run as refused and forgets it. The owner places the task elsewhere; the agent reads the list, does not know the run, and starts it. Nobody stops either run.

Change: a refusal before the list of the session is not reported. If the list holds the run, the agent starts it or refuses it again; otherwise nobody wants it.

--- a/assembler/fleet_takeover_test.go
+++ b/assembler/fleet_takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -453,3 +454,36 @@
 	time.Sleep(50 * time.Millisecond)
 	session.Close()
 }
+
+// Guards against two runs of a task at the same time (TWICE): an agent refuses a run on a new session before it has read
+// the owner's list, which holds the run, and starts it once it has.
+func TestRefusalCrossesTheListOfANewSession(t *testing.T) {
+	for _, held := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
+		for phase := range 8 {
+			t.Run(fmt.Sprint(held, " ", phase), func(t *testing.T) {
+				runInFleet(t, fleetShape{entries: 1, zones: 1, vms: 2}, func(f *fleet) {
+					v := f.vms[0]
+					link, workerLink := linkName(v.name, f.entries[0].name), linkName(v.name, v.name+workerSuffix)
+					time.Sleep(time.Duration(phase) * 130 * time.Millisecond)
+					f.net.setFault(workerLink, down)
+					time.AfterFunc(800*time.Millisecond, func() { f.net.setFault(workerLink, healthy) })
+					time.Sleep(30 * time.Millisecond)
+					f.submit(1, "20000", []map[string]any{{"count": 6, "cpu": 1000}})
+					time.Sleep(200*time.Millisecond - held/2)
+					// What the owner sends on the next session of the agent is held up.
+					f.dialed = func(to *fleetVM) {
+						if to == v {
+							f.dialed = nil
+							f.net.setFault(link, repliesHeld)
+							time.AfterFunc(held, func() { f.net.setFault(link, healthy) })
+						}
+					}
+					f.net.setFault(link, down)
+					f.net.setFault(link, healthy)
+					time.Sleep(10 * time.Second)
+					f.checkRuns()
+				})
+			})
+		}
+	}
+}
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -43,7 +43,9 @@
 	vms          []*fleetVM
 	// agentReads is the number of the agents' reads of the store.
 	agentReads atomic.Int64
-	group      errgroup.Group
+	// dialed, if set, is called once an agent has opened a session.
+	dialed func(v *fleetVM)
+	group  errgroup.Group
 }
 
 type fleetEntry struct {
@@ -261,7 +263,11 @@
 			return member.Address, member.Owner, member.Epoch, err
 		},
 		Dial: func(ctx context.Context, address string) (*linker.Session, string, error) {
-			return decider.Dial(ctx, entryClient, address)
+			session, owner, err := decider.Dial(ctx, entryClient, address)
+			if err == nil && f.dialed != nil {
+				f.dialed(v)
+			}
+			return session, owner, err
 		},
 		Lease: decider.LeaseDuration, Heartbeats: v.registry,
 		HeartbeatHandler: func(r plantainrail.Registry) http.Handler {
--- a/minder/start.go
+++ b/minder/start.go
@@ -326,6 +326,11 @@
 	}
 	delete(m.orderedRuns, ref)
 	delete(m.stopping, ref)
+	if !m.ordersComplete {
+		// The owner's list is under way. If it holds the run, the agent starts it or refuses it then; a
+		// refusal now would let the owner place the task elsewhere as well.
+		return
+	}
 	m.Logger.Info("run refused", zap.Stringer("task", ref.Task), zap.Int64("run", ref.Run), zap.String("reason", string(reason)))
 	m.report(linker.WorkReport{Refused: []linker.RunRefusal{{Ref: ref, Reason: reason}}})
 }
