Count the late end of a run once, and only for the job that it belongs to

Callers could see a job fail for one failed run (LOST): since the end of a run whose task waits counts, also if it has counted before and is reported again, as the acknowledgement was lost with the owner, the VM's record or the worker's earlier incarnation. The end of an earlier job's run could also complete a job that was submitted under the same ID later.

Evidence: TestFailedEndCountsOnce, three rows, and TestEndOfAnEarlierJobCompletesNothing failed before.

Change: a late failed end counts only for a run that this owner has taken for lost, once. The late end of a run that is done also counts after a takeover, if anything of the job is known to have begun. Open: a failed end of a run that an earlier owner took for lost is dropped, as before.

--- a/planner/job.go
+++ b/planner/job.go
@@ -54,6 +54,9 @@
 	Crashes int
 	// Checkpoint is the newest known checkpoint.
 	Checkpoint string
+	// lostRun is the number of the newest run that was taken for lost with its worker and whose end has not
+	// counted; 0 if there is none. It is not stored.
+	lostRun int64
 	// lateCrashes counts the workers in a row that have crashed within LateCrashTime of a run's
 	// start when no run had just begun there. It is reset like Crashes, and after
 	// soundRunTime. lateCrashAge is how long after the start the newest one came, lateCrashNode the
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -508,6 +508,12 @@
 	if t == nil || t.Phase != Waiting || t.Run != end.Ref.Run || j.Steps[id.Step].Lasting || j.Steps[id.Step].Gang {
 		return false
 	}
+	// The end of another run may have counted before and be reported again. That does not matter if the run is
+	// done, unless it is that of an earlier job under the same ID.
+	if lost := t.lostRun == t.Run; !lost && (end.Outcome == plantainrail.RunFailed || !j.Started) {
+		return false
+	}
+	t.lostRun = 0
 	p.markStarted(j)
 	p.markChanged(j)
 	p.countOutcome(j, id, end.Outcome, now)
@@ -599,6 +605,7 @@
 			Crashes: run.task.Crashes, LateCrashes: run.task.lateCrashes,
 		})
 		p.requeue(v, run)
+		run.task.lostRun = run.task.Run
 		run.job.trackPlaced(now)
 	}
 	if failed != nil {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -250,6 +250,64 @@
 	}
 }
 
+// Guards against a job that fails for one failed run (LOST): its end has counted, and is reported again since the
+// acknowledgement was lost with the owner, with the VM's record, or with the worker's earlier incarnation.
+func TestFailedEndCountsOnce(t *testing.T) {
+	for name, lose := range map[string]func(h *harness, run planner.Assignment) *harness{
+		"owner": func(h *harness, run planner.Assignment) *harness {
+			h.reportEnd(run, 1, plantainrail.RunFailed)
+			h.tick()
+			return h.takeOver()
+		},
+		"lease": func(h *harness, run planner.Assignment) *harness {
+			h.reportEnd(run, 1, plantainrail.RunFailed)
+			h.now = h.now.Add(2 * timeouts.Lease)
+			h.tick()
+			assert.Assert(h.t, !h.planner.HasWorker(run.Incarnation))
+			return h
+		},
+		"incarnation": func(h *harness, run planner.Assignment) *harness {
+			next := run.Incarnation
+			next.StartedMS++
+			h.planner.ApplyPredecessorEnds(next, []plantainrail.RunEnd{{Number: 1, Ref: run.Order.Ref, Outcome: plantainrail.RunFailed}}, h.now)
+			return h
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vm := newVM("a", 1000)
+			h := newHarness(t, vm)
+			h.submit("job", plantainrail.Step{Count: 1, CPU: 1000})
+			run := h.tick().Assignments[0]
+			h.begin(run)
+			// Nothing more is placed, so the task waits.
+			vm.Draining = true
+			h.report(vm)
+			h = lose(h, run)
+			if name == "incarnation" {
+				vm.Incarnation.StartedMS++
+			}
+			h.report(vm)
+			h.planner.ApplyEnds(vm.Incarnation, []plantainrail.RunEnd{{Number: 1, Ref: run.Order.Ref, Outcome: plantainrail.RunFailed}}, h.now)
+			h.tick()
+			assert.Equal(t, h.state("job"), planner.Running)
+		})
+	}
+}
+
+// Guards against a job that is shown as completed though nothing of it has run: a worker lists the end of an earlier
+// job under the same ID.
+func TestEndOfAnEarlierJobCompletesNothing(t *testing.T) {
+	h := newHarness(t, newVM("b", 1000))
+	h.submit("job", plantainrail.Step{Count: 1, CPU: 1000})
+	refused := h.tick().Assignments[0]
+	h.planner.ApplyRefusal(refused.Incarnation, refused.Order.Ref, plantainrail.RefusedCapacity, h.now)
+	vm := newVM("a", 1000)
+	vm.Draining = true
+	h.report(vm)
+	h.planner.ApplyEnds(vm.Incarnation, []plantainrail.RunEnd{{Number: 1, Ref: refused.Order.Ref, Outcome: plantainrail.RunDone}}, h.now)
+	assert.Equal(t, h.state("job"), planner.Queued)
+}
+
 // Guards against two runs of a task at the same time: the task of a worker out of
 // contact may only be placed again after the worker's lease has certainly expired
 // and its runs are stopped.
