Planner: a task may take a late VM though one that waits less may not

Callers could see a task wait for 2.95 s and longer (LOST, at the edge): since a step that shuns late VMs may take one only 0.5 s after its wait is over. A job that is served first and has waited for less found no VM, and so nobody of the same shape was tried in that tick, for which the shape did not tell the two apart.

--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -136,8 +136,7 @@
 		return false
 	case slices.Contains(doubts, judgedFilled):
 		return false
-	case slices.Contains(doubts, judgedLate) && r.ready.wait.waited(r.now) <= r.ready.wait.limit+minSpacing:
-		// Until then other VMs in doubt that have just failed may be tried.
+	case slices.Contains(doubts, judgedLate) && !r.ready.mayTakeLate(r.now):
 		return false
 	case r.now.Sub(v.failedAt) < spacing, r.now.Sub(v.refusedAt) < minSpacing:
 		return false
@@ -166,6 +165,12 @@
 // late reports whether an order has expired on the VM within latePause.
 func (v *vm) late(now time.Time) bool { return now.Before(v.lateUntil) }
 
+// mayTakeLate reports whether the tasks of a step that shuns late VMs may take one all the same. Until then other VMs
+// in doubt that have just failed may be tried.
+func (r readyStep) mayTakeLate(now time.Time) bool {
+	return r.wait.waited(now) > r.wait.limit+minSpacing
+}
+
 // shunsLate reports whether the tasks of the step had better not be ordered from a late VM: they would
 // be overdue if the order expires, and another VM could take them if it had the room.
 func (p *Planner) shunsLate(ready readyStep, now time.Time) bool {
--- a/planner/patience_test.go
+++ b/planner/patience_test.go
@@ -199,3 +199,34 @@
 	assert.Equal(t, len(placed), 8)
 	assert.Equal(t, placed["job7"], 1)
 }
+
+// Guards against a task that has waited for long enough to take a late VM, and waits (LOST) for a job that is served
+// before it and has waited for less.
+func TestLateVMIsNotKeptByAJobThatWaitsLess(t *testing.T) {
+	h := newHarness(t, newVM("a", 1000))
+	h.submit("full", plantainrail.Step{Count: 1, CPU: 1000})
+	h.begin(h.tick().Assignments[0])
+	h.report(newVM("late", 9000))
+	h.submit("first", plantainrail.Step{Count: 1, CPU: 1000}, plantainrail.Step{Count: 1, CPU: 1000, DependsOn: []int{0}})
+	step0 := h.tick().Assignments[0]
+	h.begin(step0)
+	h.submit("second", plantainrail.Step{Count: 1, CPU: 1000})
+	begin := h.now
+	second := h.tick().Assignments[0]
+	h.now = h.now.Add(400 * time.Millisecond)
+	h.reportEnd(step0, 1, plantainrail.RunDone)
+	first := h.tick().Assignments[0]
+	h.now = begin.Add(1500 * time.Millisecond)
+	h.planner.ApplyRefusal(second.Incarnation, second.Order.Ref, plantainrail.RefusedExpired, h.now)
+	h.planner.ApplyRefusal(first.Incarnation, first.Order.Ref, plantainrail.RefusedExpired, h.now)
+	for h.now.Sub(begin) < 4*time.Second {
+		for _, a := range h.tick().Assignments {
+			if a.Order.Ref.Task.Job == "second" {
+				assert.Check(t, h.now.Sub(begin) <= 2600*time.Millisecond)
+				return
+			}
+		}
+		h.now = h.now.Add(50 * time.Millisecond)
+	}
+	t.Fatal("not placed")
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -54,6 +54,8 @@
 	// interference, and therefore does not take every VM.
 	mayWait                                  bool
 	noTrial, overdue, shunsLate, beyondShare bool
+	// takesLate means that the step shuns late VMs and may take one all the same.
+	takesLate bool
 }
 
 // place assigns tasks that are ready to VMs with enough free resources, in the order in which the
@@ -186,6 +188,7 @@
 	s := shape{
 		pool: p.vmPool(ready.job), label: step.VMLabel, resources: step.Reservation(), filler: step.Filler, suspects: ready.hasSuspects(),
 		noTrial: ready.noTrial, overdue: ready.wait.overdue, shunsLate: ready.shunsLate, beyondShare: ready.beyondShare,
+		takesLate: ready.shunsLate && ready.mayTakeLate(now),
 	}
 	if step.Filler {
 		s.image, s.fillerCPU, s.mayWait = step.Image, step.CPU, !ready.beyondShare && !ready.wait.overdue && ready.job.fillersMayWait(now)
