Notice the silence of a young session as early as that of any other

Callers could see a task wait for an agent (LOST, at the edge): a session that goes silent before the watch has slept once was found after 3 s, since the first sleep is that of an end that does not announce that it keeps the session alive.

Evidence: the rows 'silent soon' of TestIdleSessionLives failed before (2.95 s), and hold now (1.9 s at most).

--- a/assembler/fleet_silence_test.go
+++ b/assembler/fleet_silence_test.go
@@ -86,13 +86,17 @@
 		name         string
 		earlierBuild bool
 		state        fault
+		// age is that of the session when the fault begins.
+		age time.Duration
 		// The session ends between these times; 0 means that it does not end.
 		from, to time.Duration
 	}{
-		{"idle", false, healthy, 0, 0},
-		{"silent", false, repliesStalled, 600 * time.Millisecond, 1900 * time.Millisecond},
-		{"silent towards the owner", false, requestsStalled, 600 * time.Millisecond, 1900 * time.Millisecond},
-		{"idle, earlier build", true, healthy, 3 * time.Second, 3600 * time.Millisecond},
+		{"idle", false, healthy, 0, 0, 0},
+		{"silent", false, repliesStalled, 5 * time.Second, 600 * time.Millisecond, 1900 * time.Millisecond},
+		{"silent towards the owner", false, requestsStalled, 5 * time.Second, 600 * time.Millisecond, 1900 * time.Millisecond},
+		{"silent soon", false, repliesStalled, 100 * time.Millisecond, 600 * time.Millisecond, 1900 * time.Millisecond},
+		{"silent soon towards the owner", false, requestsStalled, 100 * time.Millisecond, 600 * time.Millisecond, 1900 * time.Millisecond},
+		{"idle, earlier build", true, healthy, 0, 3 * time.Second, 3600 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runInFleet(t, fleetShape{entries: 1, zones: 1}, func(f *fleet) {
@@ -108,7 +112,7 @@
 				f.group.Go(func() error { _ = session.Run(f.ctx, make(orderRecorder)); return nil })
 				begin := time.Now()
 				if c.state != healthy {
-					time.Sleep(5 * time.Second)
+					time.Sleep(c.age)
 					begin = time.Now()
 					f.net.setFault(linkName("vm", f.entries[0].name), c.state)
 				}
--- a/linker/session.go
+++ b/linker/session.go
@@ -348,7 +348,12 @@
 
 // watchSilence ends the session when nothing has arrived for the timeout.
 func (s *Session) watchSilence(ctx context.Context) {
-	for clocker.Sleep(ctx, max(s.timeout()-s.SinceLastMessage(), readGrace)) == nil {
+	for {
+		// The peer may tell meanwhile that it keeps the session alive.
+		left := min(s.timeout()-s.SinceLastMessage(), aliveTimeout)
+		if clocker.Sleep(ctx, max(left, readGrace)) != nil {
+			return
+		}
 		if s.SinceLastMessage() < s.timeout() || clocker.Sleep(ctx, readGrace) != nil || s.SinceLastMessage() < s.timeout() {
 			continue
 		}
