--- a/assembler/fleet_lost_test.go
+++ b/assembler/fleet_lost_test.go
@@ -104,7 +104,7 @@
 // since the agent that knew the end of its lease has ended as well, and the new owner waits for renewals by
 // owners that have ended. In these series the worker is lost and all processes end at last.
 func TestLostWorkerIsGivenUpThoughAllProcessesEnd(t *testing.T) {
-	for _, seed := range []uint64{1182, 3101, 8085, 8289, 8301, 8511} {
+	for _, seed := range []uint64{1182, 3101, 5189, 8085, 8289, 8301, 8511} {
 		runSeededFaults(t, seed)
 	}
 }
