Planner: the last call of a slow start is for jobs that do not fail

Tried and left out: a job whose run is lost with its worker waits since the last sign of that worker instead of since the expiry of the lease.

--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -146,8 +146,11 @@
 }
 
 // lastCall reports whether the tasks are about to starve and only VMs in doubt are left. Then a slow start
-// does not keep the job from having one run on trial, or a long-running task from running.
+// does not keep a job that does not fail from having one run on trial, or a long-running task from running.
 func (r *rating) lastCall() bool {
+	if r.ready.job.failing && !r.ready.definition().Lasting {
+		return false
+	}
 	return r.allDoubted && r.ready.wait.waited(r.now) > r.ready.wait.limit+minSpacing
 }
 
