--- a/planner/patience.go
+++ b/planner/patience.go
@@ -104,7 +104,7 @@
 	return j.idleSince
 }
 
-// trackPlaced does the same after a run of the job has ended, if other runs are placed. They may not
+// trackPlaced is trackIdle for a job of which a run has just ended and other runs are placed. They may not
 // begin, and the tasks whose turn has come wait from now on.
 func (j *Job) trackPlaced(now time.Time) {
 	if !j.idle() {
