--- a/review/stage/fleet.go
+++ b/review/stage/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -30,8 +31,10 @@
 	role, name, ip, zone string
 	command              *exec.Cmd
 	ended                chan struct{}
-	// link is the process's path to the store.
-	link *link
+	// link is the process's path to the store at storeAddress, and paths are an agent's paths to the entries.
+	link         *link
+	paths        []*link
+	storeAddress string
 	// minion is the minion of an agent.
 	minion *minion
 }
@@ -120,6 +123,9 @@
 	number := 30 + len(f.agents)
 	p := &process{role: "agent", name: fmt.Sprintf("side-%s-%d", o.zone, number), ip: fmt.Sprintf("%s%d", f.block, number), zone: o.zone}
 	o.id, o.address, o.agent = fmt.Sprintf("i-%d", number), f.address(number, workerPort), f.address(number, registryPort)
+	if err := f.ownPaths(p); err != nil {
+		return err
+	}
 	if err := f.start(p, number); err != nil {
 		return err
 	}
@@ -142,7 +148,7 @@
 func (f *fleet) start(p *process, number int) error {
 	var err error
 	if p.link == nil {
-		if p.link, err = newLink(f.address(number, linkPort), f.address(1, storePort)); err != nil {
+		if p.link, err = newLink(f.address(number, linkPort), cmp.Or(p.storeAddress, f.address(1, storePort))); err != nil {
 			return err
 		}
 	}
--- a/review/stage/link.go
+++ b/review/stage/link.go
@@ -11,6 +11,8 @@
 // its sender has closed the connection.
 type link struct {
 	target string
+	// rewrite, if set, changes what comes from the target. It keeps the length.
+	rewrite func([]byte) []byte
 
 	mu    sync.Mutex
 	cut   bool
@@ -89,7 +91,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			l.copy(pair[1], pair[0])
+			l.copy(pair[1], pair[0], pair[0] == to)
 		}()
 	}
 	group.Wait()
@@ -100,13 +102,17 @@
 }
 
 // copy forwards one direction, and closes both ends with it.
-func (l *link) copy(to io.WriteCloser, from io.ReadCloser) {
+func (l *link) copy(to io.WriteCloser, from io.ReadCloser, fromTarget bool) {
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
 		l.pass()
 		if n > 0 {
-			if _, failed := to.Write(buffer[:n]); failed != nil {
+			data := buffer[:n]
+			if fromTarget && l.rewrite != nil {
+				data = l.rewrite(data)
+			}
+			if _, failed := to.Write(data); failed != nil {
 				err = failed
 			}
 		}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -16,6 +16,8 @@
 var scenarios = map[string]scenario{
 	"filler": filler,
 	"leave":  leave,
+	"crash":  crashLoop,
+	"late":   late,
 	"stale":  stale,
 	"large":  large,
 }
--- a/review/stage/minion.go
+++ b/review/stage/minion.go
@@ -75,12 +75,16 @@
 	beatNow chan struct{}
 	// conns holds the open connections from the agent.
 	conns map[net.Conn]bool
+	// lateHold, if not 0, is the time after which the next call to /hold with a deadline is carried out, without an
+	// answer. heldUp is closed once such a call has arrived.
+	lateHold time.Duration
+	heldUp   chan struct{}
 }
 
 func newMinion(f *fleet, o minionOptions) *minion {
 	return &minion{
 		minionOptions: o, fleet: f, client: &http.Client{Timeout: time.Second}, changed: make(chan struct{}),
-		beatNow: make(chan struct{}), conns: map[net.Conn]bool{},
+		beatNow: make(chan struct{}), conns: map[net.Conn]bool{}, heldUp: make(chan struct{}),
 		runs: map[string]*run{}, old: map[string]int64{},
 	}
 }
@@ -215,6 +219,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.lateHold > 0 && req.URL.Path == "/hold" && o.Deadline > 0 {
+		m.holdUp(req.Context(), o)
+		panic(http.ErrAbortHandler)
+	}
 	if o.Epoch < m.epoch {
 		m.refuse(w, "fence")
 		return
@@ -350,6 +358,29 @@
 	})
 }
 
+// holdUp leaves a call to /hold without an answer, and carries it out later. The caller holds the lock, which is released
+// during the wait.
+func (m *minion) holdUp(ctx context.Context, o order) {
+	m.fleet.record.add("minion %s holds up a call to /hold: deadlineMs %d, its clock %d, carried out after %s", m.id, o.Deadline, time.Since(m.born).Milliseconds(), m.lateHold)
+	time.AfterFunc(m.lateHold, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.server == nil || o.Epoch < m.epoch {
+			m.fleet.record.add("minion %s drops the late call", m.id)
+			return
+		}
+		m.epoch = o.Epoch
+		before := m.leaseEnd
+		m.extendLease(o.Deadline)
+		m.fleet.record.add("minion %s carries out the late call, its clock %d: the lease ends %.3f s later than before", m.id, time.Since(m.born).Milliseconds(), m.leaseEnd.Sub(before).Seconds())
+	})
+	m.lateHold = 0
+	close(m.heldUp)
+	m.mu.Unlock()
+	<-ctx.Done()
+	m.mu.Lock()
+}
+
 // hold answers with the lists, once there is an end or the wait is over.
 func (m *minion) hold(ctx context.Context, w http.ResponseWriter, o order) {
 	m.ends = slices.DeleteFunc(m.ends, func(end []any) bool { return end[0].(int64) <= o.LastSeen })
