--- a/review/stage/leave.go
+++ b/review/stage/leave.go
@@ -51,12 +51,24 @@
 	for task, runs := range byTask {
 		for _, a := range runs {
 			for _, b := range runs {
-				if b.at.After(a.at) && (a.end.IsZero() || a.end.Sub(b.at) > 0) {
+				overlap := earlier(a.end, b.end).Sub(b.at)
+				if b.at.After(a.at) && overlap > 0 {
 					broken = true
-					f.record.add("TWICE: run %d of %s begins on %s while run %d works on %s, for %.3f s", b.number, task, b.minion, a.number, a.minion, a.end.Sub(b.at).Seconds())
+					f.record.add("TWICE: run %d of %s begins on %s while run %d works on %s, for %.3f s", b.number, task, b.minion, a.number, a.minion, overlap.Seconds())
 				}
 			}
 		}
 	}
 	return broken
 }
+
+// earlier returns the earlier one of two ends of runs, or the present if neither has ended.
+func earlier(a, b time.Time) time.Time {
+	now := time.Now()
+	for _, end := range []time.Time{a, b} {
+		if !end.IsZero() && end.Before(now) {
+			now = end
+		}
+	}
+	return now
+}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -14,12 +14,13 @@
 type scenario func(f *fleet, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"filler": filler,
-	"leave":  leave,
-	"crash":  crashLoop,
-	"late":   late,
-	"stale":  stale,
-	"large":  large,
+	"filler":  filler,
+	"leave":   leave,
+	"crash":   crashLoop,
+	"late":    late,
+	"restart": restart,
+	"stale":   stale,
+	"large":   large,
 }
 
 // The exit codes of a script.
--- a/review/stage/minion.go
+++ b/review/stage/minion.go
@@ -79,6 +79,8 @@
 	// answer. heldUp is closed once such a call has arrived.
 	lateHold time.Duration
 	heldUp   chan struct{}
+	// lateStart is the same for the next call to /run-start.
+	lateStart time.Duration
 }
 
 func newMinion(f *fleet, o minionOptions) *minion {
@@ -223,6 +225,10 @@
 		m.holdUp(req.Context(), o)
 		panic(http.ErrAbortHandler)
 	}
+	if m.lateStart > 0 && req.URL.Path == "/run-start" {
+		m.holdUpStart(req.Context(), o)
+		panic(http.ErrAbortHandler)
+	}
 	if o.Epoch < m.epoch {
 		m.refuse(w, "fence")
 		return
@@ -381,6 +387,28 @@
 	m.mu.Lock()
 }
 
+// holdUpStart does the same with a call to /run-start.
+func (m *minion) holdUpStart(ctx context.Context, o order) {
+	m.fleet.record.add("minion %s holds up the start of %s run %d, carried out after %s", m.id, o.Task, o.Run, m.lateStart)
+	time.AfterFunc(m.lateStart, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.server == nil || o.Epoch < m.epoch {
+			m.fleet.record.add("minion %s drops the late start", m.id)
+			return
+		}
+		m.epoch = o.Epoch
+		m.extendLease(o.Deadline)
+		reason := m.start(o)
+		m.fleet.record.add("minion %s carries out the late start of %s run %d, reason %q", m.id, o.Task, o.Run, reason)
+	})
+	m.lateStart = 0
+	close(m.heldUp)
+	m.mu.Unlock()
+	<-ctx.Done()
+	m.mu.Lock()
+}
+
 // hold answers with the lists, once there is an end or the wait is over.
 func (m *minion) hold(ctx context.Context, w http.ResponseWriter, o order) {
 	m.ends = slices.DeleteFunc(m.ends, func(end []any) bool { return end[0].(int64) <= o.LastSeen })
