Owner: the offsets of stored records go to copies

Only keys and values are sent, so no caller saw a wrong record.

Records that were handed to an append now belong to it: withOffsets returns copies, and the interface Store says so. The new test lets a further try read the records after the append was answered.

--- a/decider/owner.go
+++ b/decider/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -371,17 +372,19 @@
 	if err != nil {
 		return err
 	}
-	o.decider.applyWritten(plantainrail.KeyedBatch{Records: setOffsets(records, offset), Next: offset + plantainrail.Offset(len(records))})
+	o.decider.applyWritten(plantainrail.KeyedBatch{Records: withOffsets(records, offset), Next: offset + plantainrail.Offset(len(records))})
 	return nil
 }
 
-// setOffsets sets, in place, the offsets of records that were stored one after the
-// other beginning at the first offset. It returns the same slice.
-func setOffsets(records []plantainrail.KeyedRecord, first plantainrail.Offset) []plantainrail.KeyedRecord {
-	for i := range records {
-		records[i].Offset = first + plantainrail.Offset(i)
-	}
-	return records
+// withOffsets returns copies of records that were stored one after the other beginning at the
+// first offset, with their offsets. The records themselves stay as they are: a further try of
+// their append may still read them.
+func withOffsets(records []plantainrail.KeyedRecord, first plantainrail.Offset) []plantainrail.KeyedRecord {
+	stored := slices.Clone(records)
+	for i := range stored {
+		stored[i].Offset = first + plantainrail.Offset(i)
+	}
+	return stored
 }
 
 // encodeProgress returns the records of the jobs that the plan has changed. Their offsets
--- a/decider/owner_test.go
+++ b/decider/owner_test.go
@@ -1,11 +1,16 @@
 package decider
 
 import (
+	"context"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
 )
 
 // isClosed reports whether the channel is closed.
@@ -71,3 +76,29 @@
 		})
 	}
 }
+
+// doubleReader is a store whose appends are answered while a further try still reads the records,
+// as a hedged append does.
+type doubleReader struct {
+	plantainrail.Store
+	tries sync.WaitGroup
+}
+
+func (s *doubleReader) Append(_ context.Context, call plantainrail.AppendCall) (plantainrail.Offset, error) {
+	s.tries.Go(func() { _ = slices.Clone(call.Records) })
+	return 40, nil
+}
+
+// Guards against a data race: the owner wrote the offsets of stored records into the records that
+// a further try of the append was still copying. The race detector sees it, and so does the check.
+func TestStoredRecordsAreNotWrittenAgain(t *testing.T) {
+	store := &doubleReader{}
+	d := New(Options{Logger: zap.NewNop(), Now: time.Now, Store: store})
+	records := []plantainrail.KeyedRecord{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2")}}
+	assert.NilError(t, newOwner(d, 1).appendAndApply(t.Context(), records))
+	store.tries.Wait()
+	assert.Equal(t, int64(d.progress.next), int64(42))
+	for i, r := range records {
+		assert.Equal(t, int64(r.Offset), int64(0), "record %d was written after its append", i)
+	}
+}
--- a/store.go
+++ b/store.go
@@ -103,7 +103,9 @@
 // ErrUnacceptable, ErrFenced, *OffsetMismatchError and *SequenceError, a write may or may
 // not have been done.
 type Store interface {
-	// Append writes the records and returns the offset of the first.
+	// Append writes the records and returns the offset of the first. The records belong to the
+	// call for good: a further try may read them after Append has returned, so they are not
+	// written again.
 	Append(ctx context.Context, call AppendCall) (Offset, error)
 	// Read returns records that start at the offset. It waits at most the given time
 	// for the first.
