Ticker that the race detector bears in bubbles of virtual time

Cause: all timers of a synctest bubble share one context of the detector. A goroutine that selects on the channel of a time.Timer or time.Ticker which is due already runs that timer itself, and so uses the context at the same time as another thread of the bubble. In virtual time many timers are due at the same instant.

Select loops that the fleet tests run use clocker.Ticker now, or a context for a single timeout, and clocker.Sleep returns at once for a time that has passed.

--- a/assembler/fleet_takeover_test.go
+++ b/assembler/fleet_takeover_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/decider"
 	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/platform"
@@ -142,12 +143,7 @@
 	if !silent {
 		return batch, err
 	}
-	timer := time.NewTimer(time.Until(sentAt.Add(wait + silentReadMargin)))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	_ = clocker.Sleep(ctx, time.Until(sentAt.Add(wait+silentReadMargin)))
 	return plantainrail.KeyedBatch{}, errors.Wrap(context.DeadlineExceeded, "silent connection")
 }
 
--- a/clocker/sleep.go
+++ b/clocker/sleep.go
@@ -8,6 +8,9 @@
 // Sleep waits for the duration. If the context ends first, it returns the context's
 // error.
 func Sleep(ctx context.Context, pause time.Duration) error {
+	if pause <= 0 {
+		return ctx.Err()
+	}
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/planner"
 )
 
@@ -104,7 +105,7 @@
 func (d *Decider) persist(ctx context.Context, id string, record plantainrail.KeyedRecord) plantainrail.Reply {
 	written := make(chan error, 1)
 	go func() { written <- d.write(ctx, record) }()
-	check := time.NewTicker(acceptanceCheckInterval)
+	check := clocker.NewTicker(acceptanceCheckInterval)
 	defer check.Stop()
 	for {
 		d.mu.Lock()
--- a/decider/query.go
+++ b/decider/query.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/planner"
 )
 
@@ -204,7 +205,7 @@
 			outcomes <- outcome{answer, err}
 		}()
 	}
-	ticker := time.NewTicker(queryHedgeDelay)
+	ticker := clocker.NewTicker(queryHedgeDelay)
 	defer ticker.Stop()
 	var stale *jobAnswer
 	var lastErr error
--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 )
 
 const (
@@ -86,7 +87,7 @@
 		}()
 	}
 	startTry()
-	ticker := time.NewTicker(delay)
+	ticker := clocker.NewTicker(delay)
 	defer ticker.Stop()
 	var zero T
 	var tries plantainrail.WriteTries
--- a/linker/session.go
+++ b/linker/session.go
@@ -219,7 +219,7 @@
 // cannot be encoded or written ends the session.
 func (s *Session) writeLoop(ctx context.Context) {
 	var buffer bytes.Buffer
-	alive := time.NewTimer(aliveInterval)
+	alive := clocker.NewTicker(aliveInterval)
 	defer alive.Stop()
 	for {
 		frames := s.nextBatch()
@@ -235,7 +235,7 @@
 			}
 			continue
 		}
-		alive.Reset(aliveInterval)
+		alive.Reset()
 		buffer.Reset()
 		if err := Encode(&buffer, frames); err != nil {
 			s.end("fail")
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -373,8 +373,8 @@
 func (s *Store) read(ctx context.Context, w http.ResponseWriter, req *http.Request) {
 	query := req.URL.Query()
 	from := parseNumber(query.Get("from"))
-	timeout := time.NewTimer(time.Duration(parseNumber(query.Get("waitMs"))) * time.Millisecond)
-	defer timeout.Stop()
+	waited, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(parseNumber(query.Get("waitMs")))*time.Millisecond)
+	defer cancel()
 	for {
 		s.mu.Lock()
 		t := s.topic(query.Get("topic"))
@@ -391,7 +391,7 @@
 		}
 		select {
 		case <-appended:
-		case <-timeout.C:
+		case <-waited.Done():
 			writeRecords(w, nil, int64(len(records)), firstOffset)
 			return
 		case <-ctx.Done():
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -625,15 +625,14 @@
 	for _, e := range r.forgetEnds(c.AckedThrough) {
 		e.Acknowledged = !e.leaseExpired
 	}
-	incarnation, timeout := r.incarnation, time.NewTimer(time.Duration(c.Wait)*time.Millisecond)
-	defer timeout.Stop()
+	incarnation := r.incarnation
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.Wait)*time.Millisecond)
+	defer cancel()
 	for waiting := true; waiting && len(r.unackedEnds) == 0 && r.incarnation == incarnation; {
 		changed := r.changed
 		r.mu.Unlock()
 		select {
 		case <-changed:
-		case <-timeout.C:
-			waiting = false
 		case <-ctx.Done():
 			waiting = false
 		}
