Planner: fillers avoid services by predicted headroom, and the next owner knows the pairs

The worker reports a moving average of the tail, which stays high for a second after an overload and was taken for load; a filter without covariances gave each filler of a VM the load of all; a core counted the same on VMs of 32 and 48 cores, though the measured coefficients differ by that ratio; and each new owner began without any.

Changed: estimator has a Kalman filter with covariances for each image of services, with the rate of change of own loads; planner derives the tail between two reports, places a filler by the share of the headrooms that it takes, and lets it wait by the spare time of its job instead of a fixed share; the owner stores what it has learned in the topic "learned" for the next one.

Ruled out: other limits of the waits and tolerances with the old estimates (no gain).

--- a/decider/owner.go
+++ b/decider/owner.go
@@ -164,6 +164,7 @@
 		return
 	}
 	go o.deleteJobs(ctx)
+	go o.shareKnowledge(ctx)
 	for ctx.Err() == nil {
 		if err := o.round(ctx); err != nil {
 			o.stop(err.Error())
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -7,15 +7,13 @@
 // latency, as 1 minus the ratio of its lowest tail latency to its present one. On
 // this scale loads add up: the service's own load, which varies, and for each
 // filler the cores that it uses times the interference per core, which depends on
-// the pair of images. Own load is estimated for each group of services, and
-// interference for all VMs together. Both are estimated by a Kalman filter that
-// leaves out covariances (Kalman, A New Approach to Linear Filtering and
-// Prediction Problems, 1960): when a measured load differs from the expected one,
-// each estimate is corrected so that its term's share of the difference equals
-// the term's share of the total variance.
+// the pair of images. Own load and its rate of change are estimated for each group of
+// services, and interference for all VMs together, by a Kalman filter for each image of
+// services.
 package estimator
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -23,36 +21,41 @@
 )
 
 const (
-	// ownLoadDrift is the variance that the estimate of a group's own load gains
-	// in a second, since loads vary. measurementNoise is the variance of a
-	// measured load, since the worker's measurements are imprecise.
+	// ownLoadDrift is the variance that the rate of change of an own load gains in a second, since loads
+	// vary. measurementNoise is the least variance of a measured load.
 	ownLoadDrift     = 0.06 * 0.06
-	measurementNoise = 0.05 * 0.05
+	measurementNoise = 0.03 * 0.03
+	// useNoise is the variance of a measured load for each square of a core that fillers use, since the
+	// measured use lags behind.
+	useNoise = 0.004 * 0.004
+	// maxResidual bounds by how many standard deviations a measured load counts as different from the
+	// expected one: a few measurements are off by a third.
+	maxResidual = 2.5
 	// initialOwnLoad and initialOwnLoadDeviation are the mean and the standard
 	// deviation of an own load that has not been measured yet, which is assumed
-	// to be about a third of the VM's capacity.
+	// to be about a third of the VM's capacity. initialRateDeviation is the standard deviation of its
+	// rate of change, per second.
 	initialOwnLoad          = 0.3
 	initialOwnLoadDeviation = 0.3
+	initialRateDeviation    = 0.1
 	// initialInterference and initialInterferenceDeviation are the mean and the
 	// standard deviation of the interference per core of an unknown pair of
 	// images: half of the pairs that were measured showed next to none, and the
-	// others 0.02 to 0.045. interferenceDrift is the variance that the estimate
-	// of a known pair gains with each observation.
-	initialInterference          = 0.01
-	initialInterferenceDeviation = 0.012
-	interferenceDrift            = 0.0008 * 0.0008
+	// others 0.04 to 0.08 for a core of a VM with 32. interferenceDrift is the variance that the
+	// estimate gains in a second.
+	initialInterference          = 0.03
+	initialInterferenceDeviation = 0.03
+	interferenceDrift            = 0.001 * 0.001
+	// caution is the number of standard deviations that a cautious estimate adds.
+	caution = 0.5
+	// maxPeakGrowth is by how much an own load is expected to exceed the highest one so far.
+	maxPeakGrowth = 0.1
 	// maxLoad bounds measured loads. Closer to 1 a tail latency reflects a queue
 	// that has built up and not the load.
-	maxLoad = 0.9
-	// lowestTailGrowth is the share by which the lowest tail latency of an image
-	// is raised with each observation, so that an early low one loses its
-	// effect within minutes.
-	lowestTailGrowth = 0.0005
-	// maxPairs, maxImages and maxGroups bound the number of entries in the
-	// Estimator's maps. They are far above the numbers of pairs, images and groups
+	maxLoad = 0.95
+	// maxImages and maxGroups bound the images and groups of services. They are far above their numbers
 	// at the planned size of 660 VMs and about 12,000 running tasks. A map that
 	// would exceed its bound is cleared and learned again.
-	maxPairs  = 16384
 	maxImages = 1024
 	maxGroups = 4096
 )
@@ -60,8 +63,12 @@
 // Service is a service task on a VM, with its tail latency and latency objective
 // in milliseconds. Services of one group are assumed to have the same own load.
 type Service struct {
-	Group, Image               string
-	TailLatency, TailObjective int
+	Group, Image string
+	// TailLatency is the tail latency since the measurement before. Noise is its relative error.
+	TailLatency, Noise float64
+	// ReportedTail is the moving average of it that the worker reports; 0 means that it is the same.
+	ReportedTail  float64
+	TailObjective int
 }
 
 // Use is the number of cores that the fillers of an image use on a VM.
@@ -81,147 +88,163 @@
 	return uses
 }
 
-// imagePair is a service's image and a filler's image.
-type imagePair struct{ service, filler string }
-
-// estimate is an estimated mean and its variance.
-type estimate struct{ mean, variance float64 }
-
-// ownLoad is the estimated own load of a group of services.
-type ownLoad struct {
-	estimate
-	updatedAt time.Time
-}
-
 // Estimator holds the learned estimates.
 type Estimator struct {
-	// ownLoads is the load of services without fillers, by group.
-	ownLoads map[string]ownLoad
+	// filters hold the estimates by the image of the services.
+	filters map[string]*filter
+	// images hold the image of each group's services.
+	images map[string]string
 	// lowestTails are the lowest tail latencies by image, in milliseconds.
 	lowestTails map[string]float64
-	// interference is the load that one core of a filler adds, by pair of
-	// images.
-	interference map[imagePair]estimate
 }
 
 // New returns an Estimator that has learned nothing yet.
 func New() *Estimator {
-	return &Estimator{ownLoads: map[string]ownLoad{}, lowestTails: map[string]float64{}, interference: map[imagePair]estimate{}}
+	return &Estimator{filters: map[string]*filter{}, images: map[string]string{}, lowestTails: map[string]float64{}}
 }
 
 // Observe records what a worker measured on one VM: its services, and the cores
 // that fillers used there, with one Use for each image. Services without a tail
-// latency are skipped.
+// latency are skipped. The services of one group count as one measurement, their median.
 func (e *Estimator) Observe(now time.Time, services []Service, uses []Use) {
+	type member struct{ group, image string }
+	loads, noises := map[member][]float64{}, map[member]float64{}
+	var members []member
 	for _, s := range services {
-		if s.TailLatency > 0 {
-			e.observeService(now, s, uses)
+		if s.TailLatency <= 0 {
+			continue
 		}
+		m := member{s.Group, s.Image}
+		if loads[m] == nil {
+			members = append(members, m)
+		}
+		load := e.measureLoad(s)
+		loads[m] = append(loads[m], load)
+		noises[m] += (1 - load) * s.Noise
+	}
+	for _, m := range members {
+		sorted := loads[m]
+		slices.Sort(sorted)
+		e.observeGroup(now, m.group, m.image, (sorted[(len(sorted)-1)/2]+sorted[len(sorted)/2])/2, noises[m]/float64(len(sorted)), uses)
 	}
 }
 
-// observeService compares a service's measured load with the one expected from
-// the estimates, and corrects them by the difference.
-func (e *Estimator) observeService(now time.Time, s Service, uses []Use) {
-	load := e.measureLoad(s)
-	own, known := e.ownLoads[s.Group]
-	if !known {
-		own = ownLoad{estimate: estimate{mean: initialOwnLoad, variance: initialOwnLoadDeviation * initialOwnLoadDeviation}, updatedAt: now}
+// filter returns the filter of a service's image.
+func (e *Estimator) filter(image string, now time.Time) *filter {
+	f := e.filters[image]
+	if f == nil {
+		if len(e.filters) >= maxImages {
+			clear(e.filters)
+		}
+		f = newFilter(now)
+		e.filters[image] = f
 	}
-	own.variance += ownLoadDrift * max(now.Sub(own.updatedAt).Seconds(), 0)
-	own.updatedAt = now
-	expected, variance := own.mean, own.variance+measurementNoise
+	return f
+}
+
+// observeGroup corrects the estimates by the measured load of a group's services on one VM, which has the
+// given standard deviation.
+func (e *Estimator) observeGroup(now time.Time, group, image string, load, noise float64, uses []Use) {
+	f := e.filter(image, now)
+	if len(e.images) >= maxGroups {
+		clear(e.images)
+	}
+	e.images[group] = image
+	f.predict(now)
+	// New elements may move others, so all exist before their indexes are used.
+	f.group(group, now)
 	for _, u := range uses {
-		perCore := e.perCore(s.Image, u.Image)
-		expected += u.Cores * perCore.mean
-		variance += u.Cores * u.Cores * perCore.variance
+		f.pair(u.Image, now)
 	}
-	// The measured load is bounded by maxLoad, so the expected one is, too.
-	residual := load - math.Min(expected, maxLoad)
+	cores, terms := 0.0, []term{{f.groups[group], 1}}
 	for _, u := range uses {
-		if u.Cores > 0 {
-			perCore := e.perCore(s.Image, u.Image)
-			e.setInterference(imagePair{s.Image, u.Image}, perCore.updated(residual, u.Cores, variance, interferenceDrift))
+		if index, known := f.pairs[u.Image]; known && u.Cores > 0 {
+			cores += u.Cores
+			terms = append(terms, term{index, u.Cores})
 		}
 	}
-	// The drift of the own load, which depends on time, was added above.
-	own.estimate = own.updated(residual, 1, variance, 0)
-	own.mean = clamp(own.mean)
-	e.setOwnLoad(s.Group, own)
-}
-
-// setOwnLoad stores the estimate of a group.
-func (e *Estimator) setOwnLoad(group string, own ownLoad) {
-	if _, known := e.ownLoads[group]; !known && len(e.ownLoads) >= maxGroups {
-		clear(e.ownLoads)
-	}
-	e.ownLoads[group] = own
-}
-
-// updated returns the estimate after one update of the filter. The residual is
-// the error of a sum in which the estimate has the given weight; variance is the
-// variance of that sum, and drift is added to the variance of the result.
-func (f estimate) updated(residual, weight, variance, drift float64) estimate {
-	gain := weight * f.variance / variance
-	return estimate{mean: f.mean + gain*residual, variance: f.variance*(1-gain*weight) + drift}
+	f.observe(load, measurementNoise+noise*noise+useNoise*cores*cores, terms)
+	f.peaks[group] = math.Max(f.peaks[group], f.mean[f.groups[group]])
 }
 
 // measureLoad updates the lowest tail latency of a service's image and returns
 // the service's load, from 0 to maxLoad.
 func (e *Estimator) measureLoad(s Service) float64 {
-	tail := float64(s.TailLatency)
+	tail, reported := s.TailLatency, cmp.Or(s.ReportedTail, s.TailLatency)
 	lowest, known := e.lowestTails[s.Image]
 	switch {
 	case !known && len(e.lowestTails) >= maxImages:
 		clear(e.lowestTails)
-		lowest = tail
-	case !known || tail < lowest:
-		lowest = tail
-	default:
-		lowest = math.Min(lowest*(1+lowestTailGrowth), tail)
+		lowest = reported
+	case !known, reported < lowest:
+		lowest = reported
 	}
 	e.lowestTails[s.Image] = lowest
-	return math.Min(1-lowest/tail, maxLoad)
+	return math.Min(math.Max(1-lowest/tail, 0), maxLoad)
 }
 
-// perCore returns the estimate of the load that one core of a filler adds to a
-// service, by their images. It returns the initial estimate for a pair of images
-// that was never observed.
-func (e *Estimator) perCore(serviceImage, fillerImage string) estimate {
-	if known, ok := e.interference[imagePair{serviceImage, fillerImage}]; ok {
-		return known
+// perCore returns the mean and the standard deviation of the load that one core of a filler adds to a
+// service, by their images: the initial ones for a pair that was never observed.
+func (e *Estimator) perCore(image, filler string) (mean, deviation float64) {
+	if f := e.filters[image]; f != nil {
+		if index, known := f.pairs[filler]; known {
+			return f.mean[index], math.Sqrt(math.Max(f.covariance[index][index], 0))
+		}
 	}
-	return estimate{mean: initialInterference, variance: initialInterferenceDeviation * initialInterferenceDeviation}
+	return initialInterference, initialInterferenceDeviation
 }
 
-// setInterference stores the estimate of a pair of images. The stored mean is
-// never negative, since fillers do not speed services up, and the stored variance
-// never exceeds the initial one.
-func (e *Estimator) setInterference(p imagePair, f estimate) {
-	if _, known := e.interference[p]; !known && len(e.interference) >= maxPairs {
-		clear(e.interference)
-	}
-	f.mean = math.Max(f.mean, 0)
-	f.variance = math.Min(f.variance, initialInterferenceDeviation*initialInterferenceDeviation)
-	e.interference[p] = f
+// LoadPerCore returns the load that one core of a filler is expected to add to a service. The
+// parameter image is the service's image, and filler is the filler's image.
+func (e *Estimator) LoadPerCore(image, filler string) float64 {
+	mean, _ := e.perCore(image, filler)
+	return mean
 }
 
-// LoadPerCore returns the load that one core of a filler adds to a service. The
-// parameter image is the service's image, and filler is the filler's image.
-func (e *Estimator) LoadPerCore(image, filler string) float64 { return e.perCore(image, filler).mean }
+// CautiousLoadPerCore returns a load that one core of a filler adds to a service at most in two of three
+// cases. It is high for a pair of images that is not known well, so that few such fillers share a VM
+// until they were measured.
+func (e *Estimator) CautiousLoadPerCore(image, filler string) float64 {
+	mean, deviation := e.perCore(image, filler)
+	return mean + caution*deviation
+}
 
-// FillerLoad returns the load that fillers add to a service with the given image.
+// FillerLoad returns the load that fillers add to a service with the given image, by the cautious estimate.
 func (e *Estimator) FillerLoad(serviceImage string, uses []Use) float64 {
 	sum := 0.0
 	for _, u := range uses {
-		sum += u.Cores * e.perCore(serviceImage, u.Image).mean
+		sum += u.Cores * e.CautiousLoadPerCore(serviceImage, u.Image)
 	}
 	return sum
 }
 
 // OwnLoad returns the load that a service of the group has without fillers. It
 // returns 0 for an unknown group.
-func (e *Estimator) OwnLoad(group string) float64 { return e.ownLoads[group].mean }
+func (e *Estimator) OwnLoad(group string) float64 { return e.PredictOwnLoad(group, time.Time{}) }
+
+// PredictOwnLoad returns the own load of the group that is expected at the given time. It returns 0 for
+// an unknown group.
+func (e *Estimator) PredictOwnLoad(group string, at time.Time) float64 {
+	f := e.filters[e.images[group]]
+	if f == nil {
+		return 0
+	}
+	index, known := f.groups[group]
+	if !known {
+		return 0
+	}
+	return clamp(f.mean[index] + f.mean[index+1]*max(at.Sub(f.updatedAt).Seconds(), 0))
+}
+
+// PeakOwnLoad returns the highest own load of the group that is expected until the given time. It is at
+// most a little higher than the highest one so far, since loads vary in a range.
+func (e *Estimator) PeakOwnLoad(group string, until time.Time) float64 {
+	now, later := e.OwnLoad(group), e.PredictOwnLoad(group, until)
+	if f := e.filters[e.images[group]]; f != nil {
+		later = math.Min(later, f.peaks[group]+maxPeakGrowth)
+	}
+	return math.Max(now, later)
+}
 
 // LoadAtTailObjective returns the load at which the tail latency of a service reaches
 // its latency objective. It returns 1 if no service of the image was observed or the
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -26,9 +26,9 @@
 
 // noisyTail returns the tail latency of a service under a load, with a random
 // error of up to 5 percent.
-func noisyTail(load float64, random *rand.Rand) int {
+func noisyTail(load float64, random *rand.Rand) float64 {
 	noise := 1 + 0.05*(2*random.Float64()-1)
-	return int(lowestTail / (1 - min(load, 0.98)) * noise)
+	return lowestTail / (1 - min(load, 0.98)) * noise
 }
 
 // ownLoad returns the own load of a service, which varies between 0.25 and 0.65
@@ -90,7 +90,8 @@
 	assert.Equal(t, e.LoadAtTailObjective(s), 1.0, "an unknown service must be assumed to tolerate any load")
 	first := e.LoadPerCore("s", "f")
 	assert.Assert(t, first > 0, "an unknown filler must be assumed to interfere a little")
-	assert.Equal(t, e.FillerLoad("s", []estimator.Use{{Image: "f", Cores: 3}}), 3*first)
+	assert.Assert(t, e.CautiousLoadPerCore("s", "f") > first, "an unknown filler must count as interfering more than is expected")
+	assert.Equal(t, e.FillerLoad("s", []estimator.Use{{Image: "f", Cores: 3}}), 3*e.CautiousLoadPerCore("s", "f"))
 }
 
 func TestMemoryIsBounded(t *testing.T) {
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -6,33 +6,23 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/estimator"
+	"github.com/plantainrail/plantainrail/pacer"
 )
 
 const (
-	// interferenceWeight is the weight of interference in the score of a VM. It
-	// ranks a VM where a filler does not interfere with services above one that
-	// only has more free processors.
-	interferenceWeight = 6
-	// minHeadroom is the headroom of a service below which a filler waits for another
-	// VM: the service's own load varies by about that much while a filler runs.
-	// rankingHeadroom is the headroom below which interference lowers the score of a VM.
-	minHeadroom     = 0.1
-	rankingHeadroom = 0.3
-	// existingInterferenceShare is the share of the interference by the running
-	// fillers that is not attributed to a further filler, since it would persist
-	// anyway.
-	existingInterferenceShare = 0.5
-	// maxInterference is the interference above which a filler waits for
-	// another VM, as a share of the VM's processors.
-	maxInterference = 0.1
-	// fillerWaitShare is the share of a job's spare time that its fillers may
-	// spend waiting for a VM with less interference. It is well below 1 since
-	// task estimates are off by a factor of two.
-	fillerWaitShare = 0.4
-	// maxFillerWait bounds the same waiting time of jobs with much spare time. It
-	// is below the three seconds after which a job with nothing running counts as
-	// starved.
-	maxFillerWait = 2500 * time.Millisecond
+	// headroomWeight and harmWeight are the weights of the two parts of pressure in the score of a VM.
+	// Headroom ranks a VM that tolerates a filler above one that only has more free processors; harm
+	// ranks all VMs on which services go over their latency objectives below the others.
+	headroomWeight = 2
+	harmWeight     = 60
+	// keptHeadroom is the headroom that fillers leave to a service, since estimates are off by as much.
+	keptHeadroom = 0.03
+	// minHeadroom bounds the headroom of which a share is computed.
+	minHeadroom = 0.05
+	// fullHarmLoad is the load beyond its headroom from which a service counts in full as harmed.
+	fullHarmLoad = 0.1
+	// toleratedHarm is the harm above which a filler waits for another VM.
+	toleratedHarm = 0.01
 	// affinityWeight is the weight of the affinity, from 0 to 1, in the score of a
 	// VM. It ranks a VM with similar services above one that only has more free
 	// processors. A service of the same job counts 1, one of the same image
@@ -42,10 +32,22 @@
 	noServiceAffinity = 0.5
 	// headroomMaxAge bounds how long computed headrooms are cached: half of the
 	// time between two reports of measurements.
-	headroomMaxAge    = 250 * time.Millisecond
-	millicoresPerCore = 1000
+	headroomMaxAge = 250 * time.Millisecond
+	// placeHorizon is how far ahead own loads are predicted where a filler is placed: most fillers run
+	// for some seconds.
+	placeHorizon = 2500 * time.Millisecond
+	// referenceMillicores are the processors of the VM to whose cores the estimates refer.
+	referenceMillicores = 32_000
+	// minFillerUse bounds the share of their requested processors that fillers are expected to use.
+	minFillerUse = 0.3
 )
 
+// referenceCores converts processors of the VM, in millicores, to cores of a VM with
+// referenceMillicores. A filler interferes by the share of the VM's processors that it uses.
+func (v *vm) referenceCores(millicores int) float64 {
+	return float64(millicores) / float64(max(v.Capacity.Processors, 1)) * referenceMillicores / 1000
+}
+
 // Observe records the tail latencies of a worker's services, in milliseconds,
 // and the processors that fillers on the same VM used, in millicores by image.
 // It ignores unknown workers, and runs that are not on the worker or have no
@@ -57,25 +59,36 @@
 	}
 	cores := make(map[string]float64, len(usedMillicores))
 	for image, millicores := range usedMillicores {
-		cores[image] = float64(millicores) / millicoresPerCore
+		cores[image] = v.referenceCores(millicores)
 	}
+	v.trackFillerUse(usedMillicores, now)
 	uses := estimator.NewUses(cores)
 	var services []estimator.Service
 	for _, run := range v.orderedRuns {
 		if tail, measured := tails[run.ref()]; measured && run.step().HasTailObjective() {
-			run.tailLatency = tail
+			run.measureTail(tail, now)
 			services = append(services, run.measuredService())
 		}
 	}
 	p.estimator.Observe(now, services, uses)
 }
 
-// measuredService returns the service with its latest tail latency. The users of
-// a job are spread over its services, so these have the same load and form one
-// group of the estimator.
-func (r *placedRun) measuredService() estimator.Service {
-	step := r.step()
-	return estimator.Service{Group: r.id.Job, Image: step.Image, TailLatency: r.tailLatency, TailObjective: step.TailObjective}
+// trackFillerUse records which share of the processors that fillers request they use, given the use
+// in millicores by image.
+func (v *vm) trackFillerUse(usedMillicores map[string]int, now time.Time) {
+	used, requested := 0.0, 0.0
+	for _, millicores := range usedMillicores {
+		used += float64(millicores)
+	}
+	for _, run := range v.orderedRuns {
+		if run.step().Filler && run.hasRunFor(headroomMaxAge, now) {
+			requested += float64(run.step().CPU) * float64(pacer.FullPace-run.slowed) / pacer.FullPace
+		}
+	}
+	v.fillerUse = 1
+	if requested > 0 {
+		v.fillerUse = min(max(used/requested, minFillerUse), 1)
+	}
 }
 
 // serviceHeadroom is a service on a VM and its headroom.
@@ -95,11 +108,11 @@
 		return v.headrooms
 	}
 	v.headroomsAt = now
-	// Fillers count with the processors that they request, not those they use.
+	// Fillers count with the processors that they will use at full speed, also those that are slowed.
 	fillerCores := map[string]float64{}
 	for _, run := range v.orderedRuns {
 		if step := run.step(); step.Filler {
-			fillerCores[step.Image] += float64(step.CPU) / millicoresPerCore
+			fillerCores[step.Image] += v.referenceCores(step.CPU) * v.fillerUse
 		}
 	}
 	uses := estimator.NewUses(fillerCores)
@@ -107,7 +120,7 @@
 	for _, run := range v.orderedRuns {
 		if run.step().HasTailObjective() {
 			measured := run.measuredService()
-			ownLoad := p.estimator.OwnLoad(measured.Group)
+			ownLoad := p.estimator.PeakOwnLoad(measured.Group, now.Add(placeHorizon))
 			v.headrooms = append(v.headrooms, serviceHeadroom{
 				run: run, headroom: p.estimator.LoadAtTailObjective(measured) - ownLoad - p.estimator.FillerLoad(measured.Image, uses),
 			})
@@ -116,75 +129,32 @@
 	return v.headrooms
 }
 
-// interference is how one more filler of a step, together with the fillers already on the
-// VM, affects the VM's services: the processors that are requested by services which the
-// filler would push over their latency objectives, as a share of the VM's processors. A
-// service counts in part if the filler would only bring it close to its latency objective:
-// within minHeadroom for expected, and within rankingHeadroom for possible. It counts less
-// if its headroom is below that already.
-type interference struct{ expected, possible float64 }
+// pressure is how one more filler of a step, together with those on the VM, affects the VM's services.
+type pressure struct {
+	// headroom is the sum of the shares that the filler takes of the services' headrooms.
+	headroom float64
+	// harm is the share of the VM's processors that are requested by services which the filler pushes, or
+	// pushes further, over their latency objectives.
+	harm float64
+}
 
-// interference rates a VM for one more filler of a step.
-func (p *Planner) interference(v *vm, step *plantainrail.Step, now time.Time) interference {
-	cores := float64(step.CPU) / millicoresPerCore
-	var out interference
+// pressure rates a VM for one more filler of a step.
+func (p *Planner) pressure(v *vm, step *plantainrail.Step, now time.Time) pressure {
+	cores := v.referenceCores(step.CPU)
+	var out pressure
 	for _, s := range p.serviceHeadrooms(v, now) {
 		service := s.run.step()
-		after := s.headroom - cores*p.estimator.LoadPerCore(service.Image, step.Image)
-		share := float64(service.CPU) / float64(max(v.Capacity.Processors, 1))
-		out.expected += share * addedDeficit(s.headroom, after, minHeadroom)
-		out.possible += share * addedDeficit(s.headroom, after, rankingHeadroom)
+		load := cores * p.estimator.CautiousLoadPerCore(service.Image, step.Image)
+		room := s.headroom - keptHeadroom
+		out.headroom += load / math.Max(room, minHeadroom)
+		if load > room {
+			share := float64(service.CPU) / float64(max(v.Capacity.Processors, 1))
+			out.harm += share * math.Min((load-math.Max(room, 0))/fullHarmLoad, 1)
+		}
 	}
 	return out
 }
 
-// addedDeficit returns the deficit of a headroom after a filler was added, less the part of
-// the earlier deficit that is not attributed to the filler.
-func addedDeficit(before, after, wanted float64) float64 {
-	return headroomDeficit(after, wanted) - existingInterferenceShare*headroomDeficit(before, wanted)
-}
-
-// fillerWaitLimit returns how long a job's fillers may wait in total for a VM
-// with less interference: fillerWaitShare of the time by which the objective for
-// the job's duration exceeds the sum of its steps' estimates, but at most
-// maxFillerWait.
-func fillerWaitLimit(j *Job) time.Duration {
-	work := 0
-	for _, step := range j.Steps {
-		work += step.Estimate
-	}
-	spare := (j.Queue.StretchFactor-1)*float64(work) + float64(j.Queue.SlackMS)
-	return min(time.Duration(max(spare, 0)*fillerWaitShare)*time.Millisecond, maxFillerWait)
-}
-
-// fillersMayWait reports whether fillers of the job may still wait for a VM with
-// less interference. Once they may not, they are placed in spite of interference.
-func (j *Job) fillersMayWait(now time.Time) bool {
-	waited := j.fillerWait
-	if !j.fillersWaitingSince.IsZero() {
-		waited += now.Sub(j.fillersWaitingSince)
-	}
-	return waited < fillerWaitLimit(j)
-}
-
-// trackFillerWait records whether fillers of the job are waiting for a VM with less
-// interference, and adds up the time that they have waited.
-func (j *Job) trackFillerWait(waiting bool, now time.Time) {
-	switch {
-	case waiting && j.fillersWaitingSince.IsZero():
-		j.fillersWaitingSince = now
-	case !waiting && !j.fillersWaitingSince.IsZero():
-		j.fillerWait += now.Sub(j.fillersWaitingSince)
-		j.fillersWaitingSince = time.Time{}
-	}
-}
-
-// headroomDeficit returns how far the headroom is below the wanted one, as a fraction of
-// it: 0 if the headroom is as wanted, and 1 if none is left.
-func headroomDeficit(headroom, wanted float64) float64 {
-	return math.Min(math.Max((wanted-headroom)/wanted, 0), 1)
-}
-
 // affinity rates how well a service fits with those on the VM, from 0 to
 // affinityWeight. It averages over the services on the VM. Services of one job
 // have their load peaks at the same time, and those of one image tolerate the
--- a/planner/job.go
+++ b/planner/job.go
@@ -66,6 +66,9 @@
 	lateCrashAge         time.Duration
 	lateCrashNode        string
 	lateCrashesElsewhere bool
+	// moves counts the runs of the task that were stopped so that it goes on on another VM. It is not
+	// stored.
+	moves int
 	// failedAt is when the newest failed run ended. It is not stored.
 	failedAt time.Time
 	// retryAt is when the task may be placed again after its newest failed run. It is set for
@@ -124,17 +127,13 @@
 	occurrences map[int]occurrence
 	// arrival is the job's position in the order of acceptance.
 	arrival int64
+	// acceptedAt is when this owner has learned of the job. It is not stored.
+	acceptedAt time.Time
 	// unplacedReportedAt is when the newest UnplacedStep of the job was recorded.
 	unplacedReportedAt time.Time
 	// keptBackReported is the start of the newest wait of which an UnplacedStep after keptBackTime was
 	// recorded.
 	keptBackReported time.Time
-	// fillerWait is how long fillers of the job have waited for a VM with less
-	// interference, excluding the current wait. fillersWaitingSince is the start of
-	// the current wait, or zero. Neither is stored: after a takeover the fillers
-	// may wait again.
-	fillerWait          time.Duration
-	fillersWaitingSince time.Time
 	// idleSince is when the turn of a task of the job has come while nothing of the job was running;
 	// zero from the begin of a run. beyondShare is set once that lasted too long for a job of
 	// fillers; see Planner.placeReady. Neither is stored.
--- a/planner/place.go
+++ b/planner/place.go
@@ -191,7 +191,7 @@
 		takesLate: ready.shunsLate && ready.mayTakeLate(now),
 	}
 	if step.Filler {
-		s.image, s.fillerCPU, s.mayWait = step.Image, step.CPU, !ready.beyondShare && !ready.wait.overdue && ready.job.fillersMayWait(now)
+		s.image, s.fillerCPU, s.mayWait = step.Image, step.CPU, !ready.beyondShare && !ready.wait.overdue && ready.job.fillersMayWait(ready.occurrence, now)
 	}
 	return s
 }
@@ -201,9 +201,6 @@
 func (p *Planner) placeStep(ready readyStep, now time.Time) []Assignment {
 	taskShape := p.shapeOf(ready, now)
 	if p.unplaceable[taskShape] {
-		if taskShape.mayWait {
-			ready.job.trackFillerWait(true, now)
-		}
 		p.recordUnplaced(ready, now)
 		return nil
 	}
@@ -354,11 +351,11 @@
 		score -= p.suspectPenalty(v, r.now)
 	}
 	if step.Filler {
-		interference := p.interference(v, step, r.now)
-		if interference.expected > maxInterference && r.shape.mayWait {
+		pressure := p.pressure(v, step, r.now)
+		if pressure.harm > toleratedHarm && r.shape.mayWait {
 			return unsuitable
 		}
-		score -= interferenceWeight * interference.possible
+		score -= headroomWeight*pressure.headroom + harmWeight*pressure.harm
 	}
 	return score
 }
@@ -372,8 +369,7 @@
 }
 
 // choose returns the VM with the highest score for a task, or nil if no VM can take it.
-// Among equal VMs it returns the first in the order of their nodes' names. While the
-// job's fillers may wait, choose also records whether they do.
+// Among equal VMs it returns the first in the order of their nodes' names.
 func (r *rating) choose(t *Task) *vm {
 	var best, avoided *vm
 	bestScore := unsuitable
@@ -391,9 +387,6 @@
 	if best == nil && avoided != nil && (t.Failures == 0 || r.ready.wait.failedOver(t, r.now) || !r.mayTakeLater(t)) {
 		best = avoided
 	}
-	if r.shape.mayWait {
-		r.ready.job.trackFillerWait(best == nil, r.now)
-	}
 	return best
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -183,6 +183,7 @@
 // from now.
 func (p *Planner) activate(j *Job, now time.Time) {
 	placed := false
+	j.acceptedAt = now
 	j.eachTask(func(id plantainrail.TaskID, t *Task) {
 		if t.Phase != Placed {
 			return
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -68,6 +68,14 @@
 	orderedSince time.Time
 	// begunAt is when the worker was first known to run it; zero before that.
 	begunAt time.Time
+	// slowed is by how many percent the run is ordered to work slower.
+	slowed int
+	// slowedSince is since when it works below slowedShare; zero if it does not.
+	slowedSince time.Time
+	// tailAt is when the tail latency was measured, and recentTail the one since the measurement before,
+	// of which tailLatency is a moving average. tailNoise is its relative error.
+	tailAt                time.Time
+	recentTail, tailNoise float64
 	// tailLatency is the latest tail latency of a service, in milliseconds.
 	tailLatency int
 }
@@ -139,6 +147,8 @@
 	probation      bool
 	probationSince time.Time
 	failedAge      time.Duration
+	// fillerUse is the share of the processors requested by fillers that they use.
+	fillerUse float64
 	// headrooms caches the headroom of each service as computed at headroomsAt;
 	// nil if it has to be computed again.
 	headrooms   []serviceHeadroom
@@ -146,7 +156,7 @@
 }
 
 func newVM(reported plantainrail.VM, renewedAt time.Time) *vm {
-	return &vm{VM: reported, renewedAt: renewedAt, runs: map[plantainrail.RunRef]*placedRun{}, failedJobs: map[*Job]time.Time{}}
+	return &vm{VM: reported, renewedAt: renewedAt, fillerUse: 1, runs: map[plantainrail.RunRef]*placedRun{}, failedJobs: map[*Job]time.Time{}}
 }
 
 // addRun adds a task's newest run to the VM. Stored means that the assignment is
