Owner slows and moves fillers of jobs that have time

Services whose own load rises while fillers run beside them stayed over their objectives until the fillers ended, or the agent paused all of them after 1.9 s.

The owner now decides a pace for each filler with each report of a VM: it slows fillers of jobs that have time, the one that interferes most for each core first, only as far as the services need; a filler that is slowed for long is stopped and goes on on a VM that tolerates it. Agents apply the lower of the owner's pace and their own, forget the owner's with the session, and ignore it while no service runs. The bounds of the agent's pacer are as before.

--- a/decider/session.go
+++ b/decider/session.go
@@ -220,6 +220,14 @@
 		tails[t.Ref] = t.Milliseconds
 	}
 	o.planner.Observe(a.incarnation, tails, m.FillerCPU, now)
+	if paces := o.planner.PaceFillers(a.incarnation, now); len(paces) > 0 {
+		o.sendOrders(a, &linker.WorkOrders{Epoch: o.epoch, Incarnation: a.incarnation, Paces: paces})
+		tasks, percents := make([]string, len(paces)), make([]int, len(paces))
+		for i, pace := range paces {
+			tasks[i], percents[i] = pace.Ref.Task.String(), pace.Percent
+		}
+		o.decider.Logger.Info("fillers slowed", zap.String("node", a.incarnation.Node), zap.Strings("tasks", tasks), zap.Ints("percents", percents))
+	}
 }
 
 // hasNewerSession reports whether the agent of a node has connected again since, and has reported. The
--- a/linker/work.go
+++ b/linker/work.go
@@ -75,6 +75,8 @@
 	DepartureAcked bool `cbor:"7,keyasint,omitempty"`
 	// StartLimit bounds when Starts may be carried out. Owners of an earlier build leave it out.
 	StartLimit *StartLimit `cbor:"8,keyasint,omitempty"`
+	// Paces are the paces of fillers that have changed. Agents of an earlier build ignore them.
+	Paces []plantainrail.RunPace `cbor:"9,keyasint,omitempty"`
 }
 
 // StartLimit is the time until which a worker may be told to start the runs of an order. After
--- a/minder/measurements_test.go
+++ b/minder/measurements_test.go
@@ -108,3 +108,21 @@
 	reason, _ := m.startObstacle(m.orderedRuns[refForJob("a")], m.Now().Add(-time.Second), false)
 	assert.Equal(t, reason, plantainrail.RefusedExpired)
 }
+
+// Guards against fillers that the owner's paces keep slow for longer than there are services to protect, and
+// against an owner's pace that lifts a pause by the agent.
+func TestOwnersPaceCountsBesideServices(t *testing.T) {
+	m, ref := newMinderWithMeasurements(), refForJob("a")
+	assert.Equal(t, m.pacing.wantedPace(ref), pacer.FullPace)
+	m.pacing.sending[ref] = true
+	m.limitPaces([]plantainrail.RunPace{{Ref: ref, Percent: 40}, {Ref: refForJob("unwanted"), Percent: 40}})
+	assert.Equal(t, len(m.pacing.limits), 1, "a run that is not ordered has no pace")
+	assert.Equal(t, m.pacing.wantedPace(ref), pacer.FullPace, "no service runs")
+	m.pacing.serving = true
+	assert.Equal(t, m.pacing.wantedPace(ref), 40)
+	assert.Equal(t, m.pacing.wantedPace(refForJob("b")), pacer.FullPace)
+	for _, at := range []time.Duration{0, 4 * time.Second} {
+		m.pacing.pacer.Update(m.Now().Add(at), []pacer.Service{{Name: "service", Tail: 1000, Target: 100}})
+	}
+	assert.Equal(t, m.pacing.wantedPace(ref), pacer.ZeroPace)
+}
--- a/minder/pace.go
+++ b/minder/pace.go
@@ -32,12 +32,17 @@
 	// confirmed holds the paces that the worker has accepted, in percent. A run without an
 	// entry works at full speed, unless it may have been started by an earlier process of the agent.
 	confirmed map[plantainrail.RunRef]int
+	// limits are the paces that the owner has ordered in this session, in percent. They count only
+	// while serving is set: the owner changes them with the measurements of services.
+	limits map[plantainrail.RunRef]int
+	// serving is set while services with a latency objective run.
+	serving bool
 	// sending holds the runs whose pace is being sent to the worker.
 	sending map[plantainrail.RunRef]bool
 }
 
 func newPacing() pacing {
-	return pacing{pacer: pacer.New(), fillerUsage: map[string]float64{}, confirmed: map[plantainrail.RunRef]int{}, sending: map[plantainrail.RunRef]bool{}}
+	return pacing{pacer: pacer.New(), fillerUsage: map[string]float64{}, confirmed: map[plantainrail.RunRef]int{}, limits: map[plantainrail.RunRef]int{}, sending: map[plantainrail.RunRef]bool{}}
 }
 
 // unknownPace is the pace of a filler that an earlier process of the agent may have paused.
@@ -88,12 +93,18 @@
 			delete(m.pacing.confirmed, ref)
 		}
 	}
+	for ref := range m.pacing.limits {
+		if m.orderedRuns[ref] == nil {
+			delete(m.pacing.limits, ref)
+		}
+	}
 	if now := m.Now(); now.Sub(m.pacing.decidedAt) >= paceInterval {
 		elapsed := now.Sub(m.pacing.decidedAt)
 		m.updateFillerUsage(elapsed)
 		m.pacing.decidedAt = now
 		m.reportMeasurements(now)
 		fillers, services := m.pacingInputs()
+		m.pacing.serving = len(services) > 0
 		m.countTimeOver(elapsed, fillers, services)
 		if change, changed := m.pacing.pacer.Update(now, services); changed {
 			m.Logger.Info("fillers paced", zap.Int("percent", m.pacing.pacer.Pace()), zap.Int("fillers", fillers), zap.Any("services", services),
@@ -123,11 +134,20 @@
 	m.ReportTimeOver(m.timeOver)
 }
 
+// wantedPace returns the pace that a filler should have, in percent: that of the pacer, or the owner's if
+// it is lower and services run.
+func (p *pacing) wantedPace(ref plantainrail.RunRef) int {
+	if limit, ok := p.limits[ref]; ok && p.serving {
+		return min(p.pacer.Pace(), limit)
+	}
+	return p.pacer.Pace()
+}
+
 // applyPace sends the current pace for a run to the worker in the background. It
 // does nothing if the run is not a filler, the worker has accepted that pace, or a
 // pace is being sent already. The caller holds the lock.
 func (m *Minder) applyPace(r *run) {
-	ref, want := r.order.Ref, m.pacing.pacer.Pace()
+	ref, want := r.order.Ref, m.pacing.wantedPace(r.order.Ref)
 	if !r.order.Filler || m.pacing.sending[ref] || m.pacing.confirmedPace(r) == want {
 		return
 	}
@@ -135,6 +155,16 @@
 	go m.sendPace(m.vm.Incarnation, ref, want)
 }
 
+// limitPaces applies the owner's orders on the pace of fillers. The caller holds the lock.
+func (m *Minder) limitPaces(paces []plantainrail.RunPace) {
+	for _, pace := range paces {
+		if r := m.orderedRuns[pace.Ref]; r != nil {
+			m.pacing.limits[pace.Ref] = min(max(pace.Percent, pacer.ZeroPace), pacer.FullPace)
+			m.applyPace(r)
+		}
+	}
+}
+
 // sendPace sends a run's pace to the worker once. If the worker does not accept it,
 // updatePace sends the current pace again after the next poll.
 func (m *Minder) sendPace(incarnation plantainrail.WorkerIncarnation, ref plantainrail.RunRef, percent int) {
--- a/minder/session.go
+++ b/minder/session.go
@@ -280,6 +280,7 @@
 			m.entries.ownerNext(false)
 		}
 		m.session, m.seekAt = nil, m.Now().Add(delay)
+		clear(m.pacing.limits)
 		time.AfterFunc(delay, func() {
 			m.mu.Lock()
 			defer m.mu.Unlock()
@@ -374,6 +375,7 @@
 	for _, ref := range o.Stops {
 		m.stopOrdered(ref)
 	}
+	m.limitPaces(o.Paces)
 	if o.AckedThrough > m.acknowledged {
 		m.acknowledgeEnds(o.AckedThrough)
 	}
--- a/work.go
+++ b/work.go
@@ -288,6 +288,13 @@
 	Adopt bool `cbor:"9,keyasint,omitempty"`
 }
 
+// RunPace limits a run to a share of its full speed, in percent.
+type RunPace struct {
+	_       struct{} `cbor:",toarray"`
+	Ref     RunRef
+	Percent int
+}
+
 // Worker runs tasks on one VM. Each call carries the worker incarnation that it is
 // meant for and, as fencing token, the epoch of the owner that ordered it. A worker
 // of another incarnation, or one that has seen a higher epoch, refuses the call. A
