Planner: crashes end no job for its long-running tasks

Cause: countCrash ends a job at the third crash of a worker just after the start of one of its runs, also if the task is long-running, and long-running tasks have no limit of attempts.

After a first crash it is placed at once, as after a first failed run.

The starvation model knows workers in a crash loop, which report the runs that they had, and checks that no job of long-running tasks is failed.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// maxCrashes is the number of workers that may crash under a task before its job fails.
+	// maxCrashes is the number of workers that may crash under a task before its job fails, unless the
+	// task is long-running.
 	maxCrashes = 3
 	// maxLateCrashes is the same for crashes that may be due to other tasks or to the workers.
 	maxLateCrashes = maxCrashes + 1
@@ -26,6 +27,16 @@
 	// soundRunTime is how long a run must have lasted to show that its task does not crash workers.
 	// It exceeds LateCrashTime by more than a crash takes to be noticed.
 	soundRunTime = plantainrail.LateCrashTime + 10*time.Second
+	// crashPause is how long a long-running task waits after the second crash in a row, so that a worker in a
+	// crash loop is not sent starts all the time. It doubles with each further crash.
+	crashPause = 500 * time.Millisecond
+	// maxCrashPause bounds that wait. With renewalTime and startLag it stays within lastingGrace.
+	maxCrashPause = 4 * time.Second
+	// renewalTime is the interval at which leases are renewed, and so for how long a worker may have lived after
+	// the newest renewal without one more.
+	renewalTime = time.Second
+	// maxCrashDoublings is the number of doublings after which crashPause reaches maxCrashPause.
+	maxCrashDoublings = 3
 	// crashedNodeWeight and suspectWeight are what the score of a VM is lowered by for a
 	// suspect; see suspectPenalty. Each exceeds the sum of those that follow and of the
 	// other parts of the score.
@@ -69,7 +80,7 @@
 
 // countCrash counts the crash of a VM's worker against the tasks of the runs that had just
 // begun. It returns the job that fails because of it, or nil: one with a task that has
-// maxCrashes, if no other job's run had just begun.
+// maxCrashes and is not long-running, if no other job's run had just begun.
 func (p *Planner) countCrash(v *vm, startedLast []plantainrail.RunRef, now time.Time) *Job {
 	p.crashedAt[v.Incarnation.Node] = now
 	var failed *Job
@@ -80,10 +91,11 @@
 		if run == nil {
 			continue
 		}
-		run.task.Crashes++
+		run.task.Crashes = min(run.task.Crashes+1, maxCountedCrashes)
 		run.job.crashed = true
 		p.markStarted(run.job)
-		if run.task.Crashes >= maxCrashes && !run.job.State.Final() {
+		run.pauseAfterCrash(v, now)
+		if run.task.Crashes >= maxCrashes && !run.step().Lasting && !run.job.State.Final() {
 			failed = run.job
 		}
 	}
@@ -93,11 +105,31 @@
 	return failed
 }
 
-// clearSound forgets the late crashes of tasks that have run here for soundRunTime.
+// pauseAfterCrash lets a long-running task wait after repeated crashes, since the number of its runs is not
+// limited. The wait counts from at most renewalTime after the newest renewal of the lease, so that it is over when the
+// lease has expired.
+func (r *placedRun) pauseAfterCrash(v *vm, now time.Time) {
+	t := r.task
+	crashes := t.Crashes + t.lateCrashes
+	if !r.step().Lasting || crashes < 2 {
+		return
+	}
+	pause := min(crashPause<<min(crashes-2, maxCrashDoublings), maxCrashPause)
+	if until := earlier(v.renewedAt.Add(renewalTime), now).Add(pause); until.After(t.retryAt) {
+		t.retryAt = until
+	}
+}
+
+// clearSound forgets the late crashes of tasks that have run here for soundRunTime, and all crashes of those that
+// are long-running, since their runs need not end.
 func (v *vm) clearSound(now time.Time) {
 	for _, run := range v.orderedRuns {
-		if run.hasRunFor(soundRunTime, now) {
-			run.task.lateCrashes = 0
+		if !run.hasRunFor(soundRunTime, now) {
+			continue
+		}
+		run.task.lateCrashes = 0
+		if run.step().Lasting {
+			run.task.Crashes = 0
 		}
 	}
 }
@@ -114,11 +146,12 @@
 
 // countLateCrash counts the crash of a VM's worker against the tasks of the runs that were there,
 // of which none had just begun. Any of them may be the cause. It returns the job that fails because
-// of it, or nil: one with a task that has maxLateCrashes, and maxCrashes more than the tasks of all
-// other jobs there. A single node may be the cause itself, so two have to agree.
+// of it, or nil: one with a task that is not long-running and has maxLateCrashes, and maxCrashes more than
+// the tasks of all other jobs there. A single node may be the cause itself, so two have to agree.
 func (p *Planner) countLateCrash(v *vm, present []plantainrail.RunAge, now time.Time) *Job {
 	p.crashedAt[v.Incarnation.Node] = now
-	counts, elsewhere := map[*Job]int{}, map[*Job]bool{}
+	// counts covers all tasks, blamed those for which a job may fail.
+	counts, blamed, elsewhere := map[*Job]int{}, map[*Job]int{}, map[*Job]bool{}
 	for _, was := range present {
 		run := v.runs[was.Ref]
 		if run == nil || p.restartedWithout(run.job, now) {
@@ -128,10 +161,15 @@
 		run.task.noteLateCrash(v.Incarnation.Node, was.Age)
 		run.job.crashed = true
 		p.markStarted(run.job)
+		run.pauseAfterCrash(v, now)
 		counts[run.job] = max(counts[run.job], run.task.lateCrashes)
+		if run.step().Lasting {
+			continue
+		}
+		blamed[run.job] = max(blamed[run.job], run.task.lateCrashes)
 		elsewhere[run.job] = elsewhere[run.job] || run.task.lateCrashesElsewhere
 	}
-	for j, count := range counts {
+	for j, count := range blamed {
 		others := 0
 		for other, n := range counts {
 			if other != j {
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -240,22 +240,75 @@
 }
 
 // Guards against a sound job that is given up (LOST) because the only worker that can run it crashes
-// at regular times.
+// at regular times, be it long or right after the start of the run.
 func TestWorkerThatCrashesRegularlyFailsNoJob(t *testing.T) {
-	m := newCrashModel(t, 1, 1)
-	m.submit("service", plantainrail.Step{Count: 1, CPU: 1000, Lasting: true})
-	w := m.workers[0]
-	for step := range 2000 {
-		for i := range w.runs {
-			w.ends[i] = m.now.Add(time.Hour)
-			if step < 1800 && m.now.Sub(w.begun[i]) >= 2*time.Second {
-				m.crash(w)
-				break
+	for _, after := range []time.Duration{2 * time.Second, 0} {
+		t.Run(after.String(), func(t *testing.T) {
+			m := newCrashModel(t, 1, 1)
+			m.submit("service", plantainrail.Step{Count: 1, CPU: 1000, Lasting: true})
+			w := m.workers[0]
+			for step := range 2000 {
+				for i := range w.runs {
+					w.ends[i] = m.now.Add(time.Hour)
+					if step < 1800 && m.now.Sub(w.begun[i]) >= after {
+						m.crash(w)
+						break
+					}
+				}
+				m.advance()
 			}
+			assert.Assert(t, !m.state("service").Final())
+			assert.Equal(t, len(w.runs), 1)
+		})
+	}
+}
+
+// Guards against a long-running task that is started again at once after each crash of its worker, or
+// that waits for longer than the rules allow (LOST).
+func TestLongRunningTaskWaitsAfterCrashes(t *testing.T) {
+	vm := newVM("a", 4000)
+	h := newHarness(t, vm)
+	h.submit("service", plantainrail.Step{Count: 1, CPU: 1000, Lasting: true})
+	run := h.tick().Assignments[0]
+	for _, c := range []struct {
+		// lasted is how long the run lasts before the crash.
+		lasted, wait time.Duration
+	}{
+		{0, 0},
+		{100 * time.Millisecond, 500 * time.Millisecond},
+		{0, time.Second},
+		{2 * time.Second, 2 * time.Second},
+		{0, 4 * time.Second},
+		{0, 4 * time.Second},
+		// A run that has lasted shows that the task is not the cause.
+		{time.Minute, 0},
+		{0, 0},
+		{0, 500 * time.Millisecond},
+	} {
+		h.begin(run)
+		h.now = h.now.Add(c.lasted)
+		h.planner.Renew(vm.Incarnation, h.now)
+		switch {
+		case c.lasted < 200*time.Millisecond:
+			vm.StartedLast = []plantainrail.RunRef{run.Order.Ref}
+		case c.lasted < plantainrail.LateCrashTime:
+			vm.RunningLast = []plantainrail.RunAge{{Ref: run.Order.Ref, Age: c.lasted}}
+		}
+		vm.Incarnation.StartedMS++
+		crashedAt := h.now
+		h.report(vm)
+		vm.StartedLast, vm.RunningLast = nil, nil
+		placed := h.tick().Assignments
+		for len(placed) == 0 {
+			h.now = h.now.Add(50 * time.Millisecond)
+			assert.Assert(t, h.now.Sub(crashedAt) <= lastingGrace)
+			h.report(vm)
+			placed = h.tick().Assignments
 		}
-		m.advance()
+		assert.Equal(t, h.now.Sub(crashedAt), c.wait)
+		run = placed[0]
 	}
-	assert.Assert(t, !m.state("service").Final())
+	assert.Assert(t, !h.state("service").Final())
 }
 
 // Guards against sound jobs that are given up (LOST) because workers crash for another
--- a/planner/job.go
+++ b/planner/job.go
@@ -50,7 +50,8 @@
 	// Failures counts the runs that ended as failed.
 	Failures int
 	// Crashes counts the workers in a row that have crashed when a run of the task had
-	// just begun. Any end that a worker reports sets it to 0.
+	// just begun. Any end that a worker reports sets it to 0, and for a long-running task a run that has
+	// lasted for soundRunTime when the next worker crashes.
 	Crashes int
 	// Checkpoint is the newest known checkpoint.
 	Checkpoint string
@@ -68,8 +69,8 @@
 	lateCrashesElsewhere bool
 	// failedAt is when the newest failed run ended. It is not stored.
 	failedAt time.Time
-	// retryAt is when the task may be placed again after its newest failed run. It is set for
-	// long-running tasks only and not stored.
+	// retryAt is when the task may be placed again after its newest failed run, or after repeated crashes
+	// of its workers. It is set for long-running tasks only and not stored.
 	retryAt time.Time
 	// waitingSince is since when a long-running task has waited; zero from the begin of a run. It is
 	// not stored.
--- a/planner/starvation_faults_test.go
+++ b/planner/starvation_faults_test.go
@@ -25,6 +25,8 @@
 	// percent. If it is 0, it has no memory and no accelerators either.
 	shrinks bool
 	keeps   int
+	// loops means that the worker, which is gone, is back after loopDownTime and crashes again and again.
+	loops bool
 	// strained means that services on the worker are over their latency objectives. The worker
 	// counts as sound.
 	strained bool
@@ -44,6 +46,38 @@
 	ends []plantainrail.RunEnd
 	// soundSince is when the newest fault ended.
 	soundSince time.Time
+	// loopsUntil is when the newest crash loop ends, and crashAt when the worker crashes again in it; zero if it does not.
+	loopsUntil, crashAt time.Time
+}
+
+const (
+	// loopDownTime is how long a worker in a crash loop is down, and minLoopUpTime and maxLoopUpTime bound
+	// the time for which it is up in between; the figures are those of review/9.
+	loopDownTime  = 500 * time.Millisecond
+	minLoopUpTime = 100 * time.Millisecond
+	maxLoopUpTime = 700 * time.Millisecond
+	// blamedTime is the age up to which an agent reports a run as just begun at a crash (minder.breakDelay).
+	blamedTime = 290 * time.Millisecond
+)
+
+// crashAgain lets a worker in a crash loop crash. Its next incarnation reports the runs that were there.
+func (m *starvationModel) crashAgain(w *faultyWorker) {
+	w.crashAt = time.Time{}
+	if w.fault != nil {
+		return
+	}
+	w.vm.StartedLast, w.vm.RunningLast = nil, nil
+	for _, r := range m.runsOf(w) {
+		ref, age := r.assignment.Order.Ref, m.now.Sub(r.begunAt)
+		switch {
+		case r.dead:
+		case age <= blamedTime:
+			w.vm.StartedLast = append(w.vm.StartedLast, ref)
+		case age < plantainrail.LateCrashTime:
+			w.vm.RunningLast = append(w.vm.RunningLast, plantainrail.RunAge{Ref: ref, Age: age})
+		}
+	}
+	m.breakWorker(w, looping, m.now.Add(loopDownTime))
 }
 
 // breakWorker lets a fault befall a worker until the given time.
@@ -86,6 +120,9 @@
 	if !w.fault.strained {
 		w.soundSince = m.now
 	}
+	if w.fault.loops && m.now.Before(w.loopsUntil) {
+		w.crashAt = m.now.Add(minLoopUpTime + time.Duration(m.random.Int64N(int64(maxLoopUpTime-minLoopUpTime))))
+	}
 	w.vm.Capacity, w.vm.Draining, w.fault = w.full, false, nil
 }
 
@@ -119,7 +156,12 @@
 		if w.fault == nil && m.random.Float64() < faultShare {
 			f, until := row.faults[m.random.IntN(len(row.faults))], m.now.Add(time.Duration(1+m.random.IntN(8))*time.Second)
 			if !late || !f.restarts && !f.disconnected {
-				m.breakWorker(w, f, until)
+				if f.loops {
+					w.loopsUntil = until
+					m.crashAgain(w)
+				} else {
+					m.breakWorker(w, f, until)
+				}
 			}
 		}
 	}
--- a/planner/starvation_model_test.go
+++ b/planner/starvation_model_test.go
@@ -44,6 +44,8 @@
 	// name is the task's, by which runs are ordered.
 	name   string
 	endsAt time.Time
+	// begunAt is when the worker has started it.
+	begunAt time.Time
 	// lag is how long after its end the worker lists it.
 	lag    time.Duration
 	failed bool
@@ -195,6 +197,7 @@
 	reported := w.reported
 	reported.FillersPaused = w.fault != nil && w.fault.strained
 	m.report(reported)
+	w.vm.StartedLast, w.vm.RunningLast = nil, nil
 }
 
 // listRuns reports the runs of a worker that go on, refuses or ends the others.
@@ -283,6 +286,9 @@
 		if w.fault != nil && !m.now.Before(w.until) {
 			m.mendWorker(w)
 		}
+		if !w.crashAt.IsZero() && !m.now.Before(w.crashAt) {
+			m.crashAgain(w)
+		}
 	}
 	if m.now.Before(m.ownerAt) {
 		return
@@ -391,7 +397,9 @@
 		m.planner.ApplyRefusal(a.Incarnation, a.Order.Ref, f.refusal, m.now)
 		return
 	}
-	r := &modelledRun{assignment: a, name: a.Order.Ref.Task.String(), endsAt: m.now.Add(j.duration), failed: j.poison || f.fails}
+	r := &modelledRun{
+		assignment: a, name: a.Order.Ref.Task.String(), begunAt: m.now, endsAt: m.now.Add(j.duration), failed: j.poison || f.fails,
+	}
 	if m.step(r).Lasting {
 		r.endsAt = m.now.Add(time.Hour)
 	}
--- a/planner/starvation_test.go
+++ b/planner/starvation_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/planner"
 )
 
 // The rule of the pages: "LOST ... finish_s after the end of the traffic jobs are asked for: ... for
@@ -19,6 +20,8 @@
 // full the service is, if the 3 s and the 4 s before them are calm."
 //
 //   - "for 3 s": modelJob.starving and maxStarvation.
+//   - A job of long-running tasks must not be shown as failed: only ends "failed" count as attempts, and
+//     long-running tasks have no limit of attempts.
 //   - "a job": an accepted one that nobody has cancelled and that is not shown as completed, failed or
 //     cancelled. The rule knows no other exception, so a job that always fails counts as well: it may
 //     wait between two attempts, but not for 3 s, and not after maxAttempts runs have ended failed,
@@ -109,6 +112,7 @@
 	smaller   = &workerFault{shrinks: true, keeps: 25}
 	shrunk    = &workerFault{shrinks: true}
 	strained  = &workerFault{strained: true}
+	looping   = &workerFault{gone: true, restarts: true, loops: true}
 	allFaults = []*workerFault{failing, silent, mute, noRoom, expiring, vanished, departed, replaced, draining, cutOff, smaller, shrunk, strained}
 
 	formerSteps = []plantainrail.Step{
@@ -183,6 +187,10 @@
 		{"return", func(r *starvationRow) { r.faults = append(r.faults, vanished, departed, replaced) }},
 		{"shrink", func(r *starvationRow) { r.faults = append(r.faults, shrunk, shrunk) }},
 		{"power", func(r *starvationRow) { r.finish, r.powerLoss = finishTime, true }},
+		{"crashloop", func(r *starvationRow) {
+			r.workers.more, r.faults = 3, []*workerFault{looping}
+			r.steps = []plantainrail.Step{{Lasting: true}, {Lasting: true, VMLabel: "a"}, {}}
+		}},
 		{"all", func(r *starvationRow) {
 			r.poisonCounts, r.finish, r.powerLoss, r.repetitions, r.takeovers, r.measures = true, finishTime, true, 4, true, true
 			r.steps, r.queues, r.faults, r.count, r.cpu = slices.Concat(special, formerSteps, services), manyQueues, allFaults, 10, 7000
@@ -316,6 +324,9 @@
 	u := m.use()
 	for _, id := range m.ids {
 		j := m.jobs[id]
+		if j.Steps[0].Lasting && m.state(id) == planner.Failed && m.violation == "" {
+			m.violation = fmt.Sprintf("at %v job %s of long-running tasks is failed", m.now.Sub(start), id)
+		}
 		if j.poison && !m.row.poisonCounts || j.cancelled || m.state(id).Final() {
 			continue
 		}
