Planner: long-running fillers are placed again beside others of their job

Cause: fillers go beyond the share of the processors that they may request (judgedFilled) only while no task of their job is placed. That is the rule for jobs that end; a long-running task waits by itself, whether others of its job run or not.

Each long-running filler that has waited for 2.5 s (maxFillerWait) now goes beyond the share. The bound of four times the processors (maxOverdueShare) neither limits nor counts long-running fillers: it defers fillers until others end, and these do not. Without that, the new row "fillers" of the starvation model has long-running fillers that never run, and short ones that never run beside them. Memory still limits both.

--- a/planner/backlog_test.go
+++ b/planner/backlog_test.go
@@ -43,6 +43,48 @@
 	assert.Equal(t, len(h.tick().Assignments), len(beyond))
 }
 
+// Guards against long-running fillers that are not placed again (LOST) since others of their job run, and
+// against fillers that wait for ones that never end. Later jobs must find room as well.
+func TestLongRunningFillersArePlacedAgain(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// count is the number of tasks on two VMs of 4000, and cpu what each requests.
+		count, cpu int
+	}{{"beyond the share of fillers", 8, 1000}, {"beyond the share of overdue fillers", 5, 8000}} {
+		t.Run(c.name, func(t *testing.T) {
+			vms := []plantainrail.VM{newVM("a", 4000), newVM("b", 4000), newVM("c", 4000)}
+			h := newHarness(t, vms...)
+			h.submit("services", plantainrail.Step{Count: c.count, CPU: c.cpu, Filler: true, Lasting: true})
+			advance := func(vms []plantainrail.VM, jobs ...string) {
+				placed := map[string]int{}
+				for begin := h.now; h.now.Sub(begin) < maxStarvation; h.now = h.now.Add(100 * time.Millisecond) {
+					for _, vm := range vms {
+						h.report(vm)
+					}
+					for _, a := range h.tick().Assignments {
+						h.begin(a)
+						placed[a.Order.Ref.Task.Job]++
+					}
+				}
+				for _, job := range jobs {
+					assert.Assert(t, placed[job] > 0, job)
+				}
+				running := 0
+				for _, vm := range vms {
+					orders, _ := h.planner.DesiredRuns(vm.Incarnation)
+					running += len(orders)
+				}
+				assert.Equal(t, running, c.count+len(jobs))
+			}
+			advance(vms)
+			h.planner.RemoveWorker(vms[2].Incarnation, h.now)
+			advance(vms[:2])
+			h.submit("later", plantainrail.Step{Count: 1, CPU: 1000, Filler: true})
+			advance(vms[:2], "later")
+		})
+	}
+}
+
 // Guards against fillers of a starving job that go beyond what a VM really has: its memory.
 func TestStarvingFillerNeedsMemory(t *testing.T) {
 	vm := newVM("a", 4000)
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -112,20 +112,35 @@
 }
 
 // filled reports whether the fillers on the VM request too many processors for one more. A single
-// filler is admitted however large it is.
+// filler is admitted however large it is. Beyond maxFillerShare long-running fillers are neither limited nor
+// counted: they do not end, so that whatever waits for them would wait for ever.
 func (v *vm) filled(ready readyStep) bool {
-	share := maxFillerShare
+	share, requested := maxFillerShare, v.fillerMillicores
 	if ready.beyondShare {
-		share = maxOverdueShare
+		if ready.definition().Lasting {
+			return false
+		}
+		share, requested = maxOverdueShare, v.fillerMillicores-v.lastingFillerMillicores()
 	}
-	total := v.fillerMillicores + ready.definition().CPU
+	total := requested + ready.definition().CPU
 	return (v.fillerMillicores > 0 || ready.beyondShare) && total > int(float64(v.Capacity.Processors)*share)
 }
 
+// lastingFillerMillicores returns the processors that long-running fillers on the VM request, in thousandths of a core.
+func (v *vm) lastingFillerMillicores() int {
+	sum := 0
+	for _, r := range v.orderedRuns {
+		if step := r.step(); step.Filler && step.Lasting {
+			sum += step.CPU
+		}
+	}
+	return sum
+}
+
 // mayIgnore reports whether tasks of the step may be placed on the VM in spite of the judgements. They
 // have waited for too long, the VM has not failed or refused a run for minSpacing, and it does not
 // get more unproven runs at a time than a slow start allows. Fillers beyond the share of a VM are
-// paced by Planner.placeReady.
+// admitted by Planner.placeReady.
 func (r *rating) mayIgnore(v *vm, doubts []*judgement) bool {
 	spacing, slots := minSpacing, 1
 	if r.allDoubted {
--- a/planner/place.go
+++ b/planner/place.go
@@ -19,7 +19,8 @@
 	wait wait
 	// shunsLate means that VMs on which orders have expired come last; see Planner.shunsLate.
 	shunsLate bool
-	// beyondShare means that one filler of the step, or one gang, may go beyond maxFillerShare.
+	// beyondShare means that one filler of the step, or one gang, may go beyond maxFillerShare, or each of the
+	// long-running fillers that have waited for maxFillerWait.
 	beyondShare bool
 }
 
@@ -54,6 +55,8 @@
 	// interference, and therefore does not take every VM.
 	mayWait                                  bool
 	noTrial, overdue, shunsLate, beyondShare bool
+	// lasting is set for long-running fillers beyond maxFillerShare; see vm.filled.
+	lasting bool
 	// takesLate means that the step shuns late VMs and may take one all the same.
 	takesLate bool
 }
@@ -120,14 +123,21 @@
 // placeReady assigns waiting tasks of a step. The fillers of other jobs must not keep a job
 // waiting for longer than maxFillerWait: what maxFillerShare holds back is processors, which all
 // fillers share anyway. From then on the job has one filler or gang beyond it at a time, until one
-// of its tasks is placed within it. Such fillers leave half of a VM's memory to others.
+// of its tasks is placed within it. Each long-running filler has waited too long by itself, whether others of
+// its job run or not. Such fillers leave half of a VM's memory to others.
 func (p *Planner) placeReady(ready readyStep, now time.Time) []Assignment {
 	j := ready.job
 	out := p.placeTasks(ready, now)
+	step := ready.definition()
 	switch {
+	case step.Filler && step.Lasting:
+		if ready.waitingTasks() > 0 && ready.wait.waited(now) >= maxFillerWait {
+			ready.beyondShare = true
+			out = append(out, p.placeTasks(ready, now)...)
+		}
 	case len(out) > 0:
 		j.beyondShare = false
-	case ready.definition().Filler && j.idle() && (j.beyondShare || ready.wait.waited(now) >= maxFillerWait):
+	case step.Filler && j.idle() && (j.beyondShare || ready.wait.waited(now) >= maxFillerWait):
 		j.beyondShare, ready.beyondShare = true, true
 		out = p.placeTasks(ready, now)
 	}
@@ -188,6 +198,7 @@
 	s := shape{
 		pool: p.vmPool(ready.job), label: step.VMLabel, resources: step.Reservation(), filler: step.Filler, suspects: ready.hasSuspects(),
 		noTrial: ready.noTrial, overdue: ready.wait.overdue, shunsLate: ready.shunsLate, beyondShare: ready.beyondShare,
+		lasting:   ready.beyondShare && step.Lasting,
 		takesLate: ready.shunsLate && ready.mayTakeLate(now),
 	}
 	if step.Filler {
@@ -219,6 +230,9 @@
 		if t.Phase != Waiting || now.Before(t.retryAt) {
 			continue
 		}
+		if taskShape.lasting && now.Sub(t.waitingSince) < maxFillerWait {
+			continue
+		}
 		v := r.choose(t)
 		if v == nil {
 			p.recordUnplaced(ready, now)
@@ -232,7 +246,7 @@
 			break
 		}
 		out = append(out, p.assign(v, ready.job, ready.taskID(index), t, t.Run+1, now))
-		if ready.beyondShare {
+		if ready.beyondShare && !taskShape.lasting {
 			break
 		}
 		r.refresh(v)
--- a/planner/starvation_test.go
+++ b/planner/starvation_test.go
@@ -191,6 +191,13 @@
 			r.workers.more, r.faults = 3, []*workerFault{looping}
 			r.steps = []plantainrail.Step{{Lasting: true}, {Lasting: true, VMLabel: "a"}, {}}
 		}},
+		// Workers that vanish or are cut off are left out: the fillers of a job that has a run there wait for its lease (issue 38).
+		{"fillers", func(r *starvationRow) {
+			r.count, r.cpu, r.faults = 10, 7000, []*workerFault{departed, looping}
+			r.steps = []plantainrail.Step{
+				{Lasting: true, Filler: true, Image: "f", Estimate: 1000}, {Filler: true, Image: "g", Estimate: 1000}, {},
+			}
+		}},
 		{"all", func(r *starvationRow) {
 			r.poisonCounts, r.finish, r.powerLoss, r.repetitions, r.takeovers, r.measures = true, finishTime, true, 4, true, true
 			r.steps, r.queues, r.faults, r.count, r.cpu = slices.Concat(special, formerSteps, services), manyQueues, allFaults, 10, 7000
