Decider: a cancellation is denied only after the absence of its job was read

A DELETE is now answered with 410 only if the jobs were read after it arrived. The long polls of the jobs show that within a second, so it costs no call to the store. Cancellations of known jobs take the same path as before and make the same calls. A GET keeps its bound of 2.5 s.

Alternative considered: write the cancellation of every unknown job. It costs an append each, and the record stays in the store.

The new tests need no network.

--- a/assembler/fleet_replica_test.go
+++ b/assembler/fleet_replica_test.go
@@ -55,6 +55,8 @@
 			assert.Assert(t, time.Since(begin) < 50*time.Millisecond, "entry %d answered after %s", i, time.Since(begin))
 			status, _, _ = f.callEntry(client, i, http.MethodGet, "/q/"+jobID(99), nil)
 			assert.Equal(t, status, http.StatusGone, "unknown job through entry %d", i)
+			status, _, _ = f.callEntry(client, i, http.MethodDelete, "/q/"+jobID(99), nil)
+			assert.Equal(t, status, http.StatusGone, "cancellation of an unknown job through entry %d", i)
 			status, _, _ = f.callEntry(client, i, http.MethodGet, "/q/", nil)
 			assert.Equal(t, status, http.StatusOK, "pending jobs through entry %d", i)
 		}
--- a/assembler/fleet_stale_test.go
+++ b/assembler/fleet_stale_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -225,3 +226,37 @@
 	assert.Check(f.t, state == "completed" || state == "cancelled", "job is %s", state)
 	f.checkRuns()
 }
+
+// Guards against a cancellation that is acknowledged with "no such job" (UNASKED) by an entry that was just cut off from
+// the store, or whose replica was, while another entry accepts the job.
+func TestCancellationThroughAnEntryThatIsCutOff(t *testing.T) {
+	for _, shape := range []fleetShape{smallFleet, {entries: 6, zones: 2, vms: 4}} {
+		for _, after := range []time.Duration{100 * time.Millisecond, time.Second, 2 * time.Second} {
+			t.Run(fmt.Sprintf("%d entries, %s after the cut", shape.entries, after), func(t *testing.T) {
+				runInFleet(t, shape, func(f *fleet) {
+					client := f.client("client")
+					defer client.CloseIdleConnections()
+					owner := f.owner()
+					// The last entry with the zone of the first one that is not the owner.
+					away := (owner + 1) % shape.zones
+					var cut []*fleetEntry
+					through := away
+					for i := away; i < len(f.entries); i += shape.zones {
+						cut, through = append(cut, f.entries[i]), i
+					}
+					go f.cutFromStore(cut, 5500*time.Millisecond)
+					time.Sleep(after)
+					status, _, _ := f.callEntry(client, owner, http.MethodPost, "/q/"+jobID(1), map[string]any{"spec": "2500", "steps": []map[string]any{
+						{"count": 2, "cpu": 1000}, {"count": 2, "cpu": 1000, "dependsOn": []int{0}},
+					}})
+					assert.Equal(t, status, http.StatusOK)
+					time.Sleep(100 * time.Millisecond)
+					status, _, _ = f.callEntry(client, through, http.MethodDelete, "/q/"+jobID(1), nil)
+					assert.Assert(t, status == http.StatusOK || status == http.StatusGone, "answered with %d", status)
+					time.Sleep(10 * time.Second)
+					assert.Equal(t, f.jobState(1), "cancelled", "answered with %d", status)
+				})
+			})
+		}
+	}
+}
--- a/decider/query.go
+++ b/decider/query.go
@@ -29,6 +29,13 @@
 	// maxPeerMessageBytes bounds a message between entries and its response. The largest
 	// job is below it.
 	maxPeerMessageBytes = 1 << 20
+	// absenceWait bounds how long a call waits until the absence of its job was read after its arrival: the rest
+	// of the long poll that is open then and, if that returns records, one more.
+	absenceWait = 2 * jobsPollWait
+	// absenceCheckInterval is how often such a call checks the view, whose reads wake nobody if they return nothing.
+	absenceCheckInterval = 50 * time.Millisecond
+	// absenceTimeout bounds a query of another entry that waits so.
+	absenceTimeout = absenceWait + queryTimeout - unknownJobWait
 	// acceptanceCheckInterval is how often an entry that does not follow the jobs asks
 	// whether a job was stored whose write is unanswered.
 	acceptanceCheckInterval = 250 * time.Millisecond
@@ -40,6 +47,20 @@
 	ID string `cbor:"0,keyasint,omitempty"`
 	// Immediate means that an unknown job is not waited for.
 	Immediate bool `cbor:"1,keyasint,omitempty"`
+	// Confirm means that an unknown job is waited for until its absence was read, for up to absenceWait.
+	// Entries of an earlier build ignore it, and leave out jobAnswer.AbsenceRead.
+	Confirm bool `cbor:"2,keyasint,omitempty"`
+}
+
+// wait returns how long an unknown job is waited for.
+func (q jobQuery) wait() time.Duration {
+	switch {
+	case q.Immediate:
+		return 0
+	case q.Confirm:
+		return absenceWait
+	}
+	return unknownJobWait
 }
 
 // jobAnswer is the answer to a jobQuery.
@@ -55,8 +76,14 @@
 	// and of the replicas' claims, beside Pending. Entries of an earlier build leave them out.
 	Members  plantainrail.Offset `cbor:"5,keyasint,omitempty"`
 	Replicas plantainrail.Offset `cbor:"6,keyasint,omitempty"`
+	// AbsenceRead means that the job, for which the result is CallNotFound, was absent from what was read of
+	// the store after the query arrived.
+	AbsenceRead bool `cbor:"7,keyasint,omitempty"`
 }
 
+// absent reports whether the answer proves that no such job was accepted before the query.
+func (a jobAnswer) absent() bool { return a.Result == plantainrail.CallNotFound && a.AbsenceRead }
+
 // serveQuery answers the query of another entry. It responds with status 421 if this
 // entry does not follow the jobs or has not read them yet.
 func (d *Decider) serveQuery(w http.ResponseWriter, req *http.Request) {
@@ -88,11 +115,7 @@
 		defer d.mu.Unlock()
 		return jobAnswer{Fresh: d.catalogFresh(), Pending: d.catalog.Pending(), Members: d.members.next, Replicas: d.replicaClaims.next}
 	}
-	wait := unknownJobWait
-	if q.Immediate {
-		wait = 0
-	}
-	return d.awaitJob(ctx, q.ID, wait)
+	return d.awaitJob(ctx, q, d.Now())
 }
 
 // catalogRead reports whether the entry follows the jobs and has read all jobs and their progress
@@ -109,32 +132,62 @@
 	return recent(d.jobs) && (d.owner != nil || !d.ownerSeenAt.IsZero() && recent(d.progress))
 }
 
-// awaitJob returns the state of a job from the entry's own catalog. It waits for an
-// unknown job for up to the given time. If the job stays unknown, the result is
+// awaitJob answers a query for a job, which has arrived at the given time, from the entry's own
+// catalog. It waits for an unknown job. If the job stays unknown, the result is
 // CallNotFound or, if the jobs were not read recently, CallUnavailable, since the job may
-// exist.
-func (d *Decider) awaitJob(ctx context.Context, id string, wait time.Duration) jobAnswer {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+// exist. AbsenceRead is set if the jobs were read after the arrival.
+func (d *Decider) awaitJob(ctx context.Context, q jobQuery, arrivedAt time.Time) jobAnswer {
+	ctx, cancel := context.WithTimeout(ctx, q.wait())
 	defer cancel()
+	var check <-chan time.Time
+	if q.Confirm {
+		ticker := time.NewTicker(absenceCheckInterval)
+		defer ticker.Stop()
+		check = ticker.C
+	}
 	for {
+		expired := ctx.Err() != nil
 		d.mu.Lock()
-		state, cancelRequested, accepted := d.catalog.State(id)
-		changed, fresh := d.stateChanged, d.catalogFresh()
+		state, cancelRequested, accepted := d.catalog.State(q.ID)
+		changed, fresh, absenceRead := d.stateChanged, d.catalogFresh(), !d.jobs.asOf.Before(arrivedAt)
 		d.mu.Unlock()
-		if accepted {
+		switch {
+		case accepted:
 			return jobAnswer{Result: plantainrail.CallOK, State: state, CancelRequested: cancelRequested, Fresh: fresh}
+		case q.Confirm && absenceRead, expired && fresh:
+			return jobAnswer{Result: plantainrail.CallNotFound, Fresh: fresh, AbsenceRead: absenceRead}
+		case expired:
+			return jobAnswer{Result: plantainrail.CallUnavailable}
 		}
 		select {
 		case <-changed:
+		case <-check:
 		case <-ctx.Done():
-			if fresh {
-				return jobAnswer{Result: plantainrail.CallNotFound, Fresh: true}
-			}
-			return jobAnswer{Result: plantainrail.CallUnavailable}
 		}
 	}
 }
 
+// confirmAbsence answers a query for a job that findJob has not found, and that has arrived at the given time:
+// from the entry's own catalog or, without one, through the first replica. It makes no call to the store,
+// since the jobs are read all the time. The result is CallUnavailable if there is no answer.
+func (d *Decider) confirmAbsence(ctx context.Context, id string, arrivedAt time.Time) jobAnswer {
+	q := jobQuery{ID: id, Confirm: true}
+	d.mu.Lock()
+	answers, addresses := d.catalogRead(), d.replicaAddresses()
+	d.mu.Unlock()
+	switch {
+	case answers:
+		return d.awaitJob(ctx, q, arrivedAt)
+	case len(addresses) > 0:
+		answer, err := d.ask(ctx, addresses[0], q)
+		if err == nil {
+			return answer
+		}
+		d.Logger.Warn("absence not confirmed", zap.String("job", id), zap.String("address", addresses[0]), zap.Error(err))
+	}
+	return jobAnswer{Result: plantainrail.CallUnavailable}
+}
+
 // findJob answers a query: from the entry's own catalog if it follows the jobs and has read
 // them, and otherwise, or if what it has read is too old, through a replica. If no replica answers,
 // the result is the entry's own answer or, without one, CallUnavailable.
@@ -233,7 +286,11 @@
 
 // ask sends a query to the entry at the address.
 func (d *Decider) ask(ctx context.Context, address string, q jobQuery) (jobAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	timeout := queryTimeout
+	if q.Confirm {
+		timeout = absenceTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	status, raw, err := d.post(ctx, address+queryPath, q)
 	if err != nil {
