Planner: long-running fillers go beyond the share as soon as they are overdue

A long-running task may wait for 6 s after its last run and 3 s more.

They now go beyond the share of fillers when every other judgement yields to them, after 2 s (wait.limit).

TestLongRunningFillersArePlacedAgain now allows 2.2 s, less the time of a start, and fails before the change.

--- a/planner/backlog_test.go
+++ b/planner/backlog_test.go
@@ -55,9 +55,11 @@
 			vms := []plantainrail.VM{newVM("a", 4000), newVM("b", 4000), newVM("c", 4000)}
 			h := newHarness(t, vms...)
 			h.submit("services", plantainrail.Step{Count: c.count, CPU: c.cpu, Filler: true, Lasting: true})
-			advance := func(vms []plantainrail.VM, jobs ...string) {
+			// A start takes up to a second, so tasks that have run before are placed earlier than after maxStarvation.
+			const limit = maxStarvation - 800*time.Millisecond
+			advance := func(limit time.Duration, vms []plantainrail.VM, jobs ...string) {
 				placed := map[string]int{}
-				for begin := h.now; h.now.Sub(begin) < maxStarvation; h.now = h.now.Add(100 * time.Millisecond) {
+				for begin := h.now; h.now.Sub(begin) < limit; h.now = h.now.Add(100 * time.Millisecond) {
 					for _, vm := range vms {
 						h.report(vm)
 					}
@@ -76,11 +78,11 @@
 				}
 				assert.Equal(t, running, c.count+len(jobs))
 			}
-			advance(vms)
+			advance(limit, vms)
 			h.planner.RemoveWorker(vms[2].Incarnation, h.now)
-			advance(vms[:2])
+			advance(limit, vms[:2])
 			h.submit("later", plantainrail.Step{Count: 1, CPU: 1000, Filler: true})
-			advance(vms[:2], "later")
+			advance(maxStarvation, vms[:2], "later")
 		})
 	}
 }
--- a/planner/place.go
+++ b/planner/place.go
@@ -19,8 +19,8 @@
 	wait wait
 	// shunsLate means that VMs on which orders have expired come last; see Planner.shunsLate.
 	shunsLate bool
-	// beyondShare means that one filler of the step, or one gang, may go beyond maxFillerShare, or each of the
-	// long-running fillers that have waited for maxFillerWait.
+	// beyondShare means that one filler of the step, or one gang, may go beyond maxFillerShare, or each of its
+	// long-running fillers that are overdue.
 	beyondShare bool
 }
 
@@ -123,15 +123,15 @@
 // placeReady assigns waiting tasks of a step. The fillers of other jobs must not keep a job
 // waiting for longer than maxFillerWait: what maxFillerShare holds back is processors, which all
 // fillers share anyway. From then on the job has one filler or gang beyond it at a time, until one
-// of its tasks is placed within it. Each long-running filler has waited too long by itself, whether others of
-// its job run or not. Such fillers leave half of a VM's memory to others.
+// of its tasks is placed within it. Each long-running filler goes beyond it once it is overdue by itself, whether others of
+// its job run or not: maxFillerWait would leave too little of starvationTime for its start. Such fillers leave half of a VM's memory to others.
 func (p *Planner) placeReady(ready readyStep, now time.Time) []Assignment {
 	j := ready.job
 	out := p.placeTasks(ready, now)
 	step := ready.definition()
 	switch {
 	case step.Filler && step.Lasting:
-		if ready.waitingTasks() > 0 && ready.wait.waited(now) >= maxFillerWait {
+		if ready.waitingTasks() > 0 && ready.wait.overdue {
 			ready.beyondShare = true
 			out = append(out, p.placeTasks(ready, now)...)
 		}
@@ -230,7 +230,7 @@
 		if t.Phase != Waiting || now.Before(t.retryAt) {
 			continue
 		}
-		if taskShape.lasting && now.Sub(t.waitingSince) < maxFillerWait {
+		if taskShape.lasting && now.Sub(t.waitingSince) <= ready.wait.limit {
 			continue
 		}
 		v := r.choose(t)
