--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -112,20 +112,35 @@
 }
 
 // filled reports whether the fillers on the VM request too many processors for one more. A single
-// filler is admitted however large it is.
+// filler is admitted however large it is. Beyond maxFillerShare long-running fillers are neither limited nor
+// counted: they do not end, so that whatever waits for them would wait for ever.
 func (v *vm) filled(ready readyStep) bool {
-	share := maxFillerShare
+	share, requested := maxFillerShare, v.fillerMillicores
 	if ready.beyondShare {
-		share = maxOverdueShare
+		if ready.definition().Lasting {
+			return false
+		}
+		share, requested = maxOverdueShare, v.fillerMillicores-v.lastingFillerMillicores()
 	}
-	total := v.fillerMillicores + ready.definition().CPU
+	total := requested + ready.definition().CPU
 	return (v.fillerMillicores > 0 || ready.beyondShare) && total > int(float64(v.Capacity.Processors)*share)
 }
 
+// lastingFillerMillicores returns the processors that long-running fillers on the VM request, in thousandths of a core.
+func (v *vm) lastingFillerMillicores() int {
+	sum := 0
+	for _, r := range v.orderedRuns {
+		if step := r.step(); step.Filler && step.Lasting {
+			sum += step.CPU
+		}
+	}
+	return sum
+}
+
 // mayIgnore reports whether tasks of the step may be placed on the VM in spite of the judgements. They
 // have waited for too long, the VM has not failed or refused a run for minSpacing, and it does not
 // get more unproven runs at a time than a slow start allows. Fillers beyond the share of a VM are
-// paced by Planner.placeReady.
+// admitted by Planner.placeReady.
 func (r *rating) mayIgnore(v *vm, doubts []*judgement) bool {
 	spacing, slots := minSpacing, 1
 	if r.allDoubted {
@@ -263,6 +278,19 @@
 // that could take it.
 func (u UnplacedStep) KeptBack() bool { return u.Waited >= keptBackTime && len(u.Judgements) > 0 }
 
+// obstacles returns the fact for which the VM cannot take a task of the step and, without one, the judgements that
+// speak against it, apart from interference.
+func (p *Planner) obstacles(v *vm, ready readyStep, t *Task, now time.Time) (fact, []*judgement) {
+	if f := p.fact(v, p.vmPool(ready.job), ready); f != "" {
+		return f, nil
+	}
+	doubts := p.judge(v, ready, now)
+	if t.avoids(v) {
+		doubts = append(doubts, judgedFailed)
+	}
+	return "", doubts
+}
+
 // recordUnplaced records that a task of a ready step cannot be placed on any VM, unless a
 // step of the job was recorded less than unplacedReportInterval ago and the step is not newly kept
 // back. The recorded obstacles
@@ -283,14 +311,11 @@
 	tasks := ready.tasks()
 	first := &tasks[slices.IndexFunc(tasks, func(t Task) bool { return t.Phase == Waiting })]
 	for _, v := range p.ordered {
-		if f := p.fact(v, p.vmPool(ready.job), ready); f != "" {
+		f, doubts := p.obstacles(v, ready, first, now)
+		if f != "" {
 			u.Obstacles[Obstacle(f)]++
 			continue
 		}
-		doubts := p.judge(v, ready, now)
-		if first.avoids(v) {
-			doubts = append(doubts, judgedFailed)
-		}
 		if len(doubts) == 0 && ready.definition().Filler {
 			// Without another obstacle, only interference with services keeps a
 			// filler off a VM.
--- a/planner/pace.go
+++ b/planner/pace.go
@@ -50,7 +50,8 @@
 // PaceFillers decides the pace of each filler on a worker so that its services stay below their latency
 // objectives, and returns the paces that have changed. Fillers of jobs that have time are slowed first
 // where they interfere most; those that are slowed for long are stopped to go on on a VM that
-// tolerates them, if there is one. It ignores unknown workers.
+// tolerates them, if there is one. Long-running fillers keep their speed, since they have no end to put off. It ignores
+// unknown workers.
 func (p *Planner) PaceFillers(incarnation plantainrail.WorkerIncarnation, now time.Time) []plantainrail.RunPace {
 	v := p.vms[incarnation]
 	if v == nil {
@@ -58,7 +59,7 @@
 	}
 	var fillers []pacedFiller
 	for _, run := range v.orderedRuns {
-		if step := run.step(); step.Filler && !step.HasTailObjective() && !run.stopping && !run.begunAt.IsZero() {
+		if step := run.step(); step.Filler && !step.Lasting && !run.stopping && !run.begunAt.IsZero() {
 			fillers = append(fillers, pacedFiller{
 				run: run, cores: v.referenceCores(step.CPU) * v.fillerUse, share: 1, slowable: !run.job.hurries(run.id.Occurrence, now),
 			})
@@ -150,7 +151,7 @@
 		case run.slowedSince.IsZero():
 			run.slowedSince = now
 		}
-		movable := !step.Gang && !step.Lasting && (step.Checkpoints || now.Sub(run.begunAt) < maxLostWork)
+		movable := !step.Gang && (step.Checkpoints || now.Sub(run.begunAt) < maxLostWork)
 		if !movable || now.Sub(run.slowedSince) < slowedTime || run.task.moves >= maxMoves || !p.hasBetterVM(v, run, now) {
 			continue
 		}
