Planner: without capacity, work that can be in time goes first

Callers saw less and less work in time the more they offered: by arrival, each job is served when its objective has just passed.

The objective counts from Workflow.AcceptedMS, a new key that the entry writes, so a new owner sorts the same way.

--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -66,6 +66,7 @@
 		d.Logger.Info("job turned away", zap.String("job", w.ID), zap.String("queue", w.Queue.Name))
 		return plantainrail.Reply{Result: plantainrail.CallUnavailable, RetryAfter: storeRetryAfter}
 	}
+	w.AcceptedMS = d.Now().UnixMilli()
 	record, err := planner.NewJobRecord(w)
 	if err != nil {
 		d.Logger.Error("job not encoded", zap.String("job", w.ID), zap.Error(err))
--- a/planner/job.go
+++ b/planner/job.go
@@ -124,6 +124,8 @@
 	occurrences map[int]occurrence
 	// arrival is the job's position in the order of acceptance.
 	arrival int64
+	// acceptedAt is when the job was accepted; see noteAccepted.
+	acceptedAt time.Time
 	// unplacedReportedAt is when the newest UnplacedStep of the job was recorded.
 	unplacedReportedAt time.Time
 	// keptBackReported is the start of the newest wait of which an UnplacedStep after keptBackTime was
--- a/planner/place.go
+++ b/planner/place.go
@@ -8,35 +8,6 @@
 	"github.com/plantainrail/plantainrail"
 )
 
-// readyStep is a step of a job's occurrence with tasks that are ready to be placed.
-type readyStep struct {
-	job        *Job
-	occurrence int
-	step       int
-	// noTrial means that the tasks do not use VMs on probation.
-	noTrial bool
-	// wait is how long the tasks have waited, and what follows from that.
-	wait wait
-	// shunsLate means that VMs on which orders have expired come last; see Planner.shunsLate.
-	shunsLate bool
-	// beyondShare means that one filler of the step, or one gang, may go beyond maxFillerShare.
-	beyondShare bool
-}
-
-// definition returns the step as submitted, which must not be changed.
-func (r readyStep) definition() *plantainrail.Step { return &r.job.Steps[r.step] }
-
-// tasks returns the step's tasks.
-func (r readyStep) tasks() []Task { return r.job.occurrences[r.occurrence][r.step].tasks }
-
-// waitingTasks returns the number of the step's waiting tasks.
-func (r readyStep) waitingTasks() int { return r.job.occurrences[r.occurrence][r.step].waiting }
-
-// taskID returns the ID of the task with the index.
-func (r readyStep) taskID(index int) plantainrail.TaskID {
-	return plantainrail.TaskID{Job: r.job.ID, Occurrence: r.occurrence, Step: r.step, Index: index}
-}
-
 // shape holds all properties of a task that decide whether a VM can take it,
 // provided that the task has not failed before, is no suspect, and its step has no
 // MaxPerVM. If no VM takes a task of a shape, none takes another one of the same shape.
@@ -70,6 +41,7 @@
 	}
 	ready := p.readySteps(now)
 	p.trackWaits(ready, now)
+	p.order(ready, now)
 	out := p.placeOverdue(ready, now)
 	taken := len(out) > 0
 	var last []readyStep
@@ -141,47 +113,6 @@
 	return p.placeStep(ready, now)
 }
 
-// idlePools returns the pools with less than half of their processors reserved, those of VMs that
-// take no tasks included.
-func (p *Planner) idlePools() map[string]bool {
-	excess := map[string]int{}
-	for _, v := range p.ordered {
-		excess[v.Pool] += v.Capacity.Processors - 2*v.reserved.Processors
-	}
-	idle := map[string]bool{}
-	for pool, processors := range excess {
-		idle[pool] = processors > 0
-	}
-	return idle
-}
-
-// readySteps lists the steps that have waiting tasks, belong to an occurrence that is
-// due, and depend on no unfinished step. Jobs that are final or to be cancelled are left
-// out. The list is valid until the next call, and in the order in which the steps are served: by priority of the queue,
-// then by arrival of the job, occurrence and step.
-func (p *Planner) readySteps(now time.Time) []readyStep {
-	out := p.ready[:0]
-	for _, j := range p.active {
-		if j.State.Final() || j.CancelRequested {
-			continue
-		}
-		for k := range j.Occurrences() {
-			if due := j.NotBefore(k); due.After(now) {
-				// The occurrences that follow are due even later.
-				break
-			}
-			o := j.openOccurrence(k)
-			for s := range o {
-				if o[s].waiting > 0 && j.dependenciesDone(o, s) {
-					out = append(out, readyStep{job: j, occurrence: k, step: s})
-				}
-			}
-		}
-	}
-	p.ready = out
-	return out
-}
-
 // shapeOf returns the shape of a step's tasks.
 func (p *Planner) shapeOf(ready readyStep, now time.Time) shape {
 	step := ready.definition()
@@ -221,7 +152,7 @@
 		}
 		v := r.choose(t)
 		if v == nil {
-			p.recordUnplaced(ready, now)
+			p.noteUnplaced(ready, now)
 			if t.Failures > 0 || t.suspect() {
 				// The step's other tasks do not avoid the VM that this one avoids.
 				continue
@@ -266,7 +197,7 @@
 		t := &tasks[index]
 		v := r.choose(t)
 		if v == nil {
-			p.recordUnplaced(ready, now)
+			p.noteUnplaced(ready, now)
 			// Undo the assignments of the members placed so far.
 			for _, a := range out {
 				memberVM := p.vms[a.Incarnation]
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -116,6 +116,11 @@
 	unplaceable map[shape]bool
 	// ready is the buffer of the steps that are ready to be placed.
 	ready []readyStep
+	// scarce holds where the last tick found too little capacity, and scarceNext the same of the
+	// current one.
+	scarce, scarceNext map[competition]bool
+	// nextTurn is when the next overdue job goes first.
+	nextTurn map[competition]time.Time
 	// scores is the buffer of the ratings of the step that is being placed.
 	scores []float64
 	// estimator learns how fillers interfere with services.
@@ -129,7 +134,8 @@
 func New(book *Book, timeouts Timeouts, now time.Time) *Planner {
 	p := &Planner{
 		Book: book, timeouts: timeouts, vms: map[plantainrail.WorkerIncarnation]*vm{},
-		changed: map[string]*Job{}, unplaceable: map[shape]bool{}, crashedAt: map[string]time.Time{},
+		changed: map[string]*Job{}, unplaceable: map[shape]bool{}, scarce: map[competition]bool{}, scarceNext: map[competition]bool{},
+		nextTurn: map[competition]time.Time{}, crashedAt: map[string]time.Time{},
 		estimator: estimator.New(),
 	}
 	for _, j := range slices.SortedFunc(maps.Values(book.jobs), compareArrival) {
@@ -138,19 +144,6 @@
 	return p
 }
 
-func compareArrival(a, b *Job) int { return cmp.Compare(a.arrival, b.arrival) }
-
-// compareActive orders the active jobs: by priority of the queue, then by arrival.
-func compareActive(a, b *Job) int {
-	return cmp.Or(cmp.Compare(a.Queue.Priority, b.Queue.Priority), compareArrival(a, b))
-}
-
-// isActive reports whether a job is among the active ones.
-func (p *Planner) isActive(j *Job) bool {
-	_, found := slices.BinarySearchFunc(p.active, j, compareActive)
-	return found
-}
-
 // addVM adds a VM, and returns it.
 func (p *Planner) addVM(v *vm) *vm {
 	p.vms[v.Incarnation] = v
@@ -182,6 +175,7 @@
 // created with a lease that an earlier owner may have renewed until TakeoverGrace
 // from now.
 func (p *Planner) activate(j *Job, now time.Time) {
+	j.noteAccepted(now)
 	placed := false
 	j.eachTask(func(id plantainrail.TaskID, t *Task) {
 		if t.Phase != Placed {
--- a/work.go
+++ b/work.go
@@ -141,6 +141,9 @@
 	// IntervalMS is the interval between occurrences, in milliseconds.
 	FirstRunMS int64 `cbor:"5,keyasint,omitempty"`
 	IntervalMS int64 `cbor:"6,keyasint,omitempty"`
+	// AcceptedMS is when an entry got the job, in Unix milliseconds by its clock; 0 if it is one of an
+	// earlier build. The objective counts from it.
+	AcceptedMS int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // maxTasksPerStep bounds the tasks of one step.
