Planner: urgent tasks stop the runs that lose least

Tasks of priority 0 that fit nowhere and would start too late now have runs of lower priorities stopped, on the VM where the fewest are needed and of these the ones that lose least, one at a time for each waiting task. Services, gangs and runs whose start or end is not confirmed are left alone. The progress of a job notes the stopped runs (new key 6, at most 32 tasks of a job, counted by MaxProgressBytes), so a later run of the same task is not stopped and a new owner repeats a stop that may be lost. The event `run preempted` tells the core-seconds that are thrown away.

--- a/decider/owner.go
+++ b/decider/owner.go
@@ -57,6 +57,9 @@
 	renewableFrom, answeredAt time.Time
 	// operatorsAsOf and jobsAsOf are when the views were whole that the planner knows.
 	operatorsAsOf, jobsAsOf time.Time
+	// preemptedMillis is the work that preemptions of this term have thrown away, in thousandths of a
+	// core-second.
+	preemptedMillis int64
 	// waitingStarts are assignments that are stored but not ordered, since startsWaitSince,
 	// because the views are too old. reading is set while they are read for that reason.
 	waitingStarts   []planner.Assignment
@@ -453,6 +456,11 @@
 		ordersFor(s.Incarnation).Stops = append(ordersFor(s.Incarnation).Stops, s.Ref)
 		o.decider.Logger.Info("task stopped", zap.Stringer("task", s.Ref.Task), zap.Int64("run", s.Ref.Run), zap.String("node", s.Incarnation.Node), zap.String("reason", s.Reason))
 	}
+	for _, r := range plan.Preempted {
+		o.preemptedMillis += int64(r.LostCoreSeconds * 1000)
+		o.decider.Logger.Info("run preempted", zap.Stringer("task", r.Ref.Task), zap.Int64("run", r.Ref.Run), zap.String("node", r.Node), zap.String("for", r.For),
+			zap.Int64("waited", r.Waited.Milliseconds()), zap.Float64("lostCoreSeconds", r.LostCoreSeconds), zap.Int64("lostInAll", o.preemptedMillis/1000))
+	}
 	for _, unplaced := range plan.Unplaced {
 		fields := []zap.Field{
 			zap.String("job", unplaced.Job), zap.Int("occurrence", unplaced.Occurrence), zap.Int("step", unplaced.Step),
--- a/planner/job.go
+++ b/planner/job.go
@@ -54,6 +54,9 @@
 	Crashes int
 	// Checkpoint is the newest known checkpoint.
 	Checkpoint string
+	// preempted is the number of the newest run of the task that was stopped to make room, until one ends
+	// otherwise; 0 if there is none. Later runs are not stopped.
+	preempted int64
 	// lostRun is the number of the newest run that was taken for lost with its worker and whose end has not
 	// counted; 0 if there is none. It is not stored.
 	lostRun int64
@@ -151,6 +154,8 @@
 	// next successful run. Neither is stored.
 	failing  bool
 	faultyOn map[string]bool
+	// preempted counts the tasks that were stopped to make room; see Task.preempted.
+	preempted int
 	// crashed is set once a crash was counted against a task of the job. lateCrashAt is when the
 	// newest late one was; see Task.lateCrashes. It is not stored.
 	crashed     bool
@@ -274,6 +279,8 @@
 	Closed []int                  `cbor:"4,keyasint,omitempty"`
 	// Crashes is not part of taskRecord, whose number of elements is fixed.
 	Crashes []crashRecord `cbor:"5,keyasint,omitempty"`
+	// Preempted holds occurrence, step, index and run of the tasks with Task.preempted.
+	Preempted [][4]int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // fits reports whether the progress has the occurrences, steps and tasks of the job.
@@ -320,7 +327,7 @@
 		raw, err := cbor.Marshal(progress{State: j.State, Started: j.Started})
 		return raw, errors.Wrap(err, "encode progress")
 	}
-	p := progress{State: j.State, Started: j.Started, Crashes: j.crashRecords()}
+	p := progress{State: j.State, Started: j.Started, Crashes: j.crashRecords(), Preempted: j.preemptedTasks()}
 	incarnations := map[plantainrail.WorkerIncarnation]int{}
 	for _, k := range slices.Sorted(maps.Keys(j.occurrences)) {
 		o := j.occurrences[k]
@@ -385,6 +392,7 @@
 		j.occurrences[k] = o
 	}
 	j.restoreCrashes(p.Crashes)
+	j.restorePreempted(p.Preempted)
 	return nil
 }
 
--- a/planner/place.go
+++ b/planner/place.go
@@ -266,7 +266,7 @@
 // score, and a VM with too much of it is left out while the job's fillers may wait.
 func (r *rating) score(v *vm) float64 {
 	p, step := r.planner, r.ready.definition()
-	if p.fact(v, r.shape.pool, r.ready) != "" {
+	if p.fact(v, r.shape.pool, r.ready) != "" || p.clearedForOthers(v, r.ready) {
 		return unsuitable
 	}
 	score := v.score(r.ready.job, step)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -87,6 +87,8 @@
 	// Unplaced lists steps with tasks that cannot be placed on any VM. A job is
 	// listed at most once per unplacedReportInterval.
 	Unplaced []UnplacedStep
+	// Preempted lists the runs among Stops that make room for others.
+	Preempted []Preemption
 }
 
 // Planner holds the jobs, the VMs and the runs placed on them.
@@ -112,6 +114,9 @@
 	stops    []Stop
 	lost     []LostRun
 	unplaced []UnplacedStep
+	// preempted is collected for the next Plan, and clearances are the VMs where room is made.
+	preempted  []Preemption
+	clearances []*clearance
 	// unplaceable holds the shapes that found no VM in the current tick.
 	unplaceable map[shape]bool
 	// ready is the buffer of the steps that are ready to be placed.
@@ -200,15 +205,6 @@
 	}
 }
 
-// stopAll orders the stop of all placed runs of a job.
-func (p *Planner) stopAll(j *Job, reason string) {
-	j.eachTask(func(id plantainrail.TaskID, t *Task) {
-		if t.Phase == Placed {
-			p.stop(id, t, reason)
-		}
-	})
-}
-
 // Configure replaces the operators' configuration.
 func (p *Planner) Configure(s plantainrail.OperatorConfig) {
 	p.config, p.pools = s, make(map[string]string, len(s.Queues))
@@ -340,8 +336,8 @@
 			run.job.running++
 			run.endWait()
 		}
-		if status.Checkpoint != "" {
-			run.task.Checkpoint = status.Checkpoint
+		if status.Checkpoint != "" && status.Checkpoint != run.task.Checkpoint {
+			run.task.Checkpoint, run.savedAt = status.Checkpoint, now
 		}
 	}
 }
@@ -457,6 +453,9 @@
 		t.Checkpoint = end.Checkpoint
 	}
 	t.Crashes, t.lateCrashes = 0, 0
+	if end.Outcome != plantainrail.RunStopped {
+		t.preempted = 0
+	}
 	run.endWait()
 	v.removeRun(run)
 	j.setPhase(run.id, Waiting)
@@ -559,17 +558,6 @@
 	p.deactivateIfIdle(j)
 }
 
-// stop orders the stop of a placed task's run, unless it was ordered before. The
-// run keeps its resources until the worker reports its end or the VM is removed.
-func (p *Planner) stop(id plantainrail.TaskID, t *Task, reason string) {
-	v := p.vms[t.Incarnation]
-	ref := plantainrail.RunRef{Task: id, Run: t.Run}
-	if run := v.runs[ref]; run != nil && !run.stopping {
-		run.stopping = true
-		p.stops = append(p.stops, Stop{Incarnation: t.Incarnation, Ref: ref, Reason: reason})
-	}
-}
-
 // requeue removes a run that is certain not to be executing from its VM, and lets
 // its task wait again.
 func (p *Planner) requeue(v *vm, run *placedRun) {
@@ -645,11 +633,13 @@
 		}
 	}
 	assignments := p.place(now)
+	p.preempt(now)
 	plan := Plan{
 		Changed:     slices.SortedFunc(maps.Values(p.changed), compareArrival),
 		Assignments: assignments, Stops: p.stops, Lost: p.lost, Unplaced: p.unplaced,
+		Preempted: p.preempted,
 	}
-	p.stops, p.lost, p.unplaced = nil, nil, nil
+	p.stops, p.lost, p.unplaced, p.preempted = nil, nil, nil, nil
 	clear(p.changed)
 	return plan
 }
--- a/planner/size.go
+++ b/planner/size.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/ranker"
 )
 
 // Bounds of the values in a job's stored progress that depend on the fleet, not on the job.
@@ -22,6 +23,8 @@
 	// progressHeaderBytes bounds what precedes the elements of progress: the state, and
 	// the field numbers and lengths of the lists.
 	progressHeaderBytes = 64
+	// preemptedBytes bounds a list of maxPreempted tasks, each of four numbers in up to five bytes.
+	preemptedBytes = 4 + maxPreempted*(1+4*5)
 )
 
 // uintBytes returns the encoded size of a whole number that is not negative, which is also
@@ -65,6 +68,9 @@
 	// the product does not overflow.
 	workers := min(tasks*min(occurrences, maxPlacedWorkers), maxPlacedWorkers)
 	fixed := plantainrail.KeyedRecord{Key: w.ID}.Size() + progressHeaderBytes + workers*incarnationBytes
+	if w.Queue.Priority > ranker.PreemptingPriority {
+		fixed += preemptedBytes
+	}
 	if occurrences > (math.MaxInt-fixed)/occurrenceBytes {
 		return math.MaxInt
 	}
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -68,6 +68,8 @@
 	orderedSince time.Time
 	// begunAt is when the worker was first known to run it; zero before that.
 	begunAt time.Time
+	// savedAt is when its newest checkpoint was reported; zero before that.
+	savedAt time.Time
 	// tailLatency is the latest tail latency of a service, in milliseconds.
 	tailLatency int
 }
