--- a/planner/explain.go
+++ b/planner/explain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/ranker"
 )
 
 // maxExplainedSteps bounds the steps that an Explanation describes. With 700 VMs the answer stays below the
@@ -57,18 +58,12 @@
 func (p *Planner) Explain(w plantainrail.Workflow, now time.Time) Explanation {
 	trial := p.copyVMs()
 	j := newJob(w, p.Book.acceptedCount+1)
+	j.noteAccepted(now)
 	e := Explanation{VMs: len(p.ordered), VMsAgeMS: p.vmsAge(now).Milliseconds()}
 	if at := j.NotBefore(0); at.After(now) {
 		e.StartsInMS = at.Sub(now).Milliseconds()
 	}
-	ahead := map[*Job]bool{}
-	for _, r := range trial.readySteps(now) {
-		if compareActive(r.job, j) < 0 {
-			ahead[r.job] = true
-			e.TasksAhead += r.waitingTasks()
-		}
-	}
-	e.JobsAhead = len(ahead)
+	e.JobsAhead, e.TasksAhead = trial.ahead(j, now)
 	o := j.openOccurrence(0)
 	for s := range o {
 		if len(e.Steps) == maxExplainedSteps || !j.dependenciesDone(o, s) {
@@ -80,6 +75,24 @@
 	return e
 }
 
+// ahead returns the numbers of jobs with waiting tasks, and of these tasks, that would be served before a job. Turns
+// that the planner gives to others, and tasks that are about to starve, are not foreseen.
+func (p *Planner) ahead(j *Job, now time.Time) (jobs, tasks int) {
+	pools := p.poolUse(now)
+	key := func(j *Job, occurrence int) ranker.Key {
+		pool := p.vmPool(j)
+		return j.work(occurrence).Key(p.scarceNext[competition{pool, j.Queue.Priority}], pools[pool].capacity, now)
+	}
+	own, found := key(j, 0), map[*Job]bool{}
+	for _, r := range p.readySteps(now) {
+		if key(r.job, r.occurrence).Compare(own) < 0 {
+			found[r.job] = true
+			tasks += r.waitingTasks()
+		}
+	}
+	return len(found), tasks
+}
+
 // explainStep places the tasks of a step and tells where.
 func (p *Planner) explainStep(ready readyStep, now time.Time) ExplainedStep {
 	// The job has just arrived, so it has not waited.
@@ -119,7 +132,7 @@
 		copied.runs, copied.orderedRuns, copied.failedJobs = maps.Clone(v.runs), slices.Clone(v.orderedRuns), maps.Clone(v.failedJobs)
 		c.vms[v.Incarnation], c.ordered = &copied, append(c.ordered, &copied)
 	}
-	c.changed, c.unplaceable = map[string]*Job{}, map[shape]bool{}
+	c.changed, c.unplaceable, c.scarce, c.scarceNext = map[string]*Job{}, map[shape]bool{}, map[competition]bool{}, maps.Clone(p.scarceNext)
 	c.ready, c.scores, c.stops, c.lost, c.unplaced = nil, nil, nil, nil, nil
 	return &c
 }
--- a/planner/vm.go
+++ b/planner/vm.go
@@ -76,6 +76,8 @@
 	// of which tailLatency is a moving average. tailNoise is its relative error.
 	tailAt                time.Time
 	recentTail, tailNoise float64
+	// savedAt is when its newest checkpoint was reported; zero before that.
+	savedAt time.Time
 	// tailLatency is the latest tail latency of a service, in milliseconds.
 	tailLatency int
 }
