limiter: budgets and time limits for clients

Callers saw an entry end above its memory limit, or hold sockets for clients that never finish. Cause: bodies and headers were read and decoded for as many connections as came, connections without a request were kept for ever, and the operators' limits were not read.

Package limiter has one ledger for each group of listeners, which decides without I/O: a budget of connections and of bytes derived from limits.memoryMb and limits.fileDescriptors, time limits for headers, bodies, pauses in bodies, idle connections and responses, and which request is dropped for another one: the one without progress for the longest time. Large requests leave a quarter of each byte budget to ordinary ones. What a body takes when decoded is reserved before it is decoded; what the process itself holds is taken from the newest collection of garbage. Limits of the operators apply within fixed bounds. listen.frontend and the agent's listen.controlPlane are limited, and listen.ready has a budget of its own.

--- a/command/node/agent/agent.go
+++ b/command/node/agent/agent.go
@@ -14,6 +14,7 @@
 	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/command/factory"
 	"github.com/plantainrail/plantainrail/decider"
+	"github.com/plantainrail/plantainrail/limiter"
 	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/minder"
 	"github.com/plantainrail/plantainrail/platform"
@@ -68,6 +69,8 @@
 	logger, counters, closeLog := o.AsyncLogger()
 	defer closeLog()
 	o.ServeMetrics(s.IP, counters, logger)
+	limits := limiter.New(limiter.Limits{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, MaxBodyBytes: platform.MaxHeartbeatBytes}, logger)
+	limits.SetReport(counters.SetGauge)
 	// entryClient is the HTTP client for the connections to entries.
 	entryClient := platform.NewClient(logger)
 	return o.Serve(minder.New(minder.Options{
@@ -85,7 +88,7 @@
 		HeartbeatHandler: func(r plantainrail.Registry) http.Handler {
 			return platform.RegistryHandler(s.Name, s.WorkerAddress, o.pool, r, logger)
 		},
-		HeartbeatInterval: s.HeartbeatInterval, Now: now, Logger: logger,
+		HeartbeatInterval: s.HeartbeatInterval, Limiter: limits, Now: now, Logger: logger,
 		ReportTimeOver: func(over time.Duration) {
 			counters.SetGauge("plantainrail_over_objective_beside_fillers_milliseconds", over.Milliseconds())
 		},
--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/plantainrail/plantainrail/command/factory"
 	"github.com/plantainrail/plantainrail/decider"
 	"github.com/plantainrail/plantainrail/hedger"
+	"github.com/plantainrail/plantainrail/limiter"
 	"github.com/plantainrail/plantainrail/platform"
 	"github.com/plantainrail/plantainrail/relayer"
 )
@@ -67,6 +68,8 @@
 	logger, counters, closeLog := o.AsyncLogger()
 	defer closeLog()
 	o.ServeMetrics(s.IP, counters, logger)
+	limits := limiter.New(limiter.Limits{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors}, logger)
+	limits.SetReport(counters.SetGauge)
 	operator := &platform.OperatorState{}
 	peers := platform.NewClient(logger)
 	direct := platform.NewStore(s.StoreAddress, platform.NewClient(logger))
@@ -84,6 +87,7 @@
 		Peers: listeners[0], Clients: listeners[1], Health: listeners[2],
 		ClientHandler: func(f plantainrail.JobService) http.Handler { return platform.JobHandler(f) },
 		HealthHandler: func(f plantainrail.JobService) http.Handler { return platform.ReadyHandler(f) },
+		Limiter:       limits,
 		Now:           now, Logger: logger,
 	}), drainTimeout, logger)
 }
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -23,6 +23,7 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/clocker"
+	"github.com/plantainrail/plantainrail/limiter"
 	"github.com/plantainrail/plantainrail/planner"
 )
 
@@ -116,6 +117,9 @@
 	// ClientHandler and HealthHandler return the handlers that serve the job
 	// service through the platform's HTTP API.
 	ClientHandler, HealthHandler func(plantainrail.JobService) http.Handler
+	// Limiter bounds what clients and health checks take, and gets the operators' limits. It may be
+	// nil; then nothing is bounded.
+	Limiter *limiter.Limiter
 	// Now returns the time of a clock that keeps running while the VM is suspended.
 	Now    func() time.Time
 	Logger *zap.Logger
@@ -228,13 +232,19 @@
 	for i, s := range []struct {
 		listener net.Listener
 		handler  http.Handler
+		limit    func(*http.Server, net.Listener) net.Listener
 	}{
-		{d.Peers, d.peerHandler()}, {d.Clients, d.ClientHandler(d)}, {d.Health, d.HealthHandler(d)},
+		{d.Peers, d.peerHandler(), nil},
+		{d.Clients, d.ClientHandler(d), d.Limiter.LimitClients},
+		{d.Health, d.HealthHandler(d), d.Limiter.LimitHealthChecks},
 	} {
 		if s.listener == nil {
 			continue
 		}
 		d.servers[i].Handler, d.servers[i].ReadHeaderTimeout = s.handler, headerTimeout
+		if s.limit != nil {
+			s.listener = s.limit(&d.servers[i], s.listener)
+		}
 		group.Go(func() error { return serve(ctx, &d.servers[i], s.listener) })
 	}
 	return group.Wait()
--- a/decider/follow.go
+++ b/decider/follow.go
@@ -111,6 +111,7 @@
 		return
 	}
 	d.configuration, d.configured = configuration, configuration.Version > 0
+	d.Limiter.SetOperatorLimits(configuration.Limits)
 	d.broadcastChange()
 	// The changed configuration is in force on this entry.
 	d.Logger.Info("configuration taken", zap.String("key", r.Key), zap.Int64("version", configuration.Version), zap.Int64("offset", int64(r.Offset)))
--- /dev/null
+++ b/limiter/conn.go
@@ -0,0 +1,236 @@
+package limiter
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// writeTimeout bounds the time for a refusal that is written to a connection directly. It fits into
+	// the empty buffer of the connection.
+	writeTimeout = 100 * time.Millisecond
+	// lingerTime and lingerBytes bound what is still read after such a refusal. A connection that is
+	// closed with unread bytes is reset, and the client may lose the response.
+	lingerTime, lingerBytes = 200 * time.Millisecond, 64 << 10
+	// refusePause is the delay after a connection was refused. It keeps clients that reconnect at once
+	// from taking the processor; others wait in the listener's queue meanwhile.
+	refusePause = 2 * time.Millisecond
+	// minRetryAfter and retrySpread are the bounds of Retry-After in whole seconds. The value is random,
+	// so that refused clients do not return together.
+	minRetryAfter, retrySpread = 1, 3
+)
+
+// conn is a connection within the budget of a pool.
+type conn struct {
+	net.Conn
+	pool   *pool
+	client *Client
+	// interrupted is set once the read of a refused client was ended. The pool's lock guards it.
+	interrupted bool
+	// answered is set once a refusal was written to the connection directly. Only Read uses it, which
+	// the server does not call from two goroutines at once.
+	answered bool
+}
+
+// errRefused is returned by reads from a refused client. The server sends no response of its own after an
+// error of this type.
+var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("client refused")}
+
+// Read implements net.Conn. A client that is refused before its request reached a handler gets the response
+// from here.
+func (c *conn) Read(b []byte) (int, error) {
+	if cause, phase := c.count(0); cause != None {
+		return 0, c.refuse(cause, phase)
+	}
+	n, err := c.Conn.Read(b)
+	if cause, phase := c.count(n); cause != None {
+		return 0, c.refuse(cause, phase)
+	}
+	return n, err
+}
+
+// count counts bytes that were read, and returns the cause if the client is refused. Zero bytes stand for the
+// beginning of a read.
+func (c *conn) count(n int) (Cause, Phase) {
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	had := c.client.cause
+	if n == 0 {
+		p.ledger.HeaderPending(p.time(), c.client)
+	} else {
+		p.interrupt(p.ledger.Received(p.time(), c.client, int64(n)))
+	}
+	if had == None && c.client.cause != None {
+		p.limiter.counts.add(c.client.cause)
+		c.interrupted = true
+	}
+	if c.client.phase == Draining {
+		// The server still reads the rest of a refused body, so that the client gets the response.
+		return None, Draining
+	}
+	return c.client.cause, c.client.phase
+}
+
+// refuse responds to a client whose header is incomplete.
+func (c *conn) refuse(cause Cause, phase Phase) error {
+	if phase != Header || c.answered {
+		return errRefused
+	}
+	c.answered = true
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, _ = c.Conn.Write(response(cause))
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	return errRefused
+}
+
+// CloseWrite ends the sending direction, if the connection can do so. The server uses it, too.
+func (c *conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.pool.mu.Lock()
+	c.pool.ledger.Close(c.client)
+	delete(c.pool.conns, c.client)
+	c.pool.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Refusal is the error of a request that is refused. No handler has acted on it.
+type Refusal struct{ Cause Cause }
+
+// Error implements error.
+func (r *Refusal) Error() string { return "not accepted, and nothing was stored: " + string(r.Cause) }
+
+// Status returns the HTTP status of the response.
+func (r *Refusal) Status() int {
+	switch r.Cause {
+	case HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case HeaderTooSlow, BodyTooSlow:
+		return http.StatusRequestTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+// retryAfter returns the value of Retry-After, in seconds.
+func retryAfter() string { return strconv.Itoa(minRetryAfter + rand.IntN(retrySpread)) }
+
+// Write sends the response, after which the connection is closed.
+func (r *Refusal) Write(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	if r.Status() == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter())
+	}
+	http.Error(w, r.Error(), r.Status())
+}
+
+// response returns the response for a connection whose request has not reached a handler.
+func response(cause Cause) []byte {
+	r := &Refusal{cause}
+	text := r.Error() + "\n"
+	retry := ""
+	if r.Status() == http.StatusServiceUnavailable {
+		retry = "Retry-After: " + retryAfter() + "\r\n"
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n%sContent-Length: %d\r\n\r\n%s",
+		r.Status(), http.StatusText(r.Status()), retry, len(text), text)
+}
+
+// connKey is the key of the connection in a request's context.
+type connKey struct{}
+
+// connOf returns the connection of a request, or nil if it is not limited.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// Reserve reserves memory in bytes for a request until its response is written. It returns a *Refusal if
+// there is none, and nil for a request that is not limited.
+func Reserve(ctx context.Context, bytes int64) error {
+	c := connOf(ctx)
+	if c == nil {
+		return nil
+	}
+	if cause := c.pool.reserve(c, bytes); cause != None {
+		return &Refusal{cause}
+	}
+	return nil
+}
+
+// MaxBodyBytes returns the largest body of a request in bytes: the one in force, or the default if the
+// request is not limited.
+func MaxBodyBytes(ctx context.Context, byDefault int64) int64 {
+	c := connOf(ctx)
+	if c == nil {
+		return byDefault
+	}
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return c.pool.ledger.Rules().BodyBytes
+}
+
+// handler returns a handler that tells the pool how far its requests are.
+func (p *pool) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		c := connOf(req.Context())
+		if c == nil {
+			next.ServeHTTP(w, req)
+			return
+		}
+		defer p.enter(c, Draining)
+		if req.ContentLength == 0 {
+			p.enter(c, Serving)
+			next.ServeHTTP(w, req)
+			return
+		}
+		p.enter(c, Body)
+		if req.ContentLength > MaxBodyBytes(req.Context(), 0) {
+			p.limiter.counts.add(BodyTooLarge)
+			(&Refusal{BodyTooLarge}).Write(w)
+			return
+		}
+		req.Body = &body{req.Body, c}
+		next.ServeHTTP(w, req)
+	})
+}
+
+// body is the body of a request.
+type body struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader. It returns a *Refusal once the client is refused, also in the place of io.EOF,
+// so that no handler acts on a request that was dropped.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	pool := b.conn.pool
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if cause := b.conn.client.cause; cause != None {
+		return 0, &Refusal{cause}
+	}
+	if err == io.EOF {
+		pool.ledger.Enter(pool.time(), b.conn.client, Serving)
+	}
+	return n, err
+}
--- /dev/null
+++ b/limiter/ledger.go
@@ -0,0 +1,289 @@
+package limiter
+
+import (
+	"container/list"
+	"time"
+)
+
+// Phase is what a connection waits for.
+type Phase int
+
+// Phases of a connection, in the order in which a request passes them.
+const (
+	// Idle is a connection without a request.
+	Idle Phase = iota
+	// Header is one whose request's header is incomplete.
+	Header
+	// Body is one whose request is being read by its handler.
+	Body
+	// Serving is one whose whole request was read. It is never dropped.
+	Serving
+	// Draining is one whose response is written and that is not ready for the next request yet.
+	Draining
+)
+
+// Cause is the limit because of which a request is refused or a connection closed.
+type Cause string
+
+// Causes. They are values of a metric label and do not change.
+const (
+	None             Cause = ""
+	HeaderTooLarge   Cause = "header too large"
+	BodyTooLarge     Cause = "body too large"
+	HeaderTooSlow    Cause = "header too slow"
+	BodyTooSlow      Cause = "body too slow"
+	ResponseTooSlow  Cause = "response too slow"
+	IdleTooLong      Cause = "idle too long"
+	OverMemory       Cause = "over memory"
+	OverConnections  Cause = "over connections"
+	DroppedForOthers Cause = "dropped for others"
+)
+
+// Client is a connection in the books of a Ledger. Only the ledger changes it.
+type Client struct {
+	phase Phase
+	// since is when the phase began, and progressAt when progress was last made in it.
+	since, progressAt time.Time
+	// received counts the bytes of the phase, and marked those at progressAt.
+	received, marked int64
+	// reserved is the cost of the request in bytes.
+	reserved int64
+	// cause is set once the connection is refused.
+	cause     Cause
+	refusedAt time.Time
+	// place is the client's place in a list of the ledger; nil while it is served, or closed.
+	place *list.Element
+}
+
+// Ledger decides which connections and requests a process takes and which it drops. It does no I/O, reads
+// no clock and is not safe for concurrent use.
+type Ledger struct {
+	budget Budget
+	rules  Rules
+	// idle and sending hold the clients that may be dropped, the one without progress for the longest
+	// time first: those in the phase Idle, and all others.
+	idle, sending *list.List
+	connections   int
+	// reserved is the sum of the clients' costs. held is the memory in use by the process, and finished
+	// the cost of the large requests that have ended since it was measured.
+	reserved, held, finished int64
+}
+
+// NewLedger returns a ledger without clients.
+func NewLedger(b Budget, r Rules) *Ledger {
+	return &Ledger{budget: b, rules: r, idle: list.New(), sending: list.New()}
+}
+
+// Rules returns the limits in force.
+func (l *Ledger) Rules() Rules { return l.rules }
+
+// SetRules sets the limits for all clients, also for requests that have begun.
+func (l *Ledger) SetRules(r Rules) { l.rules = r }
+
+// SetHeld sets the bytes in use by the process as measured by a new collection of garbage.
+func (l *Ledger) SetHeld(bytes int64) { l.held, l.finished = bytes, 0 }
+
+// Connect takes a new connection. If there is no room for it, the client to close in its favour is
+// returned as dropped, which the ledger has forgotten already. If there is none, c is nil and the new
+// connection is refused.
+func (l *Ledger) Connect(now time.Time) (c, dropped *Client) {
+	if l.connections >= l.budget.Connections {
+		if dropped = l.stalled(now, nil, false); dropped == nil {
+			return nil, nil
+		}
+		l.refuse(now, dropped, DroppedForOthers)
+		l.Close(dropped)
+	}
+	l.connections++
+	c = &Client{since: now, progressAt: now}
+	c.place = l.idle.PushBack(c)
+	return c, dropped
+}
+
+// stalled returns the client that has made no progress for the longest time, at least minStall, other
+// than the exception. Requests go before idle connections. With costly set it returns only clients whose
+// requests have a cost. It returns nil if there is none.
+func (l *Ledger) stalled(now time.Time, exception *Client, costly bool) *Client {
+	for _, clients := range []*list.List{l.sending, l.idle} {
+		for e := clients.Front(); e != nil; e = e.Next() {
+			c := e.Value.(*Client)
+			if now.Sub(c.progressAt) < minStall {
+				break
+			}
+			if c != exception && c.cause == None && (!costly || c.reserved > 0) {
+				return c
+			}
+		}
+	}
+	return nil
+}
+
+// Enter moves a client to a phase. From Draining on its request costs nothing more.
+func (l *Ledger) Enter(now time.Time, c *Client, p Phase) {
+	if c.phase == p || l.isClosed(c) {
+		return
+	}
+	l.unlist(c)
+	c.phase, c.since, c.progressAt, c.received, c.marked = p, now, now, 0, 0
+	switch p {
+	case Idle:
+		l.release(c)
+		c.place = l.idle.PushBack(c)
+	case Serving:
+	case Draining:
+		l.release(c)
+		c.place = l.sending.PushBack(c)
+	default:
+		c.place = l.sending.PushBack(c)
+	}
+}
+
+// Received counts bytes that were read from a client and returns the clients to drop in its favour. The
+// client is refused if there is no memory for them.
+func (l *Ledger) Received(now time.Time, c *Client, n int64) (dropped []*Client) {
+	if n == 0 || c.phase == Serving || l.isClosed(c) {
+		return nil
+	}
+	if c.phase == Idle {
+		l.Enter(now, c, Header)
+	}
+	before := paidBytes(c.received)
+	c.received += n
+	if c.received-c.marked >= progressBytes {
+		c.marked, c.progressAt = c.received, now
+		l.sending.MoveToBack(c.place)
+	}
+	if grown := paidBytes(c.received) - before; grown > 0 && c.phase != Draining {
+		var ok bool
+		if dropped, ok = l.Reserve(now, c, grown*bodyCopies); !ok {
+			l.refuse(now, c, OverMemory)
+		}
+	}
+	return dropped
+}
+
+// HeaderPending refuses a client that has sent as many bytes as a header may have and whose header is
+// still incomplete. It is called before more is read.
+func (l *Ledger) HeaderPending(now time.Time, c *Client) {
+	if c.phase == Header && c.received > l.rules.HeaderBytes {
+		l.refuse(now, c, HeaderTooLarge)
+	}
+}
+
+// paidBytes returns how many of the bytes of a header or body are reserved: whole units, without the first
+// one, which is in the connection's buffer and part of connectionBytes.
+func paidBytes(bytes int64) int64 { return max(0, bytes-1) / unitBytes * unitBytes }
+
+// Reserve adds to the cost of a client's request and returns the clients to drop in its favour. It
+// returns false, and reserves nothing, if there is still no room. The clients are dropped all the same.
+func (l *Ledger) Reserve(now time.Time, c *Client, bytes int64) (dropped []*Client, ok bool) {
+	if c.cause != None || l.isClosed(c) {
+		return nil, false
+	}
+	for !l.fits(c, bytes) {
+		victim := l.stalled(now, c, true)
+		if victim == nil {
+			return dropped, false
+		}
+		l.refuse(now, victim, DroppedForOthers)
+		l.release(victim)
+		dropped = append(dropped, victim)
+	}
+	c.reserved += bytes
+	l.reserved += bytes
+	return dropped, true
+}
+
+// fits reports whether a request's cost may grow.
+func (l *Ledger) fits(c *Client, bytes int64) bool {
+	room, heap := l.budget.Bytes-l.reserved, l.budget.Heap-l.held-l.finished-l.reserved
+	if c.reserved+bytes > largeRequest {
+		room, heap = room-l.budget.Bytes/4, heap-l.budget.Heap/4
+	}
+	return bytes <= room && bytes <= heap
+}
+
+// Affordable reports whether a request of the cost could be taken by a process without load.
+func (l *Ledger) Affordable(bytes int64) bool { return bytes <= l.budget.Bytes/4*3 }
+
+// refuse marks a client as refused, once.
+func (l *Ledger) refuse(now time.Time, c *Client, cause Cause) {
+	if c.cause == None {
+		c.cause, c.refusedAt = cause, now
+	}
+}
+
+// Overdue refuses the clients that have exceeded a time limit and returns them. Those that are still
+// there a second after they were refused are returned again, to be closed.
+func (l *Ledger) Overdue(now time.Time) (out []*Client) {
+	for _, clients := range []*list.List{l.idle, l.sending} {
+		for e := clients.Front(); e != nil; e = e.Next() {
+			c := e.Value.(*Client)
+			if c.cause != None {
+				if now.Sub(c.refusedAt) > minTimeout {
+					out = append(out, c)
+				}
+				continue
+			}
+			if cause := l.exceeded(now, c); cause != None {
+				l.refuse(now, c, cause)
+				out = append(out, c)
+			} else if c.phase == Idle {
+				// The others have been idle for a shorter time.
+				break
+			}
+		}
+	}
+	return out
+}
+
+// exceeded returns the time limit that a client has exceeded.
+func (l *Ledger) exceeded(now time.Time, c *Client) Cause {
+	inPhase := now.Sub(c.since)
+	switch {
+	case c.phase == Idle && inPhase > l.rules.IdleTimeout:
+		return IdleTooLong
+	case c.phase == Header && inPhase > l.rules.HeaderTimeout:
+		return HeaderTooSlow
+	case c.phase == Body && (inPhase > bodyTimeout || now.Sub(c.progressAt) > stallTimeout):
+		return BodyTooSlow
+	case c.phase == Draining && inPhase > drainTimeout:
+		return ResponseTooSlow
+	}
+	return None
+}
+
+// Close forgets a client whose connection is closed. It may be called more than once.
+func (l *Ledger) Close(c *Client) {
+	if l.isClosed(c) {
+		return
+	}
+	l.unlist(c)
+	l.release(c)
+	c.phase = closed
+	l.connections--
+}
+
+// closed is the phase of a forgotten client.
+const closed Phase = -1
+
+func (l *Ledger) isClosed(c *Client) bool { return c.phase == closed }
+
+func (l *Ledger) unlist(c *Client) {
+	if c.place == nil {
+		return
+	}
+	// Remove does nothing if the element is of another list.
+	l.idle.Remove(c.place)
+	l.sending.Remove(c.place)
+	c.place = nil
+}
+
+// release ends the cost of a client's request.
+func (l *Ledger) release(c *Client) {
+	l.reserved -= c.reserved
+	if c.reserved > largeRequest {
+		l.finished += c.reserved
+	}
+	c.reserved = 0
+}
--- /dev/null
+++ b/limiter/limiter.go
@@ -0,0 +1,282 @@
+package limiter
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"runtime/metrics"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/plantainrail/plantainrail"
+)
+
+const (
+	// sweepInterval is how often time limits are checked. Deadlines of single reads would cost each
+	// request several timers.
+	sweepInterval = 250 * time.Millisecond
+	// pauseTime is the delay of a sweep above which the process itself stood still, which is not held
+	// against its clients.
+	pauseTime = time.Second
+	// logInterval bounds the log lines to one for each limit in this time.
+	logInterval = time.Second
+)
+
+// Limiter enforces the limits of a process on the listeners that clients reach.
+type Limiter struct {
+	logger *zap.Logger
+	limits Limits
+	// now is the clock. It stands still while the process does; see sweep.
+	now            func() time.Time
+	clients, other *pool
+	counts         counts
+}
+
+// pool is a budget for a group of listeners.
+type pool struct {
+	limiter *Limiter
+	// mu guards the ledger, the clients in it, and paused, the total time for which the process stood still.
+	mu     sync.Mutex
+	ledger *Ledger
+	conns  map[*Client]*conn
+	paused time.Duration
+	// cycle is the number of the collection of garbage that was measured last.
+	cycle uint64
+}
+
+// New returns a limiter and sets the memory limit of the Go runtime, if the memory of the process is known.
+func New(l Limits, logger *zap.Logger) *Limiter {
+	if l.MaxBodyBytes == 0 {
+		l.MaxBodyBytes = defaultBodyBytes
+	}
+	if l.MemoryBytes > 0 {
+		debug.SetMemoryLimit(l.RuntimeBytes())
+	}
+	out := &Limiter{logger: logger, limits: l, now: time.Now, counts: counts{logger: logger, byCause: map[Cause]*count{}}}
+	rules, budget := NewRules(plantainrail.ClientLimits{}, l.MaxBodyBytes), l.Budget()
+	health := Budget{Connections: healthConnections, Bytes: healthBytes, Heap: budget.Heap}
+	budget.Connections = max(1, budget.Connections-healthConnections)
+	out.clients = &pool{limiter: out, ledger: NewLedger(budget, rules), conns: map[*Client]*conn{}}
+	out.other = &pool{limiter: out, ledger: NewLedger(health, rules), conns: map[*Client]*conn{}}
+	return out
+}
+
+// SetReport sets the function that receives the number of clients that were limited since the start, as a
+// gauge for each cause. It must be called before the limiter is used, and is called at most once in
+// logInterval for each cause.
+func (l *Limiter) SetReport(report func(name string, total int64)) { l.counts.report = report }
+
+// SetOperatorLimits puts the operators' limits in force. It may be called at any time, and on a nil Limiter.
+func (l *Limiter) SetOperatorLimits(o plantainrail.ClientLimits) {
+	if l == nil {
+		return
+	}
+	for _, p := range []*pool{l.clients, l.other} {
+		p.mu.Lock()
+		p.ledger.SetRules(NewRules(o, l.limits.MaxBodyBytes))
+		p.mu.Unlock()
+	}
+}
+
+// LimitClients returns the listener with the limits for clients, and prepares the server that serves it. Its
+// handler and time limit for headers have to be set before. A nil Limiter and a nil listener change nothing.
+func (l *Limiter) LimitClients(server *http.Server, listener net.Listener) net.Listener {
+	if l == nil || listener == nil {
+		return listener
+	}
+	return l.limit(l.clients, server, listener)
+}
+
+// LimitHealthChecks does the same for the load balancer's readiness checks, which have a budget of their
+// own, so that clients do not take an entry out of rotation.
+func (l *Limiter) LimitHealthChecks(server *http.Server, listener net.Listener) net.Listener {
+	if l == nil || listener == nil {
+		return listener
+	}
+	return l.limit(l.other, server, listener)
+}
+
+func (l *Limiter) limit(p *pool, server *http.Server, inner net.Listener) net.Listener {
+	server.Handler = p.handler(server.Handler)
+	// The ledger has the time limits, and the connections count headers. The server's own bounds are
+	// behind them.
+	server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = maxHeaderTimeout, maxIdleTimeout+maxHeaderTimeout, 2*maxHeaderBytes
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if limited, ok := c.(*conn); ok && state == http.StateIdle {
+			p.enter(limited, Idle)
+		}
+	}
+	if l.limits.MemoryBytes > 0 {
+		l.boundReceiveBuffer(inner)
+	}
+	out := &listener{Listener: inner, pool: p, closed: make(chan struct{})}
+	go p.sweep(out.closed)
+	return out
+}
+
+// boundReceiveBuffer bounds the unread bytes of all connections that the listener will accept, those in its
+// queue included.
+func (l *Limiter) boundReceiveBuffer(inner net.Listener) {
+	tcp, ok := inner.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err == nil {
+		controlErr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		if err == nil {
+			err = controlErr
+		}
+	}
+	if err != nil {
+		l.logger.Warn("receive buffers not bounded", zap.Error(err))
+	}
+}
+
+// listener accepts connections within the budget of a pool.
+type listener struct {
+	net.Listener
+	pool      *pool
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+// Accept implements net.Listener. It refuses connections for which there is no room and returns the next.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.pool.connect(inner); c != nil {
+			return c, nil
+		}
+		l.pool.limiter.counts.add(OverConnections)
+		_ = inner.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_, _ = inner.Write(response(OverConnections))
+		_ = inner.Close()
+		time.Sleep(refusePause)
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// time returns the time on the pool's clock. The caller holds the lock.
+func (p *pool) time() time.Time { return p.limiter.now().Add(-p.paused) }
+
+// connect takes a connection, or returns nil if there is no room for it.
+func (p *pool) connect(inner net.Conn) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	client, dropped := p.ledger.Connect(p.time())
+	if dropped != nil {
+		p.limiter.counts.add(DroppedForOthers)
+		old := p.conns[dropped]
+		delete(p.conns, dropped)
+		// It has no lingering data to send, so this does not block.
+		_ = old.Conn.Close()
+	}
+	if client == nil {
+		return nil
+	}
+	c := &conn{Conn: inner, pool: p, client: client}
+	p.conns[client] = c
+	return c
+}
+
+// enter moves a connection to a phase.
+func (p *pool) enter(c *conn, phase Phase) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ledger.Enter(p.time(), c.client, phase)
+}
+
+// reserve reserves bytes for a request and returns the cause if it is refused.
+func (p *pool) reserve(c *conn, bytes int64) Cause {
+	p.measure()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	dropped, ok := p.ledger.Reserve(p.time(), c.client, bytes)
+	p.interrupt(dropped)
+	switch {
+	case ok:
+		return None
+	case c.client.cause != None:
+		return c.client.cause
+	case !p.ledger.Affordable(bytes):
+		p.limiter.counts.add(BodyTooLarge)
+		return BodyTooLarge
+	}
+	p.limiter.counts.add(OverMemory)
+	return OverMemory
+}
+
+// interrupt ends the reads of refused clients, whose handlers or connections then respond. Those without a
+// request are closed. The caller holds the lock.
+func (p *pool) interrupt(refused []*Client) {
+	for _, client := range refused {
+		c := p.conns[client]
+		if c == nil {
+			continue
+		}
+		if !c.interrupted {
+			p.limiter.counts.add(client.cause)
+		}
+		if c.interrupted || client.phase == Idle || client.phase == Draining {
+			_ = c.Conn.Close()
+		} else {
+			_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		}
+		c.interrupted = true
+	}
+}
+
+// sweep enforces the time limits until the listener is closed.
+func (p *pool) sweep(closed chan struct{}) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	last := p.limiter.now()
+	for {
+		select {
+		case <-closed:
+			return
+		case <-ticker.C:
+		}
+		p.measure()
+		now := p.limiter.now()
+		p.mu.Lock()
+		if gap := now.Sub(last); gap > pauseTime {
+			p.paused += gap
+		}
+		last = now
+		p.interrupt(p.ledger.Overdue(p.time()))
+		p.mu.Unlock()
+		p.limiter.counts.flush(now)
+	}
+}
+
+// measure tells the ledger what the newest collection of garbage has found in use.
+func (p *pool) measure() {
+	if p.limiter.limits.MemoryBytes == 0 {
+		return
+	}
+	samples := [2]metrics.Sample{{Name: "/gc/heap/live:bytes"}, {Name: "/gc/cycles/total:gc-cycles"}}
+	metrics.Read(samples[:])
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cycle := samples[1].Value.Uint64(); cycle != p.cycle {
+		p.cycle = cycle
+		p.ledger.SetHeld(int64(samples[0].Value.Uint64()))
+	}
+}
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -21,6 +21,7 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/clocker"
+	"github.com/plantainrail/plantainrail/limiter"
 	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/pacer"
 )
@@ -47,6 +48,8 @@
 	// the registry.
 	Heartbeats       net.Listener
 	HeartbeatHandler func(plantainrail.Registry) http.Handler
+	// Limiter bounds what the clients of Heartbeats take. It may be nil; then nothing is bounded.
+	Limiter *limiter.Limiter
 	// HeartbeatInterval is the approximate time between two heartbeats.
 	HeartbeatInterval time.Duration
 	// Now returns the time of a clock that keeps running while the VM is suspended.
@@ -226,7 +229,8 @@
 	defer close(m.stopped)
 	group, ctx := errgroup.WithContext(ctx)
 	server := &http.Server{Handler: m.HeartbeatHandler(m), ReadHeaderTimeout: headerTimeout}
-	group.Go(func() error { return errors.Wrap(server.Serve(m.Heartbeats), "serve heartbeats") })
+	heartbeats := m.Limiter.LimitClients(server, m.Heartbeats)
+	group.Go(func() error { return errors.Wrap(server.Serve(heartbeats), "serve heartbeats") })
 	group.Go(func() error {
 		<-ctx.Done()
 		return errors.Wrap(server.Close(), "close")
--- a/store.go
+++ b/store.go
@@ -199,6 +199,17 @@
 	Queues  []QueueRule
 	// Out is the set of availability zones that get no new tasks.
 	Out map[string]bool
+	// Limits are the limits for clients.
+	Limits ClientLimits
+}
+
+// ClientLimits are the limits for a client's request and connection. A value that is 0 is not configured.
+type ClientLimits struct {
+	// MaxHeaderBytes and MaxBodyBytes bound a request's header and body.
+	MaxHeaderBytes, MaxBodyBytes int64
+	// HeaderTimeout bounds the time from the first byte of a request to the end of its header, and
+	// IdleTimeout that between two requests.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // QueueRule assigns requests to a queue by their host and the prefix of their path.
