limiter: pace long bodies, and cost requests less

Cause: each round over all connections takes the processor for longer than a client waits, and a refused header was still read on.

Bodies above 16 KiB are now read at 20 MiB/s for each core, all together, and no more is read from a refused header.

The runtime's memory limit is now set by the commands, not by New, so that tests do not share it.

--- a/command/node/agent/agent.go
+++ b/command/node/agent/agent.go
@@ -69,8 +69,10 @@
 	logger, counters, closeLog := o.AsyncLogger()
 	defer closeLog()
 	o.ServeMetrics(s.IP, counters, logger)
-	limits := limiter.New(limiter.Limits{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, MaxBodyBytes: platform.MaxHeartbeatBytes}, logger)
-	limits.SetReport(counters.SetGauge)
+	limits := limiter.Limits{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, Cores: s.Cores, MaxBodyBytes: platform.MaxHeartbeatBytes}
+	limits.BoundRuntime()
+	clientLimiter := limiter.New(limits, logger)
+	clientLimiter.SetReport(counters.SetGauge)
 	// entryClient is the HTTP client for the connections to entries.
 	entryClient := platform.NewClient(logger)
 	return o.Serve(minder.New(minder.Options{
@@ -88,7 +90,7 @@
 		HeartbeatHandler: func(r plantainrail.Registry) http.Handler {
 			return platform.RegistryHandler(s.Name, s.WorkerAddress, o.pool, r, logger)
 		},
-		HeartbeatInterval: s.HeartbeatInterval, Limiter: limits, Now: now, Logger: logger,
+		HeartbeatInterval: s.HeartbeatInterval, Limiter: clientLimiter, Now: now, Logger: logger,
 		ReportTimeOver: func(over time.Duration) {
 			counters.SetGauge("plantainrail_over_objective_beside_fillers_milliseconds", over.Milliseconds())
 		},
--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -68,8 +68,10 @@
 	logger, counters, closeLog := o.AsyncLogger()
 	defer closeLog()
 	o.ServeMetrics(s.IP, counters, logger)
-	limits := limiter.New(limiter.Limits{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors}, logger)
-	limits.SetReport(counters.SetGauge)
+	limits := limiter.Limits{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, Cores: s.Cores}
+	limits.BoundRuntime()
+	clientLimiter := limiter.New(limits, logger)
+	clientLimiter.SetReport(counters.SetGauge)
 	operator := &platform.OperatorState{}
 	peers := platform.NewClient(logger)
 	direct := platform.NewStore(s.StoreAddress, platform.NewClient(logger))
@@ -87,7 +89,7 @@
 		Peers: listeners[0], Clients: listeners[1], Health: listeners[2],
 		ClientHandler: func(f plantainrail.JobService) http.Handler { return platform.JobHandler(f) },
 		HealthHandler: func(f plantainrail.JobService) http.Handler { return platform.ReadyHandler(f) },
-		Limiter:       limits,
+		Limiter:       clientLimiter,
 		Now:           now, Logger: logger,
 	}), drainTimeout, logger)
 }
--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,9 +18,10 @@
 	// writeTimeout bounds the time for a refusal that is written to a connection directly. It fits into
 	// the empty buffer of the connection.
 	writeTimeout = 100 * time.Millisecond
-	// lingerTime and lingerBytes bound what is still read after such a refusal. A connection that is
-	// closed with unread bytes is reset, and the client may lose the response.
-	lingerTime, lingerBytes = 200 * time.Millisecond, 64 << 10
+	// lingerTime is how long a connection stays open after such a refusal. A connection that is closed
+	// with unread bytes is reset, and the client may lose the response. Nothing more is read, since a
+	// client that never stops would take the processor; net/http waits as long.
+	lingerTime = 500 * time.Millisecond
 	// refusePause is the delay after a connection was refused. It keeps clients that reconnect at once
 	// from taking the processor; others wait in the listener's queue meanwhile.
 	refusePause = 2 * time.Millisecond
@@ -33,6 +35,9 @@
 	net.Conn
 	pool   *pool
 	client *Client
+	// attention is set once the client is refused, its header is as long as it may be or its body is long.
+	// Reads check the client first then. Others do not, since that would cost each request.
+	attention atomic.Bool
 	// interrupted is set once the read of a refused client was ended. The pool's lock guards it.
 	interrupted bool
 	// answered is set once a refusal was written to the connection directly. Only Read uses it, which
@@ -47,8 +52,15 @@
 // Read implements net.Conn. A client that is refused before its request reached a handler gets the response
 // from here.
 func (c *conn) Read(b []byte) (int, error) {
-	if cause, phase := c.count(0); cause != None {
-		return 0, c.refuse(cause, phase)
+	for c.attention.Load() {
+		cause, phase, paced := c.check()
+		if cause != None {
+			return 0, c.refuse(cause, phase)
+		}
+		if !paced {
+			break
+		}
+		time.Sleep(sweepInterval)
 	}
 	n, err := c.Conn.Read(b)
 	if cause, phase := c.count(n); cause != None {
@@ -57,22 +69,36 @@
 	return n, err
 }
 
-// count counts bytes that were read, and returns the cause if the client is refused. Zero bytes stand for the
-// beginning of a read.
+// check returns, before a read, the cause if the client is refused, and whether the read has to wait.
+func (c *conn) check() (cause Cause, phase Phase, paced bool) {
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	had := c.client.cause
+	p.ledger.HeaderPending(p.time(), c.client)
+	cause, phase = c.state(had)
+	return cause, phase, p.ledger.Paced(c.client)
+}
+
+// count counts bytes that were read, and returns the cause if the client is refused.
 func (c *conn) count(n int) (Cause, Phase) {
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	had := c.client.cause
-	if n == 0 {
-		p.ledger.HeaderPending(p.time(), c.client)
-	} else {
-		p.interrupt(p.ledger.Received(p.time(), c.client, int64(n)))
-	}
+	p.interrupt(p.ledger.Received(p.time(), c.client, int64(n)))
+	return c.state(had)
+}
+
+// state returns the cause if the client is refused, and counts it if it had none before. The caller holds the
+// pool's lock.
+func (c *conn) state(had Cause) (Cause, Phase) {
+	p := c.pool
 	if had == None && c.client.cause != None {
 		p.limiter.counts.add(c.client.cause)
 		c.interrupted = true
 	}
+	c.attention.Store(c.client.cause != None || p.ledger.HeaderFull(c.client) || p.ledger.Long(c.client))
 	if c.client.phase == Draining {
 		// The server still reads the rest of a refused body, so that the client gets the response.
 		return None, Draining
@@ -89,8 +115,7 @@
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, _ = c.Conn.Write(response(cause))
 	_ = c.CloseWrite()
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	time.Sleep(lingerTime)
 	return errRefused
 }
 
@@ -142,6 +167,16 @@
 	http.Error(w, r.Error(), r.Status())
 }
 
+// WriteRefusal sends the response if the error is a *Refusal, and reports whether it is.
+func WriteRefusal(w http.ResponseWriter, err error) bool {
+	var refusal *Refusal
+	if !errors.As(err, &refusal) {
+		return false
+	}
+	refusal.Write(w)
+	return true
+}
+
 // response returns the response for a connection whose request has not reached a handler.
 func response(cause Cause) []byte {
 	r := &Refusal{cause}
--- a/limiter/counts.go
+++ b/limiter/counts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // count counts the clients that were limited for one cause.
@@ -42,7 +43,12 @@
 		if n.total == n.logged || now.Sub(n.loggedAt) < logInterval {
 			continue
 		}
-		c.logger.Warn("clients limited", zap.String("limit", string(cause)), zap.Int64("count", n.total-n.logged), zap.Int64("total", n.total))
+		level := zapcore.WarnLevel
+		if cause == IdleTooLong {
+			// Lawful clients keep connections until then.
+			level = zapcore.InfoLevel
+		}
+		c.logger.Log(level, "clients limited", zap.String("limit", string(cause)), zap.Int64("count", n.total-n.logged), zap.Int64("total", n.total))
 		n.logged, n.loggedAt = n.total, now
 		if c.report != nil {
 			c.report(fmt.Sprintf("plantainrail_clients_limited_total{limit=%q}", string(cause)), n.total)
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -1,9 +1,6 @@
 package limiter
 
-import (
-	"container/list"
-	"time"
-)
+import "time"
 
 // Phase is what a connection waits for.
 type Phase int
@@ -51,8 +48,43 @@
 	// cause is set once the connection is refused.
 	cause     Cause
 	refusedAt time.Time
-	// place is the client's place in a list of the ledger; nil while it is served, or closed.
-	place *list.Element
+	// previous and next are the client's neighbours in a queue of the ledger; nil if it is in none.
+	previous, next *Client
+}
+
+// queue is a list of clients, the one without progress for the longest time first. The clients hold the
+// links, so that moving one allocates nothing.
+type queue struct{ end Client }
+
+func newQueue() *queue {
+	q := &queue{}
+	q.end.previous, q.end.next = &q.end, &q.end
+	return q
+}
+
+// append puts a client at the end, from whichever queue it was in.
+func (q *queue) append(c *Client) {
+	c.unlink()
+	c.previous, c.next = q.end.previous, &q.end
+	c.previous.next, c.next.previous = c, c
+}
+
+// unlink takes the client out of its queue, if it is in one.
+func (c *Client) unlink() {
+	if c.next == nil {
+		return
+	}
+	c.previous.next, c.next.previous = c.next, c.previous
+	c.previous, c.next = nil, nil
+}
+
+// all passes over the clients of the queue in order. They must not be moved meanwhile.
+func (q *queue) all(yield func(*Client) bool) {
+	for c := q.end.next; c != &q.end; c = c.next {
+		if !yield(c) {
+			return
+		}
+	}
 }
 
 // Ledger decides which connections and requests a process takes and which it drops. It does no I/O, reads
@@ -61,19 +93,40 @@
 	budget Budget
 	rules  Rules
 	// idle and sending hold the clients that may be dropped, the one without progress for the longest
-	// time first: those in the phase Idle, and all others.
-	idle, sending *list.List
+	// time first: those in the phase Idle, and all others but those that are served.
+	idle, sending *queue
 	connections   int
 	// reserved is the sum of the clients' costs. held is the memory in use by the process, and finished
 	// the cost of the large requests that have ended since it was measured.
 	reserved, held, finished int64
+	// allowance is how many bytes of long bodies may still be read before the next refill.
+	allowance int64
 }
 
 // NewLedger returns a ledger without clients.
 func NewLedger(b Budget, r Rules) *Ledger {
-	return &Ledger{budget: b, rules: r, idle: list.New(), sending: list.New()}
+	l := &Ledger{budget: b, rules: r, idle: newQueue(), sending: newQueue()}
+	l.Refill(time.Minute)
+	return l
 }
 
+// Refill adds what a time allows to be read of long bodies, up to two of the longest, so that a single one
+// need not wait.
+func (l *Ledger) Refill(d time.Duration) {
+	l.allowance = min(l.allowance+int64(float64(l.budget.BodyRate)*d.Seconds()), 2*l.rules.BodyBytes)
+}
+
+// Long reports whether a client has sent more of a body than ordinary ones have.
+func (l *Ledger) Long(c *Client) bool {
+	return c.phase == Body && c.received > pacedBytes && l.budget.BodyRate > 0
+}
+
+// StopPacing lets long bodies be read at once. It is called when a process stops, which would wait for them.
+func (l *Ledger) StopPacing() { l.budget.BodyRate = 0 }
+
+// Paced reports whether the next read of a client's body has to wait for a refill.
+func (l *Ledger) Paced(c *Client) bool { return l.Long(c) && l.allowance <= 0 }
+
 // Rules returns the limits in force.
 func (l *Ledger) Rules() Rules { return l.rules }
 
@@ -96,21 +149,21 @@
 	}
 	l.connections++
 	c = &Client{since: now, progressAt: now}
-	c.place = l.idle.PushBack(c)
+	l.idle.append(c)
 	return c, dropped
 }
 
 // stalled returns the client that has made no progress for the longest time, at least minStall, other
 // than the exception. Requests go before idle connections. With costly set it returns only clients whose
-// requests have a cost. It returns nil if there is none.
+// requests have a cost and are not refused yet; otherwise also refused ones whose connections linger. It
+// returns nil if there is none.
 func (l *Ledger) stalled(now time.Time, exception *Client, costly bool) *Client {
-	for _, clients := range []*list.List{l.sending, l.idle} {
-		for e := clients.Front(); e != nil; e = e.Next() {
-			c := e.Value.(*Client)
+	for _, clients := range []*queue{l.sending, l.idle} {
+		for c := range clients.all {
 			if now.Sub(c.progressAt) < minStall {
 				break
 			}
-			if c != exception && c.cause == None && (!costly || c.reserved > 0) {
+			if c != exception && (!costly || c.cause == None && c.reserved > 0) {
 				return c
 			}
 		}
@@ -123,18 +176,18 @@
 	if c.phase == p || l.isClosed(c) {
 		return
 	}
-	l.unlist(c)
 	c.phase, c.since, c.progressAt, c.received, c.marked = p, now, now, 0, 0
 	switch p {
 	case Idle:
 		l.release(c)
-		c.place = l.idle.PushBack(c)
+		l.idle.append(c)
 	case Serving:
+		c.unlink()
 	case Draining:
 		l.release(c)
-		c.place = l.sending.PushBack(c)
+		l.sending.append(c)
 	default:
-		c.place = l.sending.PushBack(c)
+		l.sending.append(c)
 	}
 }
 
@@ -149,9 +202,12 @@
 	}
 	before := paidBytes(c.received)
 	c.received += n
+	if l.Long(c) {
+		l.allowance -= n
+	}
 	if c.received-c.marked >= progressBytes {
 		c.marked, c.progressAt = c.received, now
-		l.sending.MoveToBack(c.place)
+		l.sending.append(c)
 	}
 	if grown := paidBytes(c.received) - before; grown > 0 && c.phase != Draining {
 		var ok bool
@@ -165,11 +221,16 @@
 // HeaderPending refuses a client that has sent as many bytes as a header may have and whose header is
 // still incomplete. It is called before more is read.
 func (l *Ledger) HeaderPending(now time.Time, c *Client) {
-	if c.phase == Header && c.received > l.rules.HeaderBytes {
+	if l.HeaderFull(c) {
 		l.refuse(now, c, HeaderTooLarge)
 	}
 }
 
+// HeaderFull reports whether a client has sent as many bytes as a header may have. Its header may be complete.
+func (l *Ledger) HeaderFull(c *Client) bool {
+	return c.phase == Header && c.received > l.rules.HeaderBytes
+}
+
 // paidBytes returns how many of the bytes of a header or body are reserved: whole units, without the first
 // one, which is in the connection's buffer and part of connectionBytes.
 func paidBytes(bytes int64) int64 { return max(0, bytes-1) / unitBytes * unitBytes }
@@ -216,9 +277,8 @@
 // Overdue refuses the clients that have exceeded a time limit and returns them. Those that are still
 // there a second after they were refused are returned again, to be closed.
 func (l *Ledger) Overdue(now time.Time) (out []*Client) {
-	for _, clients := range []*list.List{l.idle, l.sending} {
-		for e := clients.Front(); e != nil; e = e.Next() {
-			c := e.Value.(*Client)
+	for _, clients := range []*queue{l.idle, l.sending} {
+		for c := range clients.all {
 			if c.cause != None {
 				if now.Sub(c.refusedAt) > minTimeout {
 					out = append(out, c)
@@ -258,7 +318,7 @@
 	if l.isClosed(c) {
 		return
 	}
-	l.unlist(c)
+	c.unlink()
 	l.release(c)
 	c.phase = closed
 	l.connections--
@@ -269,16 +329,6 @@
 
 func (l *Ledger) isClosed(c *Client) bool { return c.phase == closed }
 
-func (l *Ledger) unlist(c *Client) {
-	if c.place == nil {
-		return
-	}
-	// Remove does nothing if the element is of another list.
-	l.idle.Remove(c.place)
-	l.sending.Remove(c.place)
-	c.place = nil
-}
-
 // release ends the cost of a client's request.
 func (l *Ledger) release(c *Client) {
 	l.reserved -= c.reserved
--- a/limiter/ledger_test.go
+++ b/limiter/ledger_test.go
@@ -130,3 +130,25 @@
 	_, ok = l.Reserve(at(time.Second), late, 1)
 	assert.Assert(t, !ok, "the process itself uses the memory")
 }
+
+// Guards against long bodies that take the processor from ordinary ones, and against waits of a single one.
+func TestLongBodiesArePaced(t *testing.T) {
+	l := limiter.NewLedger(limiter.Budget{Connections: 10, Bytes: 1 << 40, Heap: 1 << 40, BodyRate: 1 << 20}, limiter.NewRules(plantainrail.ClientLimits{}, maxBody))
+	c, _ := l.Connect(start)
+	l.Enter(start, c, limiter.Body)
+	for range maxBody >> 12 {
+		assert.Assert(t, !l.Paced(c))
+		l.Received(start, c, 4096)
+	}
+	l.Received(start, c, 2*maxBody)
+	assert.Assert(t, l.Paced(c))
+	ordinary, _ := l.Connect(start)
+	l.Enter(start, ordinary, limiter.Body)
+	l.Received(start, ordinary, 8<<10)
+	assert.Assert(t, !l.Paced(ordinary))
+	l.Refill(time.Second)
+	assert.Assert(t, !l.Paced(c))
+	l.Received(start, c, 2*maxBody)
+	l.StopPacing()
+	assert.Assert(t, !l.Paced(c), "the process stops")
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"runtime/metrics"
 	"sync"
 	"syscall"
@@ -19,19 +18,14 @@
 	// sweepInterval is how often time limits are checked. Deadlines of single reads would cost each
 	// request several timers.
 	sweepInterval = 250 * time.Millisecond
-	// pauseTime is the delay of a sweep above which the process itself stood still, which is not held
-	// against its clients.
-	pauseTime = time.Second
 	// logInterval bounds the log lines to one for each limit in this time.
 	logInterval = time.Second
 )
 
 // Limiter enforces the limits of a process on the listeners that clients reach.
 type Limiter struct {
-	logger *zap.Logger
-	limits Limits
-	// now is the clock. It stands still while the process does; see sweep.
-	now            func() time.Time
+	logger         *zap.Logger
+	limits         Limits
 	clients, other *pool
 	counts         counts
 }
@@ -39,29 +33,29 @@
 // pool is a budget for a group of listeners.
 type pool struct {
 	limiter *Limiter
-	// mu guards the ledger, the clients in it, and paused, the total time for which the process stood still.
+	// mu guards the fields below and the clients in the ledger.
 	mu     sync.Mutex
 	ledger *Ledger
 	conns  map[*Client]*conn
-	paused time.Duration
+	// clock is the time of the last sweep. Each sweep puts it forward by at most sweepInterval, so that
+	// time for which the process itself stood still is not held against its clients.
+	clock time.Time
 	// cycle is the number of the collection of garbage that was measured last.
 	cycle uint64
 }
 
-// New returns a limiter and sets the memory limit of the Go runtime, if the memory of the process is known.
+// New returns a limiter that has not limited any listener yet. See Limits.BoundRuntime for the rest of the
+// process.
 func New(l Limits, logger *zap.Logger) *Limiter {
 	if l.MaxBodyBytes == 0 {
 		l.MaxBodyBytes = defaultBodyBytes
 	}
-	if l.MemoryBytes > 0 {
-		debug.SetMemoryLimit(l.RuntimeBytes())
-	}
-	out := &Limiter{logger: logger, limits: l, now: time.Now, counts: counts{logger: logger, byCause: map[Cause]*count{}}}
+	out := &Limiter{logger: logger, limits: l, counts: counts{logger: logger, byCause: map[Cause]*count{}}}
 	rules, budget := NewRules(plantainrail.ClientLimits{}, l.MaxBodyBytes), l.Budget()
 	health := Budget{Connections: healthConnections, Bytes: healthBytes, Heap: budget.Heap}
 	budget.Connections = max(1, budget.Connections-healthConnections)
-	out.clients = &pool{limiter: out, ledger: NewLedger(budget, rules), conns: map[*Client]*conn{}}
-	out.other = &pool{limiter: out, ledger: NewLedger(health, rules), conns: map[*Client]*conn{}}
+	out.clients = &pool{limiter: out, ledger: NewLedger(budget, rules), conns: map[*Client]*conn{}, clock: time.Now()}
+	out.other = &pool{limiter: out, ledger: NewLedger(health, rules), conns: map[*Client]*conn{}, clock: time.Now()}
 	return out
 }
 
@@ -83,7 +77,7 @@
 }
 
 // LimitClients returns the listener with the limits for clients, and prepares the server that serves it. Its
-// handler and time limit for headers have to be set before. A nil Limiter and a nil listener change nothing.
+// handler has to be set before. It may be called once. A nil Limiter and a nil listener change nothing.
 func (l *Limiter) LimitClients(server *http.Server, listener net.Listener) net.Listener {
 	if l == nil || listener == nil {
 		return listener
@@ -172,8 +166,9 @@
 	return l.Listener.Close()
 }
 
-// time returns the time on the pool's clock. The caller holds the lock.
-func (p *pool) time() time.Time { return p.limiter.now().Add(-p.paused) }
+// time returns the time at which an event counts, which is that of the next sweep: no limit is enforced
+// early, and no request needs to read a clock. The caller holds the lock.
+func (p *pool) time() time.Time { return p.clock.Add(sweepInterval) }
 
 // connect takes a connection, or returns nil if there is no room for it.
 func (p *pool) connect(inner net.Conn) *conn {
@@ -204,7 +199,10 @@
 
 // reserve reserves bytes for a request and returns the cause if it is refused.
 func (p *pool) reserve(c *conn, bytes int64) Cause {
-	p.measure()
+	if bytes > largeRequest {
+		// For ordinary requests the measurement of the last sweep is new enough.
+		p.measure()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	dropped, ok := p.ledger.Reserve(p.time(), c.client, bytes)
@@ -232,6 +230,7 @@
 		}
 		if !c.interrupted {
 			p.limiter.counts.add(client.cause)
+			c.attention.Store(true)
 		}
 		if c.interrupted || client.phase == Idle || client.phase == Draining {
 			_ = c.Conn.Close()
@@ -242,30 +241,42 @@
 	}
 }
 
-// sweep enforces the time limits until the listener is closed.
+// sweep enforces the time limits until the listener and all connections are closed.
 func (p *pool) sweep(closed chan struct{}) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	last := p.limiter.now()
+	last := time.Now()
 	for {
-		select {
-		case <-closed:
+		<-ticker.C
+		if p.isDone(closed) {
 			return
-		case <-ticker.C:
 		}
 		p.measure()
-		now := p.limiter.now()
+		now := time.Now()
 		p.mu.Lock()
-		if gap := now.Sub(last); gap > pauseTime {
-			p.paused += gap
-		}
-		last = now
-		p.interrupt(p.ledger.Overdue(p.time()))
+		passed := min(now.Sub(last), sweepInterval)
+		p.clock, last = p.clock.Add(passed), now
+		p.ledger.Refill(passed)
+		p.interrupt(p.ledger.Overdue(p.clock))
 		p.mu.Unlock()
 		p.limiter.counts.flush(now)
 	}
 }
 
+// isDone reports whether the listener and all connections are closed. From the end of the listener on,
+// bodies are not paced.
+func (p *pool) isDone(closed chan struct{}) bool {
+	select {
+	case <-closed:
+	default:
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ledger.StopPacing()
+	return len(p.conns) == 0
+}
+
 // measure tells the ledger what the newest collection of garbage has found in use.
 func (p *pool) measure() {
 	if p.limiter.limits.MemoryBytes == 0 {
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -24,9 +23,7 @@
 	if err == nil {
 		err = limiter.Reserve(req.Context(), int64(len(raw))*1000)
 	}
-	var refusal *limiter.Refusal
-	if errors.As(err, &refusal) {
-		refusal.Write(w)
+	if limiter.WriteRefusal(w, err) {
 		return
 	}
 	_, _ = fmt.Fprint(w, len(raw))
--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"runtime/debug"
 	"time"
 
 	"github.com/plantainrail/plantainrail"
@@ -16,8 +17,8 @@
 	// minHeaderBytes leaves room for the few header lines of an ordinary call, and maxHeaderBytes
 	// bounds what all connections together can make the process parse.
 	minHeaderBytes, maxHeaderBytes = 1 << 10, 64 << 10
-	// minBodyBytes is the size of an ordinary job; a body of maxBodyBytes fits into the budget of the
-	// smallest entry four times with its copies and decoded form.
+	// minBodyBytes is more than an ordinary job takes. The copies of a body of maxBodyBytes take a seventh
+	// of what large requests get on the smallest entry.
 	minBodyBytes, maxBodyBytes = 8 << 10, 1 << 20
 	// minTimeout is more than a busy process takes to read what has arrived. maxHeaderTimeout and
 	// maxIdleTimeout are twice the longest times in use.
@@ -45,8 +46,9 @@
 	// drainTimeout bounds the time from a response until its connection is ready for the next request.
 	drainTimeout = 15 * time.Second
 	// minStall is how long a request must have made no progress before it is dropped for another one.
-	// It is above the pauses of a process that gets 0.192 of a core.
-	minStall = 500 * time.Millisecond
+	// Less one sweepInterval, by which the time of an event is uncertain, it is above the pauses of a
+	// process that gets 0.192 of a core.
+	minStall = 750 * time.Millisecond
 )
 
 const (
@@ -68,6 +70,11 @@
 	// largeRequest is the cost in bytes from which a request may not use the share that is kept for
 	// ordinary ones: ordinary jobs have less than 16 KiB, of which two copies are counted, and few steps.
 	largeRequest = 64 << 10
+	// pacedBytes is how much of a body is read without regard to others. Ordinary bodies are shorter.
+	pacedBytes = 16 << 10
+	// bytesPerCore is how many bytes of longer bodies are read in a second for each core of the process.
+	// Chunks of one byte take up to 10 ns for each byte sent, so they cost at most a fifth of its share.
+	bytesPerCore = 20 << 20
 	// unitBytes is the unit in which bytes of a body are reserved.
 	unitBytes = 4 << 10
 	// bodyCopies is how many times a body is in memory while its buffer grows.
@@ -81,6 +88,8 @@
 	MemoryBytes int64
 	// Descriptors is the number of file descriptors of the process; 0 if unknown.
 	Descriptors int
+	// Cores is the share of processors that the process gets; 0 if unknown.
+	Cores float64
 	// MaxBodyBytes is the largest body if the operators configure none; 0 for the default.
 	MaxBodyBytes int64
 }
@@ -92,15 +101,24 @@
 	// Bytes is the sum of the costs of all requests in flight, and Heap that of the bytes in use by the
 	// process and these costs. Large requests get three quarters of each.
 	Bytes, Heap int64
+	// BodyRate is how many bytes of long bodies are read in a second; 0 if it is not bounded.
+	BodyRate int64
 }
 
 // RuntimeBytes returns the memory limit for the Go runtime, in bytes: 70 %. The rest is for the program's
 // code and for unread bytes in the kernel. It is 0 if the memory is unknown.
 func (l Limits) RuntimeBytes() int64 { return l.MemoryBytes / 10 * 7 }
 
+// BoundRuntime sets the memory limit of the Go runtime, if the memory is known.
+func (l Limits) BoundRuntime() {
+	if l.MemoryBytes > 0 {
+		debug.SetMemoryLimit(l.RuntimeBytes())
+	}
+}
+
 // Budget derives the budget. What is unknown is not bounded.
 func (l Limits) Budget() Budget {
-	b := Budget{Connections: math.MaxInt, Bytes: math.MaxInt64, Heap: math.MaxInt64}
+	b := Budget{Connections: math.MaxInt, Bytes: math.MaxInt64, Heap: math.MaxInt64, BodyRate: int64(l.Cores * bytesPerCore)}
 	if l.MemoryBytes > 0 {
 		// Bodies get a quarter of the memory, and connections two fifths. Work that does not belong to a
 		// request needs the rest; above 85 % of the runtime's limit its garbage collector hardly ends.
