--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/plantainrail/plantainrail/command/factory"
 	"github.com/plantainrail/plantainrail/decider"
 	"github.com/plantainrail/plantainrail/hedger"
+	"github.com/plantainrail/plantainrail/limiter"
 	"github.com/plantainrail/plantainrail/platform"
 	"github.com/plantainrail/plantainrail/relayer"
 )
@@ -67,6 +68,10 @@
 	logger, counters, closeLog := o.AsyncLogger()
 	defer closeLog()
 	o.ServeMetrics(s.IP, counters, logger)
+	limits := limiter.Limits{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, Cores: s.Cores}
+	limits.BoundRuntime()
+	clientLimiter := limiter.New(limits, logger)
+	clientLimiter.SetReport(counters.SetGauge)
 	operator := &platform.OperatorState{}
 	peers := platform.NewClient(logger)
 	direct := platform.NewStore(s.StoreAddress, platform.NewClient(logger))
@@ -84,6 +89,7 @@
 		Peers: listeners[0], Clients: listeners[1], Health: listeners[2],
 		ClientHandler: func(f plantainrail.JobService) http.Handler { return platform.JobHandler(f) },
 		HealthHandler: func(f plantainrail.JobService) http.Handler { return platform.ReadyHandler(f) },
+		Limiter:       clientLimiter,
 		Now:           now, Logger: logger,
 	}), drainTimeout, logger)
 }
