--- a/decider/query.go
+++ b/decider/query.go
@@ -16,6 +16,7 @@
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/planner"
+	"github.com/plantainrail/plantainrail/ranker"
 )
 
 const (
@@ -51,6 +52,8 @@
 	// Confirm means that an unknown job is waited for until its absence was read, for up to absenceWait.
 	// Entries of an earlier build ignore it, and leave out jobAnswer.AbsenceRead.
 	Confirm bool `cbor:"2,keyasint,omitempty"`
+	// Current means that the jobs are read at once for the same purpose, instead of waiting for the next poll.
+	Current bool `cbor:"3,keyasint,omitempty"`
 }
 
 // wait returns how long an unknown job is waited for.
@@ -80,6 +83,10 @@
 	// AbsenceRead means that the job, for which the result is CallNotFound, was absent from what was read of
 	// the store after the query arrived.
 	AbsenceRead bool `cbor:"7,keyasint,omitempty"`
+	// Backlog holds the backlogs of the queues without enough capacity, beside Pending. BacklogAgeMS is the age
+	// of the figure in milliseconds, or nil if there is none.
+	Backlog      map[string]ranker.Backlog `cbor:"8,keyasint,omitempty"`
+	BacklogAgeMS *int64                    `cbor:"9,keyasint,omitempty"`
 }
 
 // absent reports whether the answer proves that no such job was accepted before the query.
@@ -114,7 +121,12 @@
 	if q.ID == "" {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		return jobAnswer{Fresh: d.catalogFresh(), Pending: d.catalog.Pending(), Members: d.members.next, Replicas: d.replicaClaims.next}
+		answer := jobAnswer{Fresh: d.catalogFresh(), Pending: d.catalog.Pending(), Members: d.members.next, Replicas: d.replicaClaims.next}
+		answer.Backlog, answer.BacklogAgeMS = d.backlog.answer(d.Now())
+		return answer
+	}
+	if q.Current {
+		return d.awaitCurrentJob(ctx, q.ID)
 	}
 	return d.awaitJob(ctx, q, d.Now())
 }
