Sessions: send what grows in parts

Callers saw: after a change of the owner, all tasks of a worker with some 2,100 runs of 4,000 bytes of spec were lost and never ran again; as many tasks that were placed at once never began.

Cause: the complete list of a worker's runs, the starts and stops of a round, and the report of all runs were one message each. Above the 8 MiB that a session reads it ends, and the next one begins with the same message. On a slow link it ends earlier, since nothing arrives within the silence timeout while a large message is on its way.

An entry sends them in order, one at a time: a WebSocket ping follows each, and the next one is written once it is answered. Renewals of leases and heartbeats pass the parts that wait. The agent keeps the parts of a complete list (WorkOrders.Listed) and applies them with the last message, so that it stops nothing before. Messages of several frames are bounded by 512 KiB.

What is below a part is sent in the same frames as before.

--- a/assembler/fleet_large_test.go
+++ b/assembler/fleet_large_test.go
@@ -144,3 +144,52 @@
 		f.checkSmallJobs()
 	})
 }
+
+// Guards against tasks that never run (LOST), since the orders to start them exceed the limit of a message, and against
+// all work of a worker that lapses after a change of the owner: the list of its runs exceeded that limit, so that no
+// session lasted, or took longer on a slow link than a lease.
+func TestRunsOfLongSpecsOutliveTheirOwner(t *testing.T) {
+	const tasks = 2200
+	for _, c := range []struct {
+		name string
+		// jobs is the number of jobs that the tasks are submitted in, one after the other.
+		jobs int
+		// rate is that of the connections to the entries in bytes a second; 0 means no bound.
+		rate int
+	}{{"one job", 1, 0}, {"two jobs", 2, 0}, {"two jobs, links of 10 Mbit/s", 2, 10_000_000 / 8}} {
+		t.Run(c.name, func(t *testing.T) {
+			runInFleet(t, fleetShape{entries: 3, zones: 3, vms: 1, maxRuns: tasks + fleetMaxRuns}, func(f *fleet) {
+				f.net.setRate("entry-", c.rate)
+				for n := range c.jobs {
+					f.submit(100+n, "last"+strings.Repeat(" ", 3996), []map[string]any{{"count": tasks / c.jobs, "cpu": 1, "longRunning": true}})
+					f.waitForRuns(100+n, tasks/c.jobs)
+				}
+				f.killEntry(f.owner(), 500*time.Millisecond)
+				time.Sleep(20 * time.Second)
+				lapsed := 0
+				for _, s := range f.vms[0].worker.History() {
+					if s.Outcome == "lapsed" {
+						lapsed++
+					}
+				}
+				assert.Equal(t, lapsed, 0, "runs whose lease has expired")
+				for n := range c.jobs {
+					f.waitForRuns(100+n, tasks/c.jobs)
+				}
+				f.checkSmallJobs()
+			})
+		})
+	}
+}
+
+// waitForRuns waits up to 30 s until job n has the given number of active runs.
+func (f *fleet) waitForRuns(n, runs int) {
+	f.t.Helper()
+	for range 60 {
+		if f.runningCount(n) == runs {
+			return
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	f.t.Fatalf("%d of %d tasks of job %d run", f.runningCount(n), runs, n)
+}
--- a/assembler/network_test.go
+++ b/assembler/network_test.go
@@ -23,6 +23,10 @@
 	faults map[string]fault
 	// delay is added to all data in each direction.
 	delay time.Duration
+	// rate bounds the data of each connection to a component whose name begins with ratedPrefix, in each direction, in
+	// bytes a second; 0 means no bound.
+	rate        int
+	ratedPrefix string
 	// listenerCount numbers the ports of the listeners.
 	listenerCount int
 }
@@ -184,6 +188,14 @@
 	n.delay = d
 }
 
+// setRate sets the bound of each connection to the components whose names begin with the prefix, in each direction, in
+// bytes a second; 0 means no bound. The store must not be among them, since it holds a lock while it writes.
+func (n *network) setRate(prefix string, bytesPerSecond int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ratedPrefix, n.rate = prefix, bytesPerSecond
+}
+
 // connection consists of two pipes, one at the client and one at the server. A relay
 // in each direction copies data between the pipes and applies the faults and the
 // delay.
@@ -249,6 +261,9 @@
 		}
 		c.network.mu.Lock()
 		delay := c.network.delay
+		if rate := c.network.rate; rate > 0 && strings.HasPrefix(c.to, c.network.ratedPrefix) {
+			delay += time.Duration(n) * time.Second / time.Duration(rate)
+		}
 		c.network.mu.Unlock()
 		if delay > 0 {
 			time.Sleep(delay)
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -23,6 +23,7 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/clocker"
+	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/planner"
 )
 
@@ -163,7 +164,9 @@
 	tenure tenure
 	// owner is set while this entry owns the jobs, from when its own claim is read
 	// until the ownership is released.
-	owner     *owner
+	owner *owner
+	// partSlots is that of the agents' sessions; see linker.Session.ShareParts.
+	partSlots chan struct{}
 	storeSize storeSize
 	// stopping is set once the entry drains; it claims nothing from then on.
 	stopping bool
@@ -182,7 +185,7 @@
 func New(o Options) *Decider {
 	d := &Decider{
 		Options: o, catalog: planner.NewCatalog(), stateChanged: make(chan struct{}), entries: map[string]string{}, replicas: map[string]replicaClaim{},
-		nonce: newNonce(),
+		nonce: newNonce(), partSlots: make(chan struct{}, linker.PartSlots),
 	}
 	d.newViews()
 	d.writer = newWriter(o.Store, o.StoreLimits, o.Logger)
--- a/decider/freshness.go
+++ b/decider/freshness.go
@@ -99,13 +99,18 @@
 		knowledge{o.operatorsAsOf, operators}, knowledge{o.jobsAsOf, jobs}, knowledge{o.confirmedWriteAt, progress})
 }
 
-// sendOrders sends orders to an agent, with the limit of the starts among them. If the session has
+// sendOrders sends orders to an agent, in parts if they are large, with the limit of the starts among them. Renewals
+// of the lease are not sent this way, since they must not wait for the parts. If the session has
 // ended, the agent gets all runs again when it reconnects. The caller holds the lock.
 func (o *owner) sendOrders(a *agentSession, orders *linker.WorkOrders) {
 	if len(orders.Starts) > 0 {
 		orders.StartLimit = o.limitFor(a)
 	}
-	_ = a.session.Send(linker.Frame{Orders: orders})
+	var frames []linker.Frame
+	for _, part := range orders.Parts(a.acceptsParts) {
+		frames = append(frames, linker.Frame{Orders: &part})
+	}
+	_ = a.session.SendInOrder(frames...)
 }
 
 // limitFor returns the limit of starts that are ordered now, as an agent can measure it. The caller
--- a/decider/session.go
+++ b/decider/session.go
@@ -38,6 +38,8 @@
 	// Before the first one it is 0, and heardAt is when the agent was connecting.
 	heard   uint64
 	heardAt time.Time
+	// acceptsParts is set if the agent understands linker.WorkOrders.Listed.
+	acceptsParts bool
 }
 
 // peerHandler serves agents' sessions and the store calls that other entries
@@ -71,6 +73,7 @@
 	}
 	session := linker.New(connection)
 	session.KeepAlive()
+	session.ShareParts(d.partSlots)
 	a := &agentSession{owner: o, session: session, connectedAt: connectedAt, heardAt: connectedAt}
 	err = session.Run(context.WithoutCancel(req.Context()), a)
 	o.removeAgent(a, err)
@@ -140,6 +143,7 @@
 		return
 	}
 	now := o.decider.Now()
+	a.acceptsParts = r.AcceptsParts
 	if r.Sequence > 0 {
 		a.heard, a.heardAt = r.Sequence, now
 	}
--- a/linker/session.go
+++ b/linker/session.go
@@ -32,8 +32,11 @@
 	maxMessageBytes = 8 << 20
 	// maxBatchFrames bounds the number of frames in one message.
 	maxBatchFrames = 64
-	// maxQueuedFrames bounds the frames that wait to be written. If a slow peer lets
-	// more accumulate, the session is ended.
+	// maxBatchBytes bounds a message of several frames, in bytes. A link of 10 Mbit/s carries it in 0.4 s, well
+	// within the silence timeout.
+	maxBatchBytes = 512 << 10
+	// maxQueuedFrames bounds the frames that wait to be written, and those of SendInOrder that wait. If a slow
+	// peer lets more accumulate, the session is ended.
 	maxQueuedFrames = 1 << 16
 )
 
@@ -80,10 +83,17 @@
 	state charter.State
 	// queue holds the frames that wait to be written.
 	queue []Frame
+	// parts holds the frames of SendInOrder that wait, and part the one that is to be written next; nil if there is
+	// none. sendingParts is set from the first one that waits until the peer has handled the last one.
+	parts        []Frame
+	part         *Frame
+	sendingParts bool
 	// unsent counts the frames that are queued or being written.
 	unsent int
 	// wake has a buffer of one and receives a value when a frame is queued.
 	wake chan struct{}
+	// partWritten has a buffer of one and receives a value when part was written. partSlots is that of ShareParts.
+	partWritten, partSlots chan struct{}
 	// streams holds the open streams by ID.
 	streams map[uint64]*Stream
 	// lastStreamID is the ID of the stream that this side opened last.
@@ -98,7 +108,7 @@
 	state, _ := sessionChart.Next(sessionChart.Initial, "connect")
 	return &Session{
 		connection: connection, done: make(chan struct{}), started: time.Now(),
-		state: state, wake: make(chan struct{}, 1), streams: map[uint64]*Stream{},
+		state: state, wake: make(chan struct{}, 1), partWritten: make(chan struct{}, 1), streams: map[uint64]*Stream{},
 	}
 }
 
@@ -167,23 +177,31 @@
 // full, which ends it, it returns ErrClosed.
 func (s *Session) Send(f Frame) error {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.enqueue(f)
+}
+
+// enqueue queues a frame for Send. The caller holds the lock.
+func (s *Session) enqueue(f Frame) error {
 	if s.state == StateClosed {
-		s.mu.Unlock()
 		return ErrClosed
 	}
 	s.queue = append(s.queue, f)
 	s.unsent++
-	full := len(s.queue) > maxQueuedFrames
-	s.mu.Unlock()
-	if full {
-		s.end("fail")
+	if len(s.queue) > maxQueuedFrames {
+		go s.end("fail")
 		return ErrClosed
 	}
+	s.wakeWriter()
+	return nil
+}
+
+// wakeWriter tells writeLoop that there is something to write.
+func (s *Session) wakeWriter() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 // Close ends the session immediately. Frames that were not written are dropped. To
@@ -222,7 +240,7 @@
 	alive := time.NewTimer(aliveInterval)
 	defer alive.Stop()
 	for {
-		frames := s.nextBatch()
+		frames, isPart := s.nextBatch()
 		if len(frames) == 0 {
 			select {
 			case <-s.wake:
@@ -236,19 +254,35 @@
 			continue
 		}
 		alive.Reset(aliveInterval)
-		buffer.Reset()
-		if err := Encode(&buffer, frames); err != nil {
-			s.end("fail")
-			return
-		}
-		if err := s.writeMessage(ctx, buffer.Bytes()); err != nil {
+		if err := s.writeFrames(ctx, &buffer, frames); err != nil {
 			s.end("fail")
 			return
 		}
 		s.mu.Lock()
 		s.unsent -= len(frames)
 		s.mu.Unlock()
+		if isPart {
+			s.partWritten <- struct{}{}
+		}
+	}
+}
+
+// writeFrames writes frames in one message, or in several within maxBatchBytes each. A larger frame is a message of
+// its own.
+func (s *Session) writeFrames(ctx context.Context, buffer *bytes.Buffer, frames []Frame) error {
+	buffer.Reset()
+	for i := range frames {
+		end := buffer.Len()
+		if err := Encode(buffer, frames[i:i+1]); err != nil {
+			return err
+		}
+		if end > 0 && buffer.Len() > maxBatchBytes {
+			if err := s.writeMessage(ctx, buffer.Next(end)); err != nil {
+				return err
+			}
+		}
 	}
+	return s.writeMessage(ctx, buffer.Bytes())
 }
 
 // writeMessage writes one message within writeTimeout.
@@ -277,14 +311,19 @@
 }
 
 // nextBatch removes the next frames from the queue, at most maxBatchFrames, and returns
-// them. It returns none if the queue is empty.
-func (s *Session) nextBatch() []Frame {
+// them. If the queue is empty, it returns the next part, if any.
+func (s *Session) nextBatch() (frames []Frame, isPart bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.queue) == 0 && s.part != nil {
+		frames = []Frame{*s.part}
+		s.part = nil
+		return frames, true
+	}
 	n := min(len(s.queue), maxBatchFrames)
-	frames := s.queue[:n:n]
+	frames = s.queue[:n:n]
 	s.queue = s.queue[n:]
-	return frames
+	return frames, false
 }
 
 // readLoop reads messages and dispatches their frames until a read fails or a message
--- a/linker/work.go
+++ b/linker/work.go
@@ -27,6 +27,8 @@
 	// Epoch is the highest epoch of an owner whose orders the agent has accepted. It accepts nothing from
 	// owners of lower epochs any more, and no lease either. Agents of an earlier build leave it out.
 	Epoch int64 `cbor:"8,keyasint,omitempty"`
+	// AcceptsParts means that the agent understands WorkOrders.Listed. Agents of an earlier build leave it out.
+	AcceptsParts bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Measurements holds a worker's measurements of the services with a tail latency
@@ -62,7 +64,8 @@
 	Epoch int64 `cbor:"0,keyasint"`
 	// Incarnation is the worker incarnation that the orders are meant for.
 	Incarnation plantainrail.WorkerIncarnation `cbor:"1,keyasint"`
-	// Complete means that Starts lists all runs that the worker should have.
+	// Complete means that Starts lists all runs that the worker should have, together with the parts in Listed that
+	// have arrived before in the session.
 	Complete bool                    `cbor:"2,keyasint,omitempty"`
 	Starts   []plantainrail.RunOrder `cbor:"3,keyasint,omitempty"`
 	Stops    []plantainrail.RunRef   `cbor:"4,keyasint,omitempty"`
@@ -75,6 +78,9 @@
 	DepartureAcked bool `cbor:"7,keyasint,omitempty"`
 	// StartLimit bounds when Starts may be carried out. Owners of an earlier build leave it out.
 	StartLimit *StartLimit `cbor:"8,keyasint,omitempty"`
+	// Listed is a part of the list of all runs that the worker should have. Nothing follows from it before the message
+	// with Complete. It is sent only to agents that have set WorkReport.AcceptsParts.
+	Listed []plantainrail.RunOrder `cbor:"9,keyasint,omitempty"`
 }
 
 // StartLimit is the time until which a worker may be told to start the runs of an order. After
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -89,6 +89,8 @@
 	// ordersComplete is set once the owner has sent the complete list of the runs that
 	// it wants in this session.
 	ordersComplete bool
+	// listed holds the parts of the next complete list that have arrived in this session.
+	listed []plantainrail.RunOrder
 	// orderedRuns holds the runs that the owner has ordered to start or to stop. A run is
 	// removed when the worker lists its end or its refusal is reported. A run that is
 	// being stopped stays in the map until then.
@@ -343,7 +345,7 @@
 	m.leaving, m.departed, m.departureAcked = false, false, false
 	m.crashes = m.crashes.withNewIncarnation()
 	m.pollFailed, m.unreachable, m.ordersComplete, m.acknowledged, m.reported, m.heartbeats = false, false, false, 0, 0, heartbeatOrder{}
-	m.ends, m.clock = nil, workerClock{}
+	m.ends, m.clock, m.listed = nil, workerClock{}, nil
 	m.leaseUntil, m.heartbeatAt = time.Time{}, time.Time{}
 	m.reportedStatus, m.pacing = nil, newPacing()
 	clear(m.orderedRuns)
@@ -449,9 +451,12 @@
 	}
 	r.VM.StartedLast, r.VM.RunningLast = m.crashes.last(m.unreachable, m.ordersComplete)
 	r.VM.FillersPaused = m.pacing.pacer.Pace() != pacer.FullPace
-	// Send fails only if the session has ended. The next session begins with the
-	// unacknowledged ends and the owner's complete list of the runs that it wants.
-	_ = m.session.Send(linker.Frame{Work: &r})
+	r.AcceptsParts = true
+	for _, part := range r.Parts() {
+		// Send fails only if the session has ended. The next session begins with the
+		// unacknowledged ends and the owner's complete list of the runs that it wants.
+		_ = m.session.Send(linker.Frame{Work: &part})
+	}
 }
 
 // wakePoller ends the current wait of pollWorker, or its next one if it is not
--- a/minder/session.go
+++ b/minder/session.go
@@ -255,9 +255,7 @@
 func (m *Minder) openSession(session *linker.Session, address string, dialedAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.session, m.dialedAt, m.reported, m.ordersComplete = session, dialedAt, m.acknowledged, false
-	m.reportedStatus = nil
-	clear(m.renewalSentAt)
+	m.resetSession(session, dialedAt)
 	m.Logger.Info("session opened", zap.String("address", address))
 	if m.departed {
 		m.report(linker.WorkReport{Departed: true})
@@ -268,6 +266,14 @@
 	m.wakePoller()
 }
 
+// resetSession makes the session the current one and forgets what belongs to the one before. The caller holds the
+// lock.
+func (m *Minder) resetSession(session *linker.Session, dialedAt time.Time) {
+	m.session, m.dialedAt, m.reported, m.ordersComplete = session, dialedAt, m.acknowledged, false
+	m.reportedStatus, m.listed = nil, nil
+	clear(m.renewalSentAt)
+}
+
 // closeSession removes a session that ended with the error.
 func (m *Minder) closeSession(session *linker.Session, err error) {
 	m.mu.Lock()
@@ -364,8 +370,11 @@
 		}
 	}
 	startUntil := m.startUntil(o.StartLimit)
+	m.listed = append(m.listed, o.Listed...)
 	if o.Complete {
-		m.replaceOrderedRuns(o.Starts, startUntil)
+		orders := append(m.listed, o.Starts...)
+		m.listed = nil
+		m.replaceOrderedRuns(orders, startUntil)
 	} else {
 		for _, order := range o.Starts {
 			m.addOrderedRun(&run{order: order, startUntil: startUntil})
