Owner: hold back starts that a session cannot carry in time

Callers saw: of 2,200 tasks of a job that were placed on one worker over a link of 10 Mbit/s, 620 ran after 30 s.

Cause: a round sends all starts at once. 8.9 MB take 7 s on such a link, and a start expires at the latest 2.5 s after it was sent. Expired starts are refused, the VM counts as late, and the next round sends too many again.

Evidence: the row "one job, links of 10 Mbit/s" of TestRunsOfLongSpecsOutliveTheirOwner, red before.

Change: at most 512 KiB of starts are on their way to an agent, which is 0.4 s at 10 Mbit/s. The others wait at the owner like those that wait for a read. Once the agent has handled the last part, a round follows.

Up to 512 KiB of starts on a worker are sent in the same round as before.

--- a/assembler/fleet_large_test.go
+++ b/assembler/fleet_large_test.go
@@ -156,7 +156,7 @@
 		jobs int
 		// rate is that of the connections to the entries in bytes a second; 0 means no bound.
 		rate int
-	}{{"one job", 1, 0}, {"two jobs", 2, 0}, {"two jobs, links of 10 Mbit/s", 2, 10_000_000 / 8}} {
+	}{{"one job", 1, 0}, {"two jobs", 2, 0}, {"one job, links of 10 Mbit/s", 1, 10_000_000 / 8}, {"two jobs, links of 10 Mbit/s", 2, 10_000_000 / 8}} {
 		t.Run(c.name, func(t *testing.T) {
 			runInFleet(t, fleetShape{entries: 3, zones: 3, vms: 1, maxRuns: tasks + fleetMaxRuns}, func(f *fleet) {
 				f.net.setRate("entry-", c.rate)
--- a/decider/freshness.go
+++ b/decider/freshness.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/planner"
 )
@@ -29,6 +30,9 @@
 	// maxStartWindow bounds the part of a bound that an agent needs to receive and carry out an
 	// order.
 	maxStartWindow = 500 * time.Millisecond
+	// maxStartBytes bounds the starts that are on their way to an agent, in bytes. A link of 10 Mbit/s carries them in
+	// 0.4 s, so that they arrive within maxStartWindow.
+	maxStartBytes = 512 << 10
 )
 
 // startBound is the time after a change within which starts that contradict it must end.
@@ -130,8 +134,9 @@
 }
 
 // releaseStarts returns the assignments that may be ordered now: the given ones, which are stored,
-// and those that waited for a read. If the views are too old, it returns none and reads
-// them in the background; the next round tries again. The caller holds the lock.
+// and those that waited. If the views are too old, it returns none and reads
+// them in the background; the next round tries again. Starts of agents that have enough on their way wait
+// too. The caller holds the lock.
 func (o *owner) releaseStarts(ctx context.Context, stored []planner.Assignment) []planner.Assignment {
 	starts := append(o.waitingStarts, stored...)
 	if len(starts) == 0 {
@@ -142,7 +147,8 @@
 			o.decider.Logger.Info("starts go on", zap.Int("starts", len(starts)),
 				zap.Int64("waited", o.decider.Now().Sub(o.startsWaitSince).Milliseconds()))
 		}
-		o.waitingStarts, o.startsWaitSince = nil, time.Time{}
+		o.startsWaitSince = time.Time{}
+		starts, o.waitingStarts = o.splitStarts(starts)
 		return starts
 	}
 	if o.startsWaitSince.IsZero() {
@@ -157,6 +163,22 @@
 	return nil
 }
 
+// splitStarts divides assignments into those that their agents get within the time for a start, and those that wait
+// until what is on its way has arrived: they would expire before. The caller holds the lock.
+func (o *owner) splitStarts(starts []planner.Assignment) (now, later []planner.Assignment) {
+	bytes := map[plantainrail.WorkerIncarnation]int{}
+	for _, start := range starts {
+		a := o.agents[start.Incarnation]
+		if a != nil && (bytes[start.Incarnation] >= maxStartBytes || a.session.SendingParts()) {
+			later = append(later, start)
+			continue
+		}
+		bytes[start.Incarnation] += linker.OrderBytes(start.Order)
+		now = append(now, start)
+	}
+	return now, later
+}
+
 // readViews reads what the operators and the clients have written, and requests a round.
 func (o *owner) readViews(ctx context.Context) {
 	group, groupCtx := errgroup.WithContext(ctx)
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -57,8 +57,9 @@
 	renewableFrom, answeredAt time.Time
 	// operatorsAsOf and jobsAsOf are when the views were whole that the planner knows.
 	operatorsAsOf, jobsAsOf time.Time
-	// waitingStarts are assignments that are stored but not ordered, since startsWaitSince,
-	// because the views are too old. reading is set while they are read for that reason.
+	// waitingStarts are assignments that are stored but not ordered, because the views are too old, since
+	// startsWaitSince, or because the agent has enough starts on their way. reading is set while the views are read
+	// for that reason.
 	waitingStarts   []planner.Assignment
 	startsWaitSince time.Time
 	reading         bool
--- a/decider/session.go
+++ b/decider/session.go
@@ -73,7 +73,7 @@
 	}
 	session := linker.New(connection)
 	session.KeepAlive()
-	session.ShareParts(d.partSlots)
+	session.ShareParts(d.partSlots, o.requestRound)
 	a := &agentSession{owner: o, session: session, connectedAt: connectedAt, heardAt: connectedAt}
 	err = session.Run(context.WithoutCancel(req.Context()), a)
 	o.removeAgent(a, err)
--- a/linker/part.go
+++ b/linker/part.go
@@ -23,8 +23,8 @@
 	refBytes   = 96
 )
 
-// encodedBytes returns an upper bound of the encoded size of an order.
-func encodedBytes(o plantainrail.RunOrder) int {
+// OrderBytes returns an upper bound of the encoded size of an order in bytes.
+func OrderBytes(o plantainrail.RunOrder) int {
 	return orderBytes + len(o.Ref.Task.Job) + len(o.Spec) + len(o.Checkpoint) + len(o.Image)
 }
 
@@ -50,19 +50,16 @@
 func (o WorkOrders) Parts(acceptsParts bool) []WorkOrders {
 	total := 0
 	for _, order := range o.Starts {
-		total += encodedBytes(order)
+		total += OrderBytes(order)
 	}
-	var out []WorkOrders
-	part := WorkOrders{Epoch: o.Epoch, Incarnation: o.Incarnation}
 	starts := [][]plantainrail.RunOrder{o.Starts}
-	switch {
-	case o.Complete && !acceptsParts:
-		if total > maxWholeListBytes {
-			starts[0] = adoptions(o.Starts)
-		}
-	default:
-		starts = divide(o.Starts, encodedBytes)
+	if !o.Complete || acceptsParts {
+		starts = divide(o.Starts, OrderBytes)
+	} else if total > maxWholeListBytes {
+		starts[0] = adoptions(o.Starts)
 	}
+	var out []WorkOrders
+	part := WorkOrders{Epoch: o.Epoch, Incarnation: o.Incarnation}
 	last := len(starts) - 1
 	for _, list := range starts[:last] {
 		p := part
@@ -77,20 +74,21 @@
 		stops = append([][]plantainrail.RunRef{nil}, stops...)
 		o.Stops = nil
 	}
-	// Whatever else the orders hold takes effect after all parts.
-	final := o
-	if len(stops) > 1 {
-		o.AckedThrough, o.Renewed, o.DepartureAcked = 0, 0, false
+	if len(stops) == 1 {
+		return append(out, o)
 	}
+	// Whatever else the orders hold takes effect after all parts.
+	final := part
+	final.AckedThrough, final.Renewed, final.DepartureAcked = o.AckedThrough, o.Renewed, o.DepartureAcked
+	o.AckedThrough, o.Renewed, o.DepartureAcked = 0, 0, false
 	out = append(out, o)
-	for i, list := range stops[1:] {
+	for _, list := range stops[1 : len(stops)-1] {
 		p := part
-		if p.Stops = list; i == len(stops)-2 {
-			p.AckedThrough, p.Renewed, p.DepartureAcked = final.AckedThrough, final.Renewed, final.DepartureAcked
-		}
+		p.Stops = list
 		out = append(out, p)
 	}
-	return out
+	final.Stops = stops[len(stops)-1]
+	return append(out, final)
 }
 
 // adoptions returns orders that name the same runs without what only a start needs.
@@ -127,8 +125,18 @@
 }
 
 // ShareParts bounds the number of sessions that send a part at the same time: each holds one of the channel's slots
-// meanwhile. It must be called before SendInOrder.
-func (s *Session) ShareParts(slots chan struct{}) { s.partSlots = slots }
+// meanwhile. Whenever no more parts wait, sent is called, which must not block. ShareParts must be called before
+// SendInOrder.
+func (s *Session) ShareParts(slots chan struct{}, sent func()) {
+	s.partSlots, s.partsSent = slots, sent
+}
+
+// SendingParts reports whether frames of SendInOrder wait or the peer has not handled the last one yet.
+func (s *Session) SendingParts() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sendingParts
+}
 
 // SendInOrder queues frames and does not block. The peer gets them in the order of the calls. A single frame is sent
 // as Send does, unless earlier ones are under way. Otherwise each frame is a message of its own: it is followed by a
@@ -180,6 +188,9 @@
 	s.sendingParts = waiting
 	s.mu.Unlock()
 	if !waiting {
+		if s.partsSent != nil {
+			s.partsSent()
+		}
 		return false
 	}
 	if s.partSlots != nil {
--- a/linker/part_test.go
+++ b/linker/part_test.go
@@ -238,7 +238,8 @@
 func TestRenewalsPassPartsThatWait(t *testing.T) {
 	reader := &slowReader{delay: 200 * time.Millisecond}
 	withSessions(t, reader, func(t *testing.T, sender *Session) {
-		sender.ShareParts(make(chan struct{}, 1))
+		sent := 0
+		sender.ShareParts(make(chan struct{}, 1), func() { sent++ })
 		frames := func(from, to int64) (out []Frame) {
 			for epoch := from; epoch <= to; epoch++ {
 				out = append(out, Frame{Orders: &WorkOrders{Epoch: epoch, Listed: manyOrders(30, 4000)}})
@@ -249,10 +250,10 @@
 		time.Sleep(100 * time.Millisecond)
 		assert.NilError(t, sender.SendInOrder(frames(5, 5)...))
 		assert.NilError(t, sender.Send(Frame{Ack: &Ack{}}))
-		assert.Assert(t, !sender.Flushed())
+		assert.Assert(t, !sender.Flushed() && sender.SendingParts() && sent == 0)
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		assert.Assert(t, sender.Flushed())
+		assert.Assert(t, sender.Flushed() && !sender.SendingParts() && sent == 1)
 		assert.DeepEqual(t, reader.arrived, []string{"orders 1", "renewal", "orders 2", "orders 3", "orders 4", "orders 5"})
 		// With nothing under way, a frame is sent at once.
 		assert.NilError(t, sender.SendInOrder(frames(6, 6)...))
@@ -270,7 +271,7 @@
 	reader := &slowReader{delay: time.Second}
 	withSessions(t, reader, func(t *testing.T, sender *Session) {
 		slots := make(chan struct{}, 1)
-		sender.ShareParts(slots)
+		sender.ShareParts(slots, nil)
 		assert.NilError(t, sender.SendInOrder(Frame{Orders: &WorkOrders{Epoch: 1}}, Frame{Orders: &WorkOrders{Epoch: 2}}))
 		time.Sleep(100 * time.Millisecond)
 		assert.Equal(t, len(slots), 1)
--- a/linker/session.go
+++ b/linker/session.go
@@ -92,8 +92,10 @@
 	unsent int
 	// wake has a buffer of one and receives a value when a frame is queued.
 	wake chan struct{}
-	// partWritten has a buffer of one and receives a value when part was written. partSlots is that of ShareParts.
+	// partWritten has a buffer of one and receives a value when part was written. partSlots and partsSent are those of
+	// ShareParts.
 	partWritten, partSlots chan struct{}
+	partsSent              func()
 	// streams holds the open streams by ID.
 	streams map[uint64]*Stream
 	// lastStreamID is the ID of the stream that this side opened last.
