Relayer: list the newest records in pages

Callers saw: nothing yet; found with the table of messages. An entry that loses the store before it has listed the jobs, and so turns to other entries, never begins to follow them once they take more than 8 MiB.

Cause: another entry answers with the whole list in one response, which is cut off at 8 MiB, and within 0.6 s.

Evidence: TestLargeListIsRelayedInPages, 12 MB, on the code before: "decode result of relayed call: unexpected EOF".

Change: the list is requested page by page as the store lists it (plantainrail.Pager). An entry of the build before sends all at once, as before; one that asks without pages gets all at once.

Measured: the rows of the test pass.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -90,6 +90,9 @@
 	Topic string              `cbor:"1,keyasint,omitempty"`
 	From  plantainrail.Offset `cbor:"2,keyasint,omitempty"`
 	Wait  time.Duration       `cbor:"3,keyasint,omitempty"`
+	// Paged requests only the page of the newest records after the key After. Entries of an earlier build send all.
+	Paged bool   `cbor:"4,keyasint,omitempty"`
+	After string `cbor:"5,keyasint,omitempty"`
 }
 
 // storeResult is the result of a storeCall.
@@ -104,6 +107,8 @@
 	Text string `cbor:"5,keyasint,omitempty"`
 	// Full distinguishes plantainrail.ErrFull from other rejections. Earlier builds ignore it.
 	Full bool `cbor:"6,keyasint,omitempty"`
+	// More means that further pages of the newest records follow.
+	More bool `cbor:"7,keyasint,omitempty"`
 }
 
 // decodeMode accepts keys of records that are no valid UTF-8, which other writers may append.
@@ -162,7 +167,7 @@
 func (r *Relayer) do(ctx context.Context, c storeCall, isRead bool) (storeResult, error) {
 	directFailure, viaPeer := r.route()
 	if viaPeer {
-		return r.tryPeers(ctx, c)
+		return r.relay(ctx, c)
 	}
 	until := time.Now().Add(c.Wait)
 	result, outdated, err := r.callDirect(ctx, c, directFailure)
@@ -176,7 +181,26 @@
 	if !isRead || !isUnavailable(err) || ctx.Err() != nil {
 		return result, err
 	}
-	return r.tryPeers(ctx, c)
+	return r.relay(ctx, c)
+}
+
+// relay makes the call through other entries. A list of the newest records is read page by page: it may exceed
+// maxBodyBytes, or take longer than one call through another entry may take.
+func (r *Relayer) relay(ctx context.Context, c storeCall) (storeResult, error) {
+	c.Paged = c.Append == nil && c.From < 0
+	result, err := r.tryPeers(ctx, c)
+	for err == nil && result.More && len(result.Batch.Records) > 0 {
+		var page storeResult
+		c.After = result.Batch.Records[len(result.Batch.Records)-1].Key
+		page, err = r.tryPeers(ctx, c)
+		result.Batch.Records = append(result.Batch.Records, page.Batch.Records...)
+		result.Batch.Malformed += page.Batch.Malformed
+		result.More = page.More && len(page.Batch.Records) > 0
+	}
+	if err != nil {
+		return storeResult{}, err
+	}
+	return result, nil
 }
 
 // route reports whether calls go through another entry, and returns the channel that is closed when direct
@@ -223,9 +247,12 @@
 
 // perform makes the call on the given store.
 func perform(ctx context.Context, store plantainrail.Store, c storeCall) (result storeResult, err error) {
+	pager, paged := store.(plantainrail.Pager)
 	switch {
 	case c.Append != nil:
 		result.Offset, err = store.Append(ctx, *c.Append)
+	case c.Paged && paged:
+		result.Batch, result.More, err = pager.NewestPage(ctx, c.Topic, c.After)
 	case c.From < 0:
 		result.Batch, err = store.Newest(ctx, c.Topic)
 	default:
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -185,3 +185,66 @@
 		})
 	}
 }
+
+// pagedStore also lists its records in pages of one record.
+type pagedStore struct{ wholeStore }
+
+func (s pagedStore) NewestPage(_ context.Context, _, after string) (plantainrail.KeyedBatch, bool, error) {
+	i := 0
+	for i < len(s.records) && s.records[i].Key <= after {
+		i++
+	}
+	// The topic grows while the pages are read.
+	return plantainrail.KeyedBatch{Next: plantainrail.Offset(10 + i), Records: s.records[i : i+1]}, i+1 < len(s.records), nil
+}
+
+// wholeStore lists all records at once, like an entry of the build before pages.
+type wholeStore struct {
+	plantainrail.Store
+	records []plantainrail.KeyedRecord
+}
+
+func (s wholeStore) Newest(context.Context, string) (plantainrail.KeyedBatch, error) {
+	return plantainrail.KeyedBatch{Next: 10, Records: s.records}, nil
+}
+
+// unlistedStore cannot be reached.
+type unlistedStore struct{ plantainrail.Store }
+
+func (unlistedStore) Newest(context.Context, string) (plantainrail.KeyedBatch, error) {
+	return plantainrail.KeyedBatch{}, plantainrail.ErrRejected
+}
+
+// Guards against an entry that is cut off from the store and never begins to follow a topic, since the list of the
+// newest records exceeds the limit of a relayed call.
+func TestLargeListIsRelayedInPages(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		bytes, count int
+		// whole is set for a peer of the build before.
+		whole bool
+	}{{"12 MB", 3 << 20, 4, false}, {"one record", 10, 1, false}, {"peer without pages", 10, 4, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			var records []plantainrail.KeyedRecord
+			for i := range c.count {
+				records = append(records, plantainrail.KeyedRecord{Key: string(rune('a' + i)), Value: make([]byte, c.bytes), Offset: plantainrail.Offset(i)})
+			}
+			var far plantainrail.Store = pagedStore{wholeStore{records: records}}
+			if c.whole {
+				far = wholeStore{records: records}
+			}
+			peer := httptest.NewServer(relayer.New(far, nil, zap.NewNop()))
+			defer peer.Close()
+			r := relayer.New(unlistedStore{}, peer.Client(), zap.NewNop())
+			r.SetPeers([]string{strings.TrimPrefix(peer.URL, "http://")})
+			got, err := r.Newest(t.Context(), "jobs")
+			assert.NilError(t, err)
+			assert.Equal(t, got.Next, plantainrail.Offset(10), "a read must continue from the first page")
+			assert.Equal(t, len(got.Records), len(records))
+			for i, record := range got.Records {
+				assert.Equal(t, record.Key, records[i].Key)
+				assert.Equal(t, len(record.Value), c.bytes)
+			}
+		})
+	}
+}
--- a/store.go
+++ b/store.go
@@ -115,6 +115,14 @@
 	Newest(ctx context.Context, topic string) (KeyedBatch, error)
 }
 
+// Pager is implemented by stores that list the newest records of a topic in pages.
+type Pager interface {
+	// NewestPage returns the newest records of the keys that follow the given one in the order of the store, as many
+	// as it puts on a page, and whether there are more. An empty key stands for the first page. Its errors are
+	// those of Newest.
+	NewestPage(ctx context.Context, topic, after string) (batch KeyedBatch, more bool, err error)
+}
+
 var (
 	// ErrRejected means that the store rejected a call and did nothing.
 	ErrRejected = errors.New("store rejected the call")
