Linker: count the calls of a test atomically

Cause: the callback of ShareParts runs in another goroutine than the test that reads its count; the race detector reported it.

--- a/linker/part_test.go
+++ b/linker/part_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -238,8 +239,8 @@
 func TestRenewalsPassPartsThatWait(t *testing.T) {
 	reader := &slowReader{delay: 200 * time.Millisecond}
 	withSessions(t, reader, func(t *testing.T, sender *Session) {
-		sent := 0
-		sender.ShareParts(make(chan struct{}, 1), func() { sent++ })
+		var sent atomic.Int64
+		sender.ShareParts(make(chan struct{}, 1), func() { sent.Add(1) })
 		frames := func(from, to int64) (out []Frame) {
 			for epoch := from; epoch <= to; epoch++ {
 				out = append(out, Frame{Orders: &WorkOrders{Epoch: epoch, Listed: manyOrders(30, 4000)}})
@@ -250,10 +251,10 @@
 		time.Sleep(100 * time.Millisecond)
 		assert.NilError(t, sender.SendInOrder(frames(5, 5)...))
 		assert.NilError(t, sender.Send(Frame{Ack: &Ack{}}))
-		assert.Assert(t, !sender.Flushed() && sender.SendingParts() && sent == 0)
+		assert.Assert(t, !sender.Flushed() && sender.SendingParts() && sent.Load() == 0)
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		assert.Assert(t, sender.Flushed() && !sender.SendingParts() && sent == 1)
+		assert.Assert(t, sender.Flushed() && !sender.SendingParts() && sent.Load() == 1)
 		assert.DeepEqual(t, reader.arrived, []string{"orders 1", "renewal", "orders 2", "orders 3", "orders 4", "orders 5"})
 		// With nothing under way, a frame is sent at once.
 		assert.NilError(t, sender.SendInOrder(frames(6, 6)...))
