--- a/decider/explain.go
+++ b/decider/explain.go
@@ -148,6 +148,8 @@
 func (d *Decider) refusalOf(w plantainrail.Workflow) *Refusal {
 	d.mu.Lock()
 	fresh, room := d.storeReadRecently(), d.storeHasRoom()
+	ahead, scarce := d.backlog.queues[w.Queue.Name]
+	scarce = scarce && d.backlog.fresh(d.Now())
 	d.mu.Unlock()
 	unavailable := func(reason string) *Refusal {
 		return &Refusal{Result: plantainrail.CallUnavailable, Reason: reason, RetryAfterMS: storeRetryAfter.Milliseconds()}
@@ -165,6 +167,13 @@
 	if !d.StoreLimits.FitsRecord(storedSize(w, record)) {
 		return &Refusal{Result: plantainrail.CallTooLarge, Reason: "the job is too large for the store"}
 	}
+	if !scarce {
+		return nil
+	}
+	// Draw 0 tells whether the job may be refused at all; a refusal is a matter of chance.
+	if retryAfter, mayRefuse := planner.Refuse(ahead, w, 0); mayRefuse {
+		return &Refusal{Result: plantainrail.CallRejected, Reason: "it may be refused: the jobs ahead would make it end without value", RetryAfterMS: retryAfter.Milliseconds()}
+	}
 	return nil
 }
 
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -60,8 +60,9 @@
 	// preemptedMillis is the work that preemptions of this term have thrown away, in thousandths of a
 	// core-second.
 	preemptedMillis int64
-	// waitingStarts are assignments that are stored but not ordered, since startsWaitSince,
-	// because the views are too old. reading is set while they are read for that reason.
+	// waitingStarts are assignments that are stored but not ordered, because the views are too old, since
+	// startsWaitSince, or because the agent has enough starts on their way. reading is set while the views are read
+	// for that reason.
 	waitingStarts   []planner.Assignment
 	startsWaitSince time.Time
 	reading         bool
