Planner: what a job still needs is computed once until a task changes

A crowd of legal jobs with 5,000 steps each kept an entry busy after it had gone: in the process test of package limiter an ordinary request was not answered afterwards (row "whole bodies with many steps", once, beside other load). Since the order of package ranker and the spare time of fillers, each of a job's steps asked in each tick what the whole job still needs, which takes a pass over all steps.

Job.work keeps its result until the phase of one of its tasks changes.

--- a/planner/job.go
+++ b/planner/job.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/ranker"
 )
 
 // Phase is the scheduling phase of a task.
@@ -133,6 +134,10 @@
 	arrival int64
 	// acceptedAt is when the job was accepted; see noteAccepted.
 	acceptedAt time.Time
+	// knownWork is the result of work for workOccurrence, if workKnown is set.
+	knownWork      ranker.Work
+	workOccurrence int
+	workKnown      bool
 	// unplacedReportedAt is when the newest UnplacedStep of the job was recorded.
 	unplacedReportedAt time.Time
 	// keptBackReported is the start of the newest wait of which an UnplacedStep after keptBackTime was
@@ -209,6 +214,7 @@
 // setPhase changes the phase of a task whose occurrence has begun and not ended.
 func (j *Job) setPhase(id plantainrail.TaskID, phase Phase) {
 	j.occurrences[id.Occurrence][id.Step].setPhase(id.Index, phase)
+	j.workKnown = false
 }
 
 // dependenciesDone reports whether all tasks of the steps that a step depends
--- a/planner/order.go
+++ b/planner/order.go
@@ -214,15 +214,24 @@
 // noteAccepted sets when the job was accepted: as it is stored, or now if that is unknown or the
 // clock of the entry that accepted it is ahead.
 func (j *Job) noteAccepted(now time.Time) {
-	j.acceptedAt = now
+	j.acceptedAt, j.workKnown = now, false
 	if j.AcceptedMS > 0 {
 		j.acceptedAt = earlier(now, time.UnixMilli(j.AcceptedMS))
 	}
 }
 
-// work returns what package ranker needs to know about an occurrence of the job. It has no objective
-// if the job is long-running or a step has no estimate: then it is not known how long it takes.
+// work returns what package ranker needs to know about an occurrence of the job. The result is kept until the phase of a
+// task changes: a job may have thousands of steps, and each is asked about in each tick.
 func (j *Job) work(k int) ranker.Work {
+	if !j.workKnown || j.workOccurrence != k {
+		j.knownWork, j.workOccurrence, j.workKnown = j.computeWork(k), k, true
+	}
+	return j.knownWork
+}
+
+// computeWork computes what work returns. It has no objective
+// if the job is long-running or a step has no estimate: then it is not known how long it takes.
+func (j *Job) computeWork(k int) ranker.Work {
 	w := ranker.Work{Priority: j.Queue.Priority, Arrival: j.arrival, Since: j.acceptedAt}
 	if due := j.NotBefore(k); due.After(w.Since) {
 		w.Since = due
--- a/planner/place.go
+++ b/planner/place.go
@@ -216,6 +216,7 @@
 			copy(tasks, savedTasks)
 			ready.job.assignedAt = assignedAt
 			ready.job.occurrences[ready.occurrence][ready.step] = newStepTasks(tasks)
+			ready.job.workKnown = false
 			return nil
 		}
 		t.Checkpoint = checkpoint
