Ranker: jobs are refused only if their end is computed four times too late

Cause: the time for which work ahead keeps the capacity busy is off by more than the estimates of tasks. Fillers get what services and other tasks leave, and that is known to a factor of two at best.

The margin is four now instead of two.

--- a/ranker/refuse.go
+++ b/ranker/refuse.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// estimateMargin is the factor by which estimates may be off, so that a job that would end in time with half of
-	// them is accepted.
-	estimateMargin = 2
+	// estimateMargin is the factor by which a computed end may be off: two for the estimates of tasks, and two for the
+	// capacity, of which fillers get what services and other tasks leave.
+	estimateMargin = 4
 	// maxDrain bounds the part of a Retry-After that is computed, since load changes faster than that.
 	maxDrain = 30 * time.Second
 	// minSpread is the least time over which the retries of refused clients are spread.
