--- a/assembler/fleet_replica_test.go
+++ b/assembler/fleet_replica_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/decider"
 )
 
 // storeCallRate returns the calls to the store in a second of a fleet that runs jobs.
@@ -66,6 +69,39 @@
 	})
 }
 
+// Guards against an entry that explains a placement on what it knows itself, or not at all: the owner answers through each
+// entry, without a change of the jobs.
+func TestEveryEntryExplainsThroughTheOwner(t *testing.T) {
+	runInFleet(t, smallFleet, func(f *fleet) {
+		client := f.client("client")
+		defer client.CloseIdleConnections()
+		owner := f.owner()
+		job := plantainrail.Workflow{ID: "explained", Queue: plantainrail.Queue{Name: "q"}, Steps: []plantainrail.Step{{Count: 2, CPU: 1000}}}
+		for i, e := range f.entries {
+			explained, err := decider.Explain(f.ctx, client, e.decider.Address, job)
+			assert.NilError(t, err, "through entry %d", i)
+			assert.Equal(t, explained.Owner, f.entries[owner].name)
+			assert.Equal(t, explained.Placement.Steps[0].Placed, 2)
+			assert.Equal(t, len(explained.Placement.Steps[0].VMs), smallFleet.vms)
+			assert.Assert(t, explained.Refusal == nil)
+			for text, wrong := range map[string]plantainrail.Workflow{
+				"no queue has this name":         {Queue: plantainrail.Queue{Name: "missing"}, Steps: job.Steps},
+				"steps must name one step":       {Queue: job.Queue},
+				"depends on step 0, which is no": {Queue: job.Queue, Steps: []plantainrail.Step{{Count: 1, DependsOn: []int{0}}}},
+			} {
+				_, err := decider.Explain(f.ctx, client, e.decider.Address, wrong)
+				assert.ErrorContains(t, err, text)
+			}
+		}
+		large := job
+		large.Steps = []plantainrail.Step{{Count: 50_000, CPU: 1000}}
+		explained, err := decider.Explain(f.ctx, client, f.entries[owner].decider.Address, large)
+		assert.NilError(t, err)
+		assert.Equal(t, explained.Refusal.Result, plantainrail.CallTooLarge)
+		assert.Equal(t, f.statusAt(0, 1), http.StatusGone)
+	})
+}
+
 // Guards against a small entry that becomes the replica, and with it the owner, because its
 // next ping, by which it learns of a resignation, comes before that of a larger one.
 func TestResignedPlaceGoesToTheLargerEntry(t *testing.T) {
--- a/command/job/show/show.go
+++ b/command/job/show/show.go
@@ -1,4 +1,4 @@
-// Package show implements the commands "job show" and "job explain".
+// Package show implements the command "job show", and "job explain" for a submitted batch job.
 package show
 
 import (
--- a/command/root/root.go
+++ b/command/root/root.go
@@ -22,6 +22,7 @@
 	"github.com/plantainrail/plantainrail/command/entry/serve"
 	"github.com/plantainrail/plantainrail/command/factory"
 	"github.com/plantainrail/plantainrail/command/job/cancel"
+	jobexplain "github.com/plantainrail/plantainrail/command/job/explain"
 	joblist "github.com/plantainrail/plantainrail/command/job/list"
 	jobshow "github.com/plantainrail/plantainrail/command/job/show"
 	"github.com/plantainrail/plantainrail/command/job/submit"
@@ -95,12 +96,12 @@
 		Show zoneshow.Command `cmd:"" help:"List the availability zones."`
 	} `cmd:"" help:"Manage availability zones."`
 	Job struct {
-		Submit  submit.Command  `cmd:"" help:"Submit a job of batch tasks."`
-		List    joblist.Command `cmd:"" help:"List the jobs."`
-		Show    jobshow.Command `cmd:"" help:"Show a job's tasks."`
-		Explain jobshow.Command `cmd:"" help:"Show why each task is where it is."`
-		Cancel  cancel.Command  `cmd:"" help:"Cancel jobs."`
-		Wait    wait.Command    `cmd:"" help:"Wait until a job has ended."`
+		Submit  submit.Command     `cmd:"" help:"Submit a job of batch tasks."`
+		List    joblist.Command    `cmd:"" help:"List the jobs."`
+		Show    jobshow.Command    `cmd:"" help:"Show a job's tasks."`
+		Explain jobexplain.Command `cmd:"" help:"Show where a job of steps would be placed, or why each task of a batch job is where it is."`
+		Cancel  cancel.Command     `cmd:"" help:"Cancel jobs."`
+		Wait    wait.Command       `cmd:"" help:"Wait until a job has ended."`
 	} `cmd:"" help:"Manage batch jobs."`
 	Log struct {
 		Trace trace.Command `cmd:"" help:"Trace one job through the logs of several processes."`
@@ -127,7 +128,7 @@
 	l.Request.Explain, l.Report.Burn = explain.New(nil), burn.New(nil)
 	l.Zone.Out, l.Zone.In, l.Zone.Show = set.New(true, nil), set.New(false, nil), zoneshow.New(nil)
 	l.Job.Submit, l.Job.List, l.Job.Show = submit.New(nil), joblist.New(nil), jobshow.New(nil)
-	l.Job.Explain, l.Job.Cancel, l.Job.Wait = jobshow.New(nil), cancel.New(nil), wait.New(nil)
+	l.Job.Explain, l.Job.Cancel, l.Job.Wait = jobexplain.New(nil), cancel.New(nil), wait.New(nil)
 	l.Log.Trace = trace.New(nil)
 	l.Settings.Check, l.Settings.Keys = settingscheck.New(nil), keys.New(nil)
 	return l
--- a/command/root/root_test.go
+++ b/command/root/root_test.go
@@ -39,6 +39,9 @@
 		{"unknown scenario", []string{"bench", "--scenario", "x"}, factory.ExitUsage, "--list"},
 		{"bad cell", []string{"table", "check", "-"}, factory.ExitFailure, "row 1, column weight"},
 		{"no entry", []string{"--entry", "127.0.0.1:1", "zone", "show"}, factory.ExitFailure, "check --entry"},
+		{"explained file is missing", []string{"job", "explain", "missing.json", "--queue", "rota"}, factory.ExitFailure, "no such file"},
+		{"explained job is no JSON", []string{"job", "explain", "-", "--queue", "rota"}, factory.ExitFailure, "the body is no job"},
+		{"explained job without a queue", []string{"job", "explain", "-"}, factory.ExitFailure, "--queue must name the queue"},
 		{"help", []string{"--help"}, factory.ExitOK, ""},
 	}
 	for _, c := range cases {
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -85,7 +85,7 @@
 // exceeds what the store accepts, and returns the reply for such a job. A job that was
 // accepted before, by a build without this limit, gets the same answer as then.
 func (d *Decider) refuseTooLarge(ctx context.Context, w plantainrail.Workflow, record plantainrail.KeyedRecord) (plantainrail.Reply, bool) {
-	size := max(record.Size(), planner.MaxProgressBytes(w))
+	size := storedSize(w, record)
 	if d.StoreLimits.FitsRecord(size) {
 		return plantainrail.Reply{}, false
 	}
--- a/decider/session.go
+++ b/decider/session.go
@@ -47,6 +47,7 @@
 	mux.HandleFunc("GET "+SessionPath, d.serveSession)
 	mux.Handle("POST "+relayer.Path, d.Relay)
 	mux.HandleFunc("POST "+queryPath, d.serveQuery)
+	mux.HandleFunc("POST "+explainPath, d.serveExplain)
 	mux.HandleFunc("POST "+forwardPath, d.serveWrite)
 	return mux
 }
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -278,6 +278,19 @@
 // that could take it.
 func (u UnplacedStep) KeptBack() bool { return u.Waited >= keptBackTime && len(u.Judgements) > 0 }
 
+// obstacles returns the fact for which the VM cannot take a task of the step and, without one, the judgements that
+// speak against it, apart from interference.
+func (p *Planner) obstacles(v *vm, ready readyStep, t *Task, now time.Time) (fact, []*judgement) {
+	if f := p.fact(v, p.vmPool(ready.job), ready); f != "" {
+		return f, nil
+	}
+	doubts := p.judge(v, ready, now)
+	if t.avoids(v) {
+		doubts = append(doubts, judgedFailed)
+	}
+	return "", doubts
+}
+
 // recordUnplaced records that a task of a ready step cannot be placed on any VM, unless a
 // step of the job was recorded less than unplacedReportInterval ago and the step is not newly kept
 // back. The recorded obstacles
@@ -298,14 +311,11 @@
 	tasks := ready.tasks()
 	first := &tasks[slices.IndexFunc(tasks, func(t Task) bool { return t.Phase == Waiting })]
 	for _, v := range p.ordered {
-		if f := p.fact(v, p.vmPool(ready.job), ready); f != "" {
+		f, doubts := p.obstacles(v, ready, first, now)
+		if f != "" {
 			u.Obstacles[Obstacle(f)]++
 			continue
 		}
-		doubts := p.judge(v, ready, now)
-		if first.avoids(v) {
-			doubts = append(doubts, judgedFailed)
-		}
 		if len(doubts) == 0 && ready.definition().Filler {
 			// Without another obstacle, only interference with services keeps a
 			// filler off a VM.
