Limiter: lines and list elements of headers are paid by number

What callers saw: 480 clients with headers of legal size made of short lines took an entry of 80 MB to 84 to 91 MB, and an agent to 86 to 92 MB. A process with such limits is killed.

Cause: the budget counted a header by its bytes. net/http keeps a map entry, which doubles as it grows, and string headers for each line, and an entry for each element of Trailer: 56 to 119 bytes held and up to 115 allocated a line (trial on 50 headers of each form). A header of 16 KiB with 3,200 lines held 180 KB and was paid as 24 KiB.

Change: each line, and each comma, since an element of a list may cost as much, is reserved at 128 bytes; 16 are part of the price of a connection. Lines that came after the end of a header may be the beginning of the next one, which the server parses without another read: they are reserved when the connection becomes idle.

TestItemsOfHeadersArePaid covers the ledger.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -63,7 +64,7 @@
 		time.Sleep(sweepInterval)
 	}
 	n, err := c.Conn.Read(b)
-	if cause, phase := c.count(n); cause != None {
+	if cause, phase := c.count(b[:n]); cause != None {
 		return 0, c.refuse(cause, phase)
 	}
 	return n, err
@@ -80,13 +81,32 @@
 	return cause, phase, p.ledger.Paced(c.client)
 }
 
+// serverBuffer is the size in bytes of the buffer from which net/http parses headers. Longer reads are those of bodies.
+const serverBuffer = 4 << 10
+
+// countItems counts the items in bytes that were read. A header that ends with bare line feeds counts as longer than it is.
+func countItems(b []byte) Items {
+	if len(b) > serverBuffer {
+		return Items{}
+	}
+	// The server skips empty lines before a request.
+	b = bytes.TrimLeft(b, "\r\n")
+	end := len(b)
+	if i := bytes.Index(b, []byte("\r\n\r\n")); i >= 0 {
+		end = i
+	}
+	count := func(b []byte) int64 { return int64(bytes.Count(b, []byte("\n")) + bytes.Count(b, []byte(","))) }
+	return Items{count(b[:end]), count(b[end:])}
+}
+
 // count counts bytes that were read, and returns the cause if the client is refused.
-func (c *conn) count(n int) (Cause, Phase) {
+func (c *conn) count(b []byte) (Cause, Phase) {
+	items := countItems(b)
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	had := c.client.cause
-	p.interrupt(p.ledger.Received(p.time(), c.client, int64(n)))
+	p.interrupt(p.ledger.Received(p.time(), c.client, int64(len(b)), items))
 	return c.state(had)
 }
 
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -43,6 +43,9 @@
 	since, progressAt time.Time
 	// received counts the bytes of the phase, and marked those at progressAt.
 	received, marked int64
+	// items counts those of the header, and unread those that were read after it: the server may still hold them unread
+	// when the next request begins.
+	items, unread int64
 	// reserved is the cost of the request in bytes.
 	reserved int64
 	// cause is set once the connection is refused.
@@ -181,27 +184,54 @@
 	case Idle:
 		l.release(c)
 		l.idle.append(c)
+		c.items = c.unread
+		if cost := paidItems(c.items); l.fits(c, cost) {
+			l.add(c, cost)
+		} else {
+			l.refuse(now, c, OverMemory)
+		}
 	case Serving:
 		c.unlink()
 	case Draining:
 		l.release(c)
 		l.sending.append(c)
+	case Body:
+		c.items = 0
+		l.sending.append(c)
 	default:
 		l.sending.append(c)
 	}
 }
 
-// Received counts bytes that were read from a client and returns the clients to drop in its favour. The
-// client is refused if there is no memory for them.
-func (l *Ledger) Received(now time.Time, c *Client, n int64) (dropped []*Client) {
-	if n == 0 || c.phase == Serving || l.isClosed(c) {
+// Items are the lines of a header and the elements of lists in them, or what may become such. They are paid by number,
+// since each takes much more memory than its text.
+type Items struct {
+	// Header counts those of the present header, and Rest those after it, of which the next header may consist.
+	Header, Rest int64
+}
+
+// Received counts bytes that were read from a client, and the items in them. It returns the clients to drop in its
+// favour. The client is refused if there is no memory for them.
+func (l *Ledger) Received(now time.Time, c *Client, n int64, items Items) (dropped []*Client) {
+	switch {
+	case n == 0 || l.isClosed(c):
+		return nil
+	case c.phase == Serving:
+		// The server reads ahead by single bytes.
+		c.unread += items.Header + items.Rest
 		return nil
 	}
 	if c.phase == Idle {
 		l.Enter(now, c, Header)
 	}
-	before := paidBytes(c.received)
+	before := c.cost()
 	c.received += n
+	c.unread = items.Rest
+	if c.phase == Header {
+		c.items += items.Header
+	} else {
+		c.unread += items.Header
+	}
 	if l.Long(c) {
 		l.allowance -= n
 	}
@@ -209,9 +239,9 @@
 		c.marked, c.progressAt = c.received, now
 		l.sending.append(c)
 	}
-	if grown := paidBytes(c.received) - before; grown > 0 && c.phase != Draining {
+	if grown := c.cost() - before; grown > 0 && c.phase != Draining {
 		var ok bool
-		if dropped, ok = l.Reserve(now, c, grown*bodyCopies); !ok {
+		if dropped, ok = l.Reserve(now, c, grown); !ok {
 			l.refuse(now, c, OverMemory)
 		}
 	}
@@ -231,6 +261,12 @@
 	return c.phase == Header && c.received > l.rules.HeaderBytes
 }
 
+// cost returns what the bytes and items that were received in the phase take.
+func (c *Client) cost() int64 { return paidBytes(c.received)*bodyCopies + paidItems(c.items) }
+
+// paidItems returns what items of a header take beyond the price of a connection.
+func paidItems(n int64) int64 { return max(0, n-freeItems) * itemBytes }
+
 // paidBytes returns how many of the bytes of a header or body are reserved: whole units, without the first
 // one, which is in the connection's buffer and part of connectionBytes.
 func paidBytes(bytes int64) int64 { return max(0, bytes-1) / unitBytes * unitBytes }
@@ -250,9 +286,14 @@
 		l.release(victim)
 		dropped = append(dropped, victim)
 	}
+	l.add(c, bytes)
+	return dropped, true
+}
+
+// add adds to the cost of a client's request.
+func (l *Ledger) add(c *Client, bytes int64) {
 	c.reserved += bytes
 	l.reserved += bytes
-	return dropped, true
 }
 
 // fits reports whether a request's cost may grow.
--- a/limiter/ledger_test.go
+++ b/limiter/ledger_test.go
@@ -69,7 +69,7 @@
 	c, _ := l.Connect(start)
 	l.Enter(start, c, limiter.Body)
 	for s := time.Duration(1); s <= 30; s++ {
-		l.Received(at(s*time.Second), c, 4096)
+		l.Received(at(s*time.Second), c, 4096, limiter.Items{})
 		assert.Equal(t, len(l.Overdue(at(s*time.Second))), 0)
 	}
 	assert.Equal(t, len(l.Overdue(at(31*time.Second))), 1, "a body that never ends")
@@ -85,9 +85,9 @@
 	moving, _ := l.Connect(start)
 	l.Enter(start, moving, limiter.Body)
 	stalled, _ := l.Connect(start)
-	l.Received(at(time.Second), stalled, 1)
-	l.Received(at(1900*time.Millisecond), stalled, 1)
-	l.Received(at(1900*time.Millisecond), moving, 4096)
+	l.Received(at(time.Second), stalled, 1, limiter.Items{})
+	l.Received(at(1900*time.Millisecond), stalled, 1, limiter.Items{})
+	l.Received(at(1900*time.Millisecond), moving, 4096, limiter.Items{})
 	now := at(2 * time.Second)
 	for _, want := range []*limiter.Client{stalled, idle, nil} {
 		c, dropped := l.Connect(now)
@@ -131,6 +131,27 @@
 	assert.Assert(t, !ok, "the process itself uses the memory")
 }
 
+// Guards against headers whose lines cost more than their bytes, also if the server still holds them unread.
+func TestItemsOfHeadersArePaid(t *testing.T) {
+	l := newLedger(10, 4<<20)
+	first, _ := l.Connect(start)
+	assert.Equal(t, len(l.Received(start, first, 4096, limiter.Items{Header: 16_000})), 0)
+	second, _ := l.Connect(start)
+	l.Received(start, second, 4096, limiter.Items{Header: 10})
+	_, ok := l.Reserve(start, second, 1<<20)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(l.Received(at(time.Second), second, 100, limiter.Items{Header: 8_000})), 1, "the first goes")
+	l.Enter(at(time.Second), second, limiter.Draining)
+	l.Received(at(time.Second), second, 4096, limiter.Items{Rest: 4_000})
+	l.Enter(at(time.Second), second, limiter.Idle)
+	l.SetHeld(0)
+	third, _ := l.Connect(at(time.Second))
+	_, ok = l.Reserve(at(time.Second), third, 5<<19)
+	assert.Assert(t, ok)
+	_, ok = l.Reserve(at(time.Second), third, 1<<19)
+	assert.Assert(t, !ok, "lines that the server has not parsed")
+}
+
 // Guards against long bodies that take the processor from ordinary ones, and against waits of a single one.
 func TestLongBodiesArePaced(t *testing.T) {
 	l := limiter.NewLedger(limiter.Budget{Connections: 10, Bytes: 1 << 40, Heap: 1 << 40, BodyRate: 1 << 20}, limiter.NewRules(plantainrail.ClientLimits{}, maxBody))
@@ -138,17 +159,17 @@
 	l.Enter(start, c, limiter.Body)
 	for range maxBody >> 12 {
 		assert.Assert(t, !l.Paced(c))
-		l.Received(start, c, 4096)
+		l.Received(start, c, 4096, limiter.Items{})
 	}
-	l.Received(start, c, 2*maxBody)
+	l.Received(start, c, 2*maxBody, limiter.Items{})
 	assert.Assert(t, l.Paced(c))
 	ordinary, _ := l.Connect(start)
 	l.Enter(start, ordinary, limiter.Body)
-	l.Received(start, ordinary, 8<<10)
+	l.Received(start, ordinary, 8<<10, limiter.Items{})
 	assert.Assert(t, !l.Paced(ordinary))
 	l.Refill(time.Second)
 	assert.Assert(t, !l.Paced(c))
-	l.Received(start, c, 2*maxBody)
+	l.Received(start, c, 2*maxBody, limiter.Items{})
 	l.StopPacing()
 	assert.Assert(t, !l.Paced(c), "the process stops")
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -194,7 +194,12 @@
 func (p *pool) enter(c *conn, phase Phase) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	had := c.client.cause
 	p.ledger.Enter(p.time(), c.client, phase)
+	if had == None && c.client.cause != None {
+		p.limiter.counts.add(c.client.cause)
+		c.attention.Store(true)
+	}
 }
 
 // reserve reserves bytes for a request and returns the cause if it is refused.
--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -79,6 +79,11 @@
 	unitBytes = 4 << 10
 	// bodyCopies is how many times a body is in memory while its buffer grows.
 	bodyCopies = 2
+	// itemBytes is what a line of a header, or an element of a list in one, takes besides its text: its entry in the map
+	// of fields, which doubles as it grows, and the headers of its strings.
+	itemBytes = 128
+	// freeItems is the number of items that are part of the price of a connection.
+	freeItems = 16
 )
 
 // Limits are the settings of a process that determine its budgets. The zero value sets only the fixed
