Limiter: responses that a client does not take are bounded in bytes and time

What callers saw: 480 clients that sent requests without reading the responses took an entry of 80 MB to 112 MB and an agent to 87 MB, and ordinary callers were slow.

Cause: the kernel held what was written to a connection, up to some megabytes each, and no budget counted it. A handler that was still writing when the buffer was full waited without limit, since a request that was read is never dropped.

Change: the listener bounds the send buffer (4 KiB, doubled by the kernel), which is part of the price of a connection. While a part of a response is being written, the client may be dropped like one whose request has stalled, and after 15 s in any case. Its connection is closed without a response, so nothing is promised.

TestResponseThatIsNotTakenMakesRoom covers the ledger. The event "send buffers not bounded" tells if the system call fails.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -70,6 +70,19 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	p := c.pool
+	p.mu.Lock()
+	p.ledger.BeginWrite(p.time(), c.client)
+	p.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	p.mu.Lock()
+	p.ledger.EndWrite(c.client)
+	p.mu.Unlock()
+	return n, err
+}
+
 // check returns, before a read, the cause if the client is refused, and whether the read has to wait.
 func (c *conn) check() (cause Cause, phase Phase, paced bool) {
 	p := c.pool
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -13,7 +13,7 @@
 	Header
 	// Body is one whose request is being read by its handler.
 	Body
-	// Serving is one whose whole request was read. It is never dropped.
+	// Serving is one whose whole request was read. It is dropped only while it does not take its response.
 	Serving
 	// Draining is one whose response is written and that is not ready for the next request yet.
 	Draining
@@ -95,9 +95,10 @@
 type Ledger struct {
 	budget Budget
 	rules  Rules
-	// idle and sending hold the clients that may be dropped, the one without progress for the longest
-	// time first: those in the phase Idle, and all others but those that are served.
-	idle, sending *queue
+	// idle, sending and receiving hold the clients that may be dropped, the one without progress for the longest
+	// time first: those in the phase Idle, those in the phase Serving to which a response is being written, and all
+	// others but those that are served.
+	idle, sending, receiving *queue
 	connections   int
 	// reserved is the sum of the clients' costs. held is the memory in use by the process, and finished
 	// the cost of the large requests that have ended since it was measured.
@@ -108,7 +109,7 @@
 
 // NewLedger returns a ledger without clients.
 func NewLedger(b Budget, r Rules) *Ledger {
-	l := &Ledger{budget: b, rules: r, idle: newQueue(), sending: newQueue()}
+	l := &Ledger{budget: b, rules: r, idle: newQueue(), sending: newQueue(), receiving: newQueue()}
 	l.Refill(time.Minute)
 	return l
 }
@@ -157,11 +158,11 @@
 }
 
 // stalled returns the client that has made no progress for the longest time, at least minStall, other
-// than the exception. Requests go before idle connections. With costly set it returns only clients whose
+// than the exception. Requests go before responses, and these before idle connections. With costly set it returns only clients whose
 // requests have a cost and are not refused yet; otherwise also refused ones whose connections linger. It
 // returns nil if there is none.
 func (l *Ledger) stalled(now time.Time, exception *Client, costly bool) *Client {
-	for _, clients := range []*queue{l.sending, l.idle} {
+	for _, clients := range []*queue{l.sending, l.receiving, l.idle} {
 		for c := range clients.all {
 			if now.Sub(c.progressAt) < minStall {
 				break
@@ -248,6 +249,22 @@
 	return dropped
 }
 
+// BeginWrite notes that a part of a response is being written to a client, and EndWrite that the client has taken it.
+// Until then it may be dropped.
+func (l *Ledger) BeginWrite(now time.Time, c *Client) {
+	if c.phase == Serving {
+		c.progressAt = now
+		l.receiving.append(c)
+	}
+}
+
+// EndWrite ends what BeginWrite has begun.
+func (l *Ledger) EndWrite(c *Client) {
+	if c.phase == Serving {
+		c.unlink()
+	}
+}
+
 // HeaderPending refuses a client that has sent as many bytes as a header may have and whose header is
 // still incomplete. It is called before more is read.
 func (l *Ledger) HeaderPending(now time.Time, c *Client) {
@@ -318,7 +335,7 @@
 // Overdue refuses the clients that have exceeded a time limit and returns them. Those that are still
 // there a second after they were refused are returned again, to be closed.
 func (l *Ledger) Overdue(now time.Time) (out []*Client) {
-	for _, clients := range []*queue{l.idle, l.sending} {
+	for _, clients := range []*queue{l.idle, l.sending, l.receiving} {
 		for c := range clients.all {
 			if c.cause != None {
 				if now.Sub(c.refusedAt) > minTimeout {
@@ -348,7 +365,7 @@
 		return HeaderTooSlow
 	case c.phase == Body && (inPhase > bodyTimeout || now.Sub(c.progressAt) > stallTimeout):
 		return BodyTooSlow
-	case c.phase == Draining && inPhase > drainTimeout:
+	case c.phase == Draining && inPhase > drainTimeout, c.phase == Serving && now.Sub(c.progressAt) > drainTimeout:
 		return ResponseTooSlow
 	}
 	return None
--- a/limiter/ledger_test.go
+++ b/limiter/ledger_test.go
@@ -96,6 +96,25 @@
 	}
 }
 
+// Guards against clients that hold a connection by not reading their response.
+func TestResponseThatIsNotTakenMakesRoom(t *testing.T) {
+	l := newLedger(1, 1<<20)
+	c, _ := l.Connect(start)
+	l.Enter(start, c, limiter.Serving)
+	l.BeginWrite(start, c)
+	l.EndWrite(c)
+	_, dropped := l.Connect(at(time.Minute))
+	assert.Assert(t, dropped == nil)
+	l.BeginWrite(at(time.Minute), c)
+	assert.Equal(t, len(l.Overdue(at(time.Minute+15*time.Second))), 0)
+	_, dropped = l.Connect(at(time.Minute + time.Second))
+	assert.Assert(t, dropped == c)
+	c, _ = l.Connect(at(time.Hour))
+	l.Enter(at(time.Hour), c, limiter.Serving)
+	l.BeginWrite(at(time.Hour), c)
+	assert.Equal(t, len(l.Overdue(at(time.Hour+16*time.Second))), 1)
+}
+
 // Guards against large requests that take the share of ordinary ones, and against memory that is never
 // given back.
 func TestMemoryIsSharedAndReturned(t *testing.T) {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -106,32 +107,34 @@
 		}
 	}
 	if l.limits.MemoryBytes > 0 {
-		l.boundReceiveBuffer(inner)
+		l.boundBuffers(inner)
 	}
 	out := &listener{Listener: inner, pool: p, closed: make(chan struct{})}
 	go p.sweep(out.closed)
 	return out
 }
 
-// boundReceiveBuffer bounds the unread bytes of all connections that the listener will accept, those in its
+// boundBuffers bounds the unread and unsent bytes of all connections that the listener will accept, those in its
 // queue included.
-func (l *Limiter) boundReceiveBuffer(inner net.Listener) {
+func (l *Limiter) boundBuffers(inner net.Listener) {
 	tcp, ok := inner.(syscall.Conn)
 	if !ok {
 		return
 	}
+	var receiveErr, sendErr error
 	raw, err := tcp.SyscallConn()
 	if err == nil {
-		controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		err = raw.Control(func(fd uintptr) {
+			receiveErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+			sendErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
 		})
-		if err == nil {
-			err = controlErr
-		}
 	}
-	if err != nil {
+	if err := cmp.Or(err, receiveErr); err != nil {
 		l.logger.Warn("receive buffers not bounded", zap.Error(err))
 	}
+	if err := cmp.Or(err, sendErr); err != nil {
+		l.logger.Warn("send buffers not bounded", zap.Error(err))
+	}
 }
 
 // listener accepts connections within the budget of a pool.
@@ -237,7 +240,7 @@
 			p.limiter.counts.add(client.cause)
 			c.attention.Store(true)
 		}
-		if c.interrupted || client.phase == Idle || client.phase == Draining {
+		if c.interrupted || client.phase == Idle || client.phase == Serving || client.phase == Draining {
 			_ = c.Conn.Close()
 		} else {
 			_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -43,7 +43,8 @@
 	stallTimeout = 10 * time.Second
 	// progressBytes is what counts as progress. Single bytes do not, since they cost a client nothing.
 	progressBytes = 4 << 10
-	// drainTimeout bounds the time from a response until its connection is ready for the next request.
+	// drainTimeout bounds the time from a response until its connection is ready for the next request, and that of a
+	// write of a response.
 	drainTimeout = 15 * time.Second
 	// minStall is how long a request must have made no progress before it is dropped for another one.
 	// Less one sweepInterval, by which the time of an event is uncertain, it is above the pauses of a
@@ -58,11 +59,14 @@
 	// has sessions with up to 700 agents, so it is a quarter of all sockets if that is more.
 	ownSockets = 64
 	// connectionBytes is what a connection costs at most: 20 KiB for stacks and buffers of net/http, and
-	// what the kernel holds unread.
-	connectionBytes = 20<<10 + 2*receiveBuffer
+	// what the kernel holds unread and unsent.
+	connectionBytes = 20<<10 + 2*receiveBuffer + 2*sendBuffer
 	// receiveBuffer bounds the unread bytes of a connection. The kernel doubles it for its own records.
 	// A body of 262,144 bytes still takes less than 0.3 s on a link of 10 Mbit/s and 10 ms.
 	receiveBuffer = 16 << 10
+	// sendBuffer bounds the bytes of responses that a client has not taken. The kernel doubles it for its own records.
+	// Ordinary responses have less than 1 KiB.
+	sendBuffer = 4 << 10
 	// healthConnections is the number of connections kept for the load balancer, which opens one a second.
 	healthConnections = 16
 	// healthBytes is the byte budget of the health listener, whose requests have no body.
