Limiter: trailers of requests are dropped when they are read

What callers saw: nothing yet; found by listing.

Cause: up to 4 KiB of trailers after a chunked body are kept as a map of fields, some 100 bytes a line, until the request is answered. Nothing reads them and no budget counted them: 1,000 lines for each request that waits for a slow store.

Change: the body drops them at its end.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -276,7 +276,7 @@
 			(&Refusal{BodyTooLarge}).Write(w)
 			return
 		}
-		req.Body = &body{req.Body, c}
+		req.Body = &body{req.Body, c, req}
 		next.ServeHTTP(w, req)
 	})
 }
@@ -284,7 +284,8 @@
 // body is the body of a request.
 type body struct {
 	io.ReadCloser
-	conn *conn
+	conn    *conn
+	request *http.Request
 }
 
 // Read implements io.Reader. It returns a *Refusal once the client is refused, also in the place of io.EOF,
@@ -298,6 +299,8 @@
 		return 0, &Refusal{cause}
 	}
 	if err == io.EOF {
+		// No handler uses trailers, whose fields take much more memory than their text.
+		b.request.Trailer = nil
 		pool.ledger.Enter(pool.time(), b.conn.client, Serving)
 	}
 	return n, err
