Limits for the clients of the product's own entry and agent

What callers saw: 480 clients took all of an entry's sockets (485 of 420), and an agent's (483). Headers without end took both over four times 256 MB, at which the test kills them; responses that are not read took the entry to 595 MB, and left the agent's ordinary requests unserved.

Cause: package limiter stood only before the listeners of the platform. receiver and agent had the header timeout of net/http, headers of 1 MiB and no budget.

Change: both take a limiter. The entry forwards bodies as they arrive, so its limiter counts a fixed cost for each and may drop a client only while a read waits for it. Refusals carry X-Outcome: not_run and the code 1013 client_limited; a client that is refused after a target may have acted gets no response. Sessions are never dropped. TLS is below the limiter, which counts lines. Each pool has a budget of its own. Log lines are sampled, since a client may cause one with each call.

That a committed request gets no response is not covered by a test.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,6 +24,7 @@
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/admitter"
 	"github.com/plantainrail/plantainrail/leaser"
+	"github.com/plantainrail/plantainrail/limiter"
 	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/sizer"
 )
@@ -56,6 +57,8 @@
 	MaxSessions int
 	// Listener accepts calls of the VM's own targets and operators.
 	Listener net.Listener
+	// Limiter bounds what these calls take of the process. It may be nil; then nothing is bounded.
+	Limiter *limiter.Limiter
 	// Dialer opens the sessions. Scheme is ws or wss.
 	Dialer *http.Client
 	Scheme string
@@ -156,8 +159,9 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	server := &http.Server{Handler: a.localHandler(), ReadHeaderTimeout: callTimeout}
+	listener := a.Limiter.LimitClients(server, a.Listener)
 	group.Go(func() error {
-		if err := server.Serve(a.Listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/agent/local.go
+++ b/agent/local.go
@@ -9,10 +9,11 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/limiter"
 )
 
-// maxAnnouncementBytes bounds the body of a call from a target.
-const maxAnnouncementBytes = 64 << 10
+// MaxAnnouncementBytes bounds the body of a call from a target.
+const MaxAnnouncementBytes = 64 << 10
 
 // localHandler returns the HTTP handler for the VM's own targets and operators.
 func (a *Agent) localHandler() http.Handler {
@@ -30,7 +31,10 @@
 // 400, whose text is the same in all cases, and returns false.
 func decodeTarget(w http.ResponseWriter, r *http.Request) (plantainrail.TargetInfo, bool) {
 	var info plantainrail.TargetInfo
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)).Decode(&info)
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxAnnouncementBytes)).Decode(&info)
+	if limiter.WriteRefusal(w, err) {
+		return info, false
+	}
 	if err != nil || info.Name == "" || info.Incarnation == "" {
 		http.Error(w, "name and incarnation are needed", http.StatusBadRequest)
 		return info, false
--- a/code.go
+++ b/code.go
@@ -25,6 +25,7 @@
 	CodeTargetRefused   Code = 1010
 	CodeSessionLost     Code = 1011
 	CodeVoided          Code = 1012
+	CodeClientLimited   Code = 1013
 	CodeUncertain       Code = 2001
 	CodeLateAnswer      Code = 2002
 	CodeTargetFailed    Code = 2003
@@ -83,6 +84,7 @@
 		{CodeTargetRefused, "target_refused", http.StatusBadGateway, OutcomeNotRun, "the target accepted no connection", "check the target's process"},
 		{CodeSessionLost, "session_lost", http.StatusBadGateway, OutcomeNotRun, "the session ended before the request was handed over", "send it again"},
 		{CodeVoided, "voided", http.StatusBadGateway, OutcomeNotRun, "the request was withdrawn before it started", "send it again"},
+		{CodeClientLimited, "client_limited", http.StatusServiceUnavailable, OutcomeNotRun, "the process has no room for the request, or it arrived too slowly", "send it again after the pause that Retry-After names"},
 		{CodeUncertain, "uncertain", http.StatusBadGateway, OutcomeUncertain, "contact was lost after hand-over; the request may have run", "ask again with the same Idempotency-Key, or check with the service"},
 		{CodeLateAnswer, "late_answer", http.StatusGatewayTimeout, OutcomeUncertain, "the deadline passed while the target was working", "ask again with the same Idempotency-Key, or check with the service"},
 		{CodeTargetFailed, "target_failed", http.StatusBadGateway, OutcomeUncertain, "the target's connection broke before its answer", "check with the service before sending it again"},
--- a/command/entry/serve/serve.go
+++ b/command/entry/serve/serve.go
@@ -3,7 +3,6 @@
 package serve
 
 import (
-	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -72,17 +71,15 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	if serverTLS != nil {
-		listener = tls.NewListener(listener, serverTLS)
-	}
 	address := s.Address
 	if address == "" {
 		address = s.Listen
 	}
 	logger := o.Logger(s.LogLevel)
+	clientLimiter := o.Limiter(s.Limits, serverTLS, true, 0, logger)
 	client := &http.Client{Transport: &http.Transport{TLSClientConfig: clientTLS}}
 	entry := receiver.New(receiver.Options{
-		Name: s.Name, Zone: s.Zone, Address: address, Listener: listener, OperatorToken: s.OperatorToken,
+		Name: s.Name, Zone: s.Zone, Address: address, Listener: listener, Limiter: clientLimiter, OperatorToken: s.OperatorToken,
 		VerifyAgents: s.TLS.Authority != "", Log: appender.New(s.LogService, client),
 		Router: router.New(s.Zone, uint64(time.Now().UnixNano())), Logger: logger,
 	})
--- a/command/factory/factory.go
+++ b/command/factory/factory.go
@@ -106,6 +106,10 @@
 	return errors.Wrap(encoder.Encode(value), "write")
 }
 
+// In each second the first sampleFirst lines with the same message are written, and of the others every
+// sampleThereafter-th. Clients may cause a line with each call.
+const sampleFirst, sampleThereafter = 400, 100
+
 // Logger returns a logger that writes JSON lines to the error stream and blocks while
 // it cannot write. An invalid level means info.
 func (f *Factory) Logger(level string) *zap.Logger {
@@ -116,7 +120,7 @@
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.ISO8601TimeEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(f.Err)), parsed)
-	return zap.New(core)
+	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThereafter))
 }
 
 // logCloseTimeout bounds the time for writing queued log lines when a process stops.
--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -41,6 +42,8 @@
 	attention atomic.Bool
 	// interrupted is set once the read of a refused client was ended. The pool's lock guards it.
 	interrupted bool
+	// committed is set once the request may have taken effect; see Commit.
+	committed atomic.Bool
 	// answered is set once a refusal was written to the connection directly. Only Read uses it, which
 	// the server does not call from two goroutines at once.
 	answered bool
@@ -146,12 +149,22 @@
 	}
 	c.answered = true
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, _ = c.Conn.Write(response(cause))
+	_, _ = c.Conn.Write(c.pool.limiter.response(cause))
 	_ = c.CloseWrite()
 	time.Sleep(lingerTime)
 	return errRefused
 }
 
+// abort closes the connection at once. Close of an encrypted connection would wait until a notice is sent.
+func (c *conn) abort() { abort(c.Conn) }
+
+func abort(c net.Conn) {
+	if encrypted, ok := c.(*tls.Conn); ok {
+		c = encrypted.NetConn()
+	}
+	_ = c.Close()
+}
+
 // CloseWrite ends the sending direction, if the connection can do so. The server uses it, too.
 func (c *conn) CloseWrite() error {
 	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -170,7 +183,11 @@
 }
 
 // Refusal is the error of a request that is refused. No handler has acted on it.
-type Refusal struct{ Cause Cause }
+type Refusal struct {
+	Cause Cause
+	// headers are those of Limits.
+	headers map[string]string
+}
 
 // Error implements error.
 func (r *Refusal) Error() string { return "not accepted, and nothing was stored: " + string(r.Cause) }
@@ -197,6 +214,9 @@
 	if r.Status() == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", retryAfter())
 	}
+	for name, value := range r.headers {
+		w.Header().Set(name, value)
+	}
 	http.Error(w, r.Error(), r.Status())
 }
 
@@ -210,16 +230,23 @@
 	return true
 }
 
+// refusal returns the error for a cause.
+func (l *Limiter) refusal(cause Cause) *Refusal { return &Refusal{cause, l.limits.RefusalHeaders} }
+
 // response returns the response for a connection whose request has not reached a handler.
-func response(cause Cause) []byte {
-	r := &Refusal{cause}
+func (l *Limiter) response(cause Cause) []byte {
+	r := l.refusal(cause)
 	text := r.Error() + "\n"
-	retry := ""
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n", r.Status(), http.StatusText(r.Status()))
 	if r.Status() == http.StatusServiceUnavailable {
-		retry = "Retry-After: " + retryAfter() + "\r\n"
+		fmt.Fprintf(&out, "Retry-After: %s\r\n", retryAfter())
+	}
+	for name, value := range r.headers {
+		fmt.Fprintf(&out, "%s: %s\r\n", name, value)
 	}
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n%sContent-Length: %d\r\n\r\n%s",
-		r.Status(), http.StatusText(r.Status()), retry, len(text), text)
+	fmt.Fprintf(&out, "Content-Length: %d\r\n\r\n%s", len(text), text)
+	return out.Bytes()
 }
 
 // connKey is the key of the connection in a request's context.
@@ -239,11 +266,19 @@
 		return nil
 	}
 	if cause := c.pool.reserve(c, bytes); cause != None {
-		return &Refusal{cause}
+		return c.pool.limiter.refusal(cause)
 	}
 	return nil
 }
 
+// Commit tells that a request may take effect from now on although its body is not read to the end. If the client is
+// refused later, it gets no response, since any would promise that nothing was stored.
+func Commit(ctx context.Context) {
+	if c := connOf(ctx); c != nil {
+		c.committed.Store(true)
+	}
+}
+
 // MaxBodyBytes returns the largest body of a request in bytes: the one in force, or the default if the
 // request is not limited.
 func MaxBodyBytes(ctx context.Context, byDefault int64) int64 {
@@ -265,18 +300,31 @@
 			return
 		}
 		defer p.enter(c, Draining)
-		if req.ContentLength == 0 {
-			p.enter(c, Serving)
-			next.ServeHTTP(w, req)
-			return
+		if encrypted, ok := c.Conn.(*tls.Conn); ok {
+			// The server does not look for it behind the limiter.
+			state := encrypted.ConnectionState()
+			req.TLS = &state
 		}
-		p.enter(c, Body)
-		if req.ContentLength > MaxBodyBytes(req.Context(), 0) {
-			p.limiter.counts.add(BodyTooLarge)
-			(&Refusal{BodyTooLarge}).Write(w)
-			return
+		switch {
+		case req.ContentLength == 0:
+			p.enter(c, Serving)
+		case p.limiter.limits.Streams:
+			p.enter(c, Serving)
+			if cause := p.reserve(c, streamBytes); cause != None {
+				p.limiter.refusal(cause).Write(w)
+				return
+			}
+			c.committed.Store(false)
+			req.Body = &stream{req.Body, c, req}
+		default:
+			p.enter(c, Body)
+			if req.ContentLength > MaxBodyBytes(req.Context(), 0) {
+				p.limiter.counts.add(BodyTooLarge)
+				p.limiter.refusal(BodyTooLarge).Write(w)
+				return
+			}
+			req.Body = &body{req.Body, c, req}
 		}
-		req.Body = &body{req.Body, c, req}
 		next.ServeHTTP(w, req)
 	})
 }
@@ -296,7 +344,7 @@
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	if cause := b.conn.client.cause; cause != None {
-		return 0, &Refusal{cause}
+		return 0, pool.limiter.refusal(cause)
 	}
 	if err == io.EOF {
 		// No handler uses trailers, whose fields take much more memory than their text.
@@ -305,3 +353,27 @@
 	}
 	return n, err
 }
+
+// stream is the body of a request that is passed on as it arrives. Its client may be dropped only while it is waited for.
+type stream struct {
+	io.ReadCloser
+	conn    *conn
+	request *http.Request
+}
+
+// Read implements io.Reader. It returns a *Refusal once the client is refused.
+func (s *stream) Read(p []byte) (int, error) {
+	pool := s.conn.pool
+	pool.exchange(s.conn, Serving, Body)
+	n, err := s.ReadCloser.Read(p)
+	if err == io.EOF {
+		s.request.Trailer = nil
+	}
+	if cause := pool.exchange(s.conn, Body, Serving); cause != None {
+		if s.conn.committed.Load() {
+			s.conn.abort()
+		}
+		return 0, pool.limiter.refusal(cause)
+	}
+	return n, err
+}
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -17,6 +17,8 @@
 	Serving
 	// Draining is one whose response is written and that is not ready for the next request yet.
 	Draining
+	// Detached is one that a handler has taken over. It is never dropped.
+	Detached
 )
 
 // Cause is the limit because of which a request is refused or a connection closed.
@@ -99,10 +101,12 @@
 	// time first: those in the phase Idle, those in the phase Serving to which a response is being written, and all
 	// others but those that are served.
 	idle, sending, receiving *queue
-	connections   int
+	connections              int
 	// reserved is the sum of the clients' costs. held is the memory in use by the process, and finished
 	// the cost of the large requests that have ended since it was measured.
 	reserved, held, finished int64
+	// streams is set if the bytes of bodies are passed on as they arrive.
+	streams bool
 	// allowance is how many bytes of long bodies may still be read before the next refill.
 	allowance int64
 }
@@ -114,6 +118,10 @@
 	return l
 }
 
+// StreamBodies makes the ledger count no bytes of bodies, which are passed on as they arrive. A client enters the phase Body
+// with each read then.
+func (l *Ledger) StreamBodies() { l.streams = true }
+
 // Refill adds what a time allows to be read of long bodies, up to two of the longest, so that a single one
 // need not wait.
 func (l *Ledger) Refill(d time.Duration) {
@@ -177,7 +185,7 @@
 
 // Enter moves a client to a phase. From Draining on its request costs nothing more.
 func (l *Ledger) Enter(now time.Time, c *Client, p Phase) {
-	if c.phase == p || l.isClosed(c) {
+	if c.phase == p || c.phase == Detached || l.isClosed(c) {
 		return
 	}
 	c.phase, c.since, c.progressAt, c.received, c.marked = p, now, now, 0, 0
@@ -191,7 +199,7 @@
 		} else {
 			l.refuse(now, c, OverMemory)
 		}
-	case Serving:
+	case Serving, Detached:
 		c.unlink()
 	case Draining:
 		l.release(c)
@@ -217,7 +225,7 @@
 	switch {
 	case n == 0 || l.isClosed(c):
 		return nil
-	case c.phase == Serving:
+	case c.phase == Serving || c.phase == Detached:
 		// The server reads ahead by single bytes.
 		c.unread += items.Header + items.Rest
 		return nil
@@ -240,7 +248,7 @@
 		c.marked, c.progressAt = c.received, now
 		l.sending.append(c)
 	}
-	if grown := c.cost() - before; grown > 0 && c.phase != Draining {
+	if grown := c.cost() - before; grown > 0 && c.phase != Draining && !(l.streams && c.phase == Body) {
 		var ok bool
 		if dropped, ok = l.Reserve(now, c, grown); !ok {
 			l.refuse(now, c, OverMemory)
@@ -363,7 +371,7 @@
 		return IdleTooLong
 	case c.phase == Header && inPhase > l.rules.HeaderTimeout:
 		return HeaderTooSlow
-	case c.phase == Body && (inPhase > bodyTimeout || now.Sub(c.progressAt) > stallTimeout):
+	case c.phase == Body && (inPhase > bodyTimeout || !l.streams && now.Sub(c.progressAt) > stallTimeout):
 		return BodyTooSlow
 	case c.phase == Draining && inPhase > drainTimeout, c.phase == Serving && now.Sub(c.progressAt) > drainTimeout:
 		return ResponseTooSlow
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"runtime/metrics"
@@ -25,10 +26,13 @@
 
 // Limiter enforces the limits of a process on the listeners that clients reach.
 type Limiter struct {
-	logger         *zap.Logger
-	limits         Limits
-	clients, other *pool
-	counts         counts
+	logger *zap.Logger
+	limits Limits
+	counts counts
+	// mu guards the fields below.
+	mu       sync.Mutex
+	operator plantainrail.ClientLimits
+	pools    []*pool
 }
 
 // pool is a budget for a group of listeners.
@@ -51,13 +55,16 @@
 	if l.MaxBodyBytes == 0 {
 		l.MaxBodyBytes = defaultBodyBytes
 	}
-	out := &Limiter{logger: logger, limits: l, counts: counts{logger: logger, byCause: map[Cause]*count{}}}
-	rules, budget := NewRules(plantainrail.ClientLimits{}, l.MaxBodyBytes), l.Budget()
-	health := Budget{Connections: healthConnections, Bytes: healthBytes, Heap: budget.Heap}
-	budget.Connections = max(1, budget.Connections-healthConnections)
-	out.clients = &pool{limiter: out, ledger: NewLedger(budget, rules), conns: map[*Client]*conn{}, clock: time.Now()}
-	out.other = &pool{limiter: out, ledger: NewLedger(health, rules), conns: map[*Client]*conn{}, clock: time.Now()}
-	return out
+	return &Limiter{logger: logger, limits: l, counts: counts{logger: logger, byCause: map[Cause]*count{}}}
+}
+
+// newPool returns a pool in which the operators' limits are in force.
+func (l *Limiter) newPool(b Budget) *pool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := &pool{limiter: l, ledger: NewLedger(b, NewRules(l.operator, l.limits.MaxBodyBytes)), conns: map[*Client]*conn{}, clock: time.Now()}
+	l.pools = append(l.pools, p)
+	return p
 }
 
 // SetReport sets the function that receives the number of clients that were limited since the start, as a
@@ -70,7 +77,10 @@
 	if l == nil {
 		return
 	}
-	for _, p := range []*pool{l.clients, l.other} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.operator = o
+	for _, p := range l.pools {
 		p.mu.Lock()
 		p.ledger.SetRules(NewRules(o, l.limits.MaxBodyBytes))
 		p.mu.Unlock()
@@ -83,16 +93,22 @@
 	if l == nil || listener == nil {
 		return listener
 	}
-	return l.limit(l.clients, server, listener)
+	budget := l.limits.Budget()
+	budget.Connections = max(1, budget.Connections-healthConnections)
+	p := l.newPool(budget)
+	if l.limits.Streams {
+		p.ledger.StreamBodies()
+	}
+	return l.limit(p, server, listener)
 }
 
-// LimitHealthChecks does the same for the load balancer's readiness checks, which have a budget of their
-// own, so that clients do not take an entry out of rotation.
+// LimitHealthChecks does the same for a listener of the load balancer's readiness checks or of metrics. Each has a budget
+// of its own, so that clients do not take an entry out of rotation.
 func (l *Limiter) LimitHealthChecks(server *http.Server, listener net.Listener) net.Listener {
 	if l == nil || listener == nil {
 		return listener
 	}
-	return l.limit(l.other, server, listener)
+	return l.limit(l.newPool(Budget{Connections: healthConnections, Bytes: healthBytes, Heap: l.limits.Budget().Heap}), server, listener)
 }
 
 func (l *Limiter) limit(p *pool, server *http.Server, inner net.Listener) net.Listener {
@@ -102,13 +118,20 @@
 	server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = maxHeaderTimeout, maxIdleTimeout+maxHeaderTimeout, 2*maxHeaderBytes
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	server.ConnState = func(c net.Conn, state http.ConnState) {
-		if limited, ok := c.(*conn); ok && state == http.StateIdle {
+		limited, ok := c.(*conn)
+		switch {
+		case ok && state == http.StateIdle:
 			p.enter(limited, Idle)
+		case ok && state == http.StateHijacked:
+			p.enter(limited, Detached)
 		}
 	}
 	if l.limits.MemoryBytes > 0 {
 		l.boundBuffers(inner)
 	}
+	if l.limits.TLS != nil {
+		inner = tls.NewListener(inner, l.limits.TLS)
+	}
 	out := &listener{Listener: inner, pool: p, closed: make(chan struct{})}
 	go p.sweep(out.closed)
 	return out
@@ -126,7 +149,7 @@
 	if err == nil {
 		err = raw.Control(func(fd uintptr) {
 			receiveErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-			sendErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
+			sendErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, int(l.limits.sendBuffer()))
 		})
 	}
 	if err := cmp.Or(err, receiveErr); err != nil {
@@ -156,9 +179,12 @@
 			return c, nil
 		}
 		l.pool.limiter.counts.add(OverConnections)
-		_ = inner.SetWriteDeadline(time.Now().Add(writeTimeout))
-		_, _ = inner.Write(response(OverConnections))
-		_ = inner.Close()
+		if _, encrypted := inner.(*tls.Conn); !encrypted {
+			// A response to an encrypted connection would have to wait for the handshake.
+			_ = inner.SetWriteDeadline(time.Now().Add(writeTimeout))
+			_, _ = inner.Write(l.pool.limiter.response(OverConnections))
+		}
+		abort(inner)
 		time.Sleep(refusePause)
 	}
 }
@@ -182,8 +208,7 @@
 		p.limiter.counts.add(DroppedForOthers)
 		old := p.conns[dropped]
 		delete(p.conns, dropped)
-		// It has no lingering data to send, so this does not block.
-		_ = old.Conn.Close()
+		old.abort()
 	}
 	if client == nil {
 		return nil
@@ -228,6 +253,17 @@
 	return OverMemory
 }
 
+// exchange moves a connection from one phase to another, unless it is in a third one, and returns the cause if the client is
+// refused.
+func (p *pool) exchange(c *conn, from, to Phase) Cause {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.client.phase == from {
+		p.ledger.Enter(p.time(), c.client, to)
+	}
+	return c.client.cause
+}
+
 // interrupt ends the reads of refused clients, whose handlers or connections then respond. Those without a
 // request are closed. The caller holds the lock.
 func (p *pool) interrupt(refused []*Client) {
@@ -241,7 +277,7 @@
 			c.attention.Store(true)
 		}
 		if c.interrupted || client.phase == Idle || client.phase == Serving || client.phase == Draining {
-			_ = c.Conn.Close()
+			c.abort()
 		} else {
 			_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -65,3 +67,31 @@
 		})
 	}
 }
+
+// Guards against long bodies that are refused although they are passed on, and against handlers that do not see that a
+// connection is encrypted.
+func TestBodiesThatArePassedOn(t *testing.T) {
+	certified := httptest.NewTLSServer(nil)
+	defer certified.Close()
+	l := limiter.New(limiter.Limits{
+		MemoryBytes: 64 << 20, Streams: true,
+		TLS: &tls.Config{Certificates: certified.TLS.Certificates, NextProtos: []string{"http/1.1"}},
+	}, zap.NewNop())
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		n, err := io.Copy(io.Discard, req.Body)
+		if limiter.WriteRefusal(w, err) {
+			return
+		}
+		_, _ = fmt.Fprint(w, n, req.TLS != nil)
+	})}
+	limited := l.LimitClients(server, inner)
+	go func() { _ = server.Serve(limited) }()
+	defer func() { _ = server.Close() }()
+	resp, err := certified.Client().Post("https://"+inner.Addr().String(), "", strings.NewReader(strings.Repeat("x", 4<<20)))
+	assert.NilError(t, err)
+	raw, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(raw), fmt.Sprint(4<<20, true))
+}
--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -5,6 +5,7 @@
 package limiter
 
 import (
+	"crypto/tls"
 	"math"
 	"runtime/debug"
 	"time"
@@ -58,15 +59,21 @@
 	// ownSockets is the least number of sockets that is kept for the process's own connections. An owner
 	// has sessions with up to 700 agents, so it is a quarter of all sockets if that is more.
 	ownSockets = 64
-	// connectionBytes is what a connection costs at most: 20 KiB for stacks and buffers of net/http, and
-	// what the kernel holds unread and unsent.
-	connectionBytes = 20<<10 + 2*receiveBuffer + 2*sendBuffer
+	// connectionBytes is what a connection costs at most, besides what the kernel holds unread and unsent: 20 KiB for stacks
+	// and buffers of net/http. tlsBytes is what encryption adds: two buffers of a record each, and the handshake.
+	connectionBytes, tlsBytes = 20 << 10, 64 << 10
 	// receiveBuffer bounds the unread bytes of a connection. The kernel doubles it for its own records.
 	// A body of 262,144 bytes still takes less than 0.3 s on a link of 10 Mbit/s and 10 ms.
 	receiveBuffer = 16 << 10
 	// sendBuffer bounds the bytes of responses that a client has not taken. The kernel doubles it for its own records.
 	// Ordinary responses have less than 1 KiB.
 	sendBuffer = 4 << 10
+	// streamSendBuffer takes the place of sendBuffer where responses are passed on as they arrive. It allows 3 MB/s with a
+	// round trip of 10 ms.
+	streamSendBuffer = 32 << 10
+	// streamBytes is what a body that is passed on takes: a chunk that is kept for another try, one that is being read and
+	// their copies in the queue of a session.
+	streamBytes = 64 << 10
 	// healthConnections is the number of connections kept for the load balancer, which opens one a second.
 	healthConnections = 16
 	// healthBytes is the byte budget of the health listener, whose requests have no body.
@@ -101,6 +108,13 @@
 	Cores float64
 	// MaxBodyBytes is the largest body if the operators configure none; 0 for the default.
 	MaxBodyBytes int64
+	// Streams is set if handlers pass bodies on as they arrive. Then a body has neither a largest size nor a time for the
+	// whole, and only the time of each read is bounded.
+	Streams bool
+	// TLS encrypts the connections of clients; nil if they are not encrypted.
+	TLS *tls.Config
+	// RefusalHeaders are added to each response of the limiter.
+	RefusalHeaders map[string]string
 }
 
 // Budget is what a process has for its clients.
@@ -125,6 +139,23 @@
 	}
 }
 
+// sendBuffer returns how many bytes of responses the kernel holds for a connection.
+func (l Limits) sendBuffer() int64 {
+	if l.Streams {
+		return streamSendBuffer
+	}
+	return sendBuffer
+}
+
+// connectionBytes returns what a connection costs at most.
+func (l Limits) connectionBytes() int64 {
+	bytes := connectionBytes + 2*receiveBuffer + 2*l.sendBuffer()
+	if l.TLS != nil {
+		bytes += tlsBytes
+	}
+	return bytes
+}
+
 // Budget derives the budget. What is unknown is not bounded.
 func (l Limits) Budget() Budget {
 	b := Budget{Connections: math.MaxInt, Bytes: math.MaxInt64, Heap: math.MaxInt64, BodyRate: int64(l.Cores * bytesPerCore)}
@@ -133,7 +164,7 @@
 		// request needs the rest; above 85 % of the runtime's limit its garbage collector hardly ends.
 		b.Bytes = l.MemoryBytes / 4
 		b.Heap = l.RuntimeBytes() / 100 * 85
-		b.Connections = int(l.MemoryBytes / 5 * 2 / connectionBytes)
+		b.Connections = int(l.MemoryBytes / 5 * 2 / l.connectionBytes())
 	}
 	if l.Descriptors > 0 {
 		sockets := l.Descriptors - filesReserved
--- a/loader/key.go
+++ b/loader/key.go
@@ -51,6 +51,13 @@
 	maxMillicores      = 1 << 20
 	maxAccelerators    = 64
 	defaultMaxSessions = 8
+	// The following are the bounds and defaults of the keys of limits. Those of headers and times are the bounds of package
+	// limiter.
+	minLimitMemoryMB, maxLimitMemoryMB, defaultLimitMemoryMB = 64, 1 << 20, 256
+	maxDescriptors                                           = 1 << 20
+	minHeaderBytes, maxHeaderBytes                           = 1 << 10, 64 << 10
+	minTimeoutMS, maxHeaderTimeoutMS, maxIdleTimeoutMS       = 1000, 30_000, 120_000
+	defaultHeaderTimeoutMS                                   = 10_000
 )
 
 // keys lists the fields of each Key in the order of the type: name, roles, required,
@@ -67,7 +74,7 @@
 	{"operator_token", entryOnly, false, "", "at least 16 characters, or empty to accept operators' calls from loopback only", "the bearer token that operators' calls must send", setString(func(s *Settings) *string { return &s.OperatorToken }, isOperatorToken)},
 	{"log_level", allRoles, false, "info", "debug, info, warn or error", "the lowest level that is logged", setString(func(s *Settings) *string { return &s.LogLevel }, isLogLevel)},
 	{"entries", agentOnly, true, nil, "a list of at least one IP address and port", "the entries to connect to first; the agent learns of the others from them", setEntries},
-	{"max_sessions", agentOnly, false, json.Number(strconv.Itoa(defaultMaxSessions)), "a whole number from 1 to 64", "the maximum number of concurrent sessions with entries", setInt(func(s *Settings) *int { return &s.MaxSessions }, 1, maxSessions)},
+	{"max_sessions", agentOnly, false, number(defaultMaxSessions), "a whole number from 1 to 64", "the maximum number of concurrent sessions with entries", setInt(func(s *Settings) *int { return &s.MaxSessions }, 1, maxSessions)},
 	{"capacity.processors", agentOnly, false, json.Number("0"), "a whole number from 0 to 1048576", "thousandths of a core that tasks may reserve", setInt(func(s *Settings) *int { return &s.Capacity.Processors }, 0, maxMillicores)},
 	{"capacity.memory_mb", agentOnly, false, json.Number("0"), "a whole number from 0 to 16777216", "mebibytes that tasks may reserve", setInt(func(s *Settings) *int { return &s.Capacity.Memory }, 0, maxMemoryMB)},
 	{"capacity.accelerators", agentOnly, false, json.Number("0"), "a whole number from 0 to 64", "accelerators that tasks may reserve", setInt(func(s *Settings) *int { return &s.Capacity.Accelerators }, 0, maxAccelerators)},
@@ -75,8 +82,16 @@
 	{"tls.certificate", allRoles, false, "", "a PEM file, or empty", "the certificate of the process", setString(func(s *Settings) *string { return &s.TLS.Certificate }, anyString)},
 	{"tls.key", allRoles, false, "", "a PEM file, or empty", "the private key of the certificate", setString(func(s *Settings) *string { return &s.TLS.Key }, anyString)},
 	{"tls.authority", allRoles, false, "", "a PEM file, or empty", "the trusted certificate authorities; if set, an entry also requires certificates from agents", setString(func(s *Settings) *string { return &s.TLS.Authority }, anyString)},
+	{"limits.memory_mb", allRoles, false, number(defaultLimitMemoryMB), "a whole number from 64 to 1048576", "mebibytes of memory that the process may take; a quarter is for requests in flight and two fifths are for connections", setInt(func(s *Settings) *int { return &s.Limits.MemoryMB }, minLimitMemoryMB, maxLimitMemoryMB)},
+	{"limits.descriptors", allRoles, false, number(0), "a whole number from 0 to 1048576; 0 stands for the limit of the operating system", "file descriptors of the process; 200 are for files, a quarter of the rest (64 at least) for the process's own connections, 16 for its own use, the others for clients", setInt(func(s *Settings) *int { return &s.Limits.Descriptors }, 0, maxDescriptors)},
+	{"limits.header_bytes", allRoles, false, number(maxHeaderBytes), "a whole number from 1024 to 65536", "bytes of the header of a request; beyond it the response is 431", setInt(func(s *Settings) *int { return &s.Limits.HeaderBytes }, minHeaderBytes, maxHeaderBytes)},
+	{"limits.header_timeout_ms", allRoles, false, number(defaultHeaderTimeoutMS), "a whole number from 1000 to 30000", "milliseconds for the header of a request; beyond it the response is 408", setInt(func(s *Settings) *int { return &s.Limits.HeaderTimeoutMS }, minTimeoutMS, maxHeaderTimeoutMS)},
+	{"limits.idle_timeout_ms", allRoles, false, number(maxIdleTimeoutMS), "a whole number from 1000 to 120000", "milliseconds without a request after which a connection is closed", setInt(func(s *Settings) *int { return &s.Limits.IdleTimeoutMS }, minTimeoutMS, maxIdleTimeoutMS)},
 }
 
+// number returns a number as the JSON decoder would.
+func number(n int) json.Number { return json.Number(strconv.Itoa(n)) }
+
 // setString returns a setter for a text field.
 func setString(field func(*Settings) *string, allowed func(string) bool) func(*Settings, any) bool {
 	return func(s *Settings, value any) bool {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -55,6 +55,17 @@
 	Capacity      plantainrail.Resources
 	Runtime       string
 	TLS           TLS
+	Limits        Limits
+}
+
+// Limits bounds what clients outside our control may take of the process.
+type Limits struct {
+	// MemoryMB is the memory that the process may take, in mebibytes, and Descriptors the number of its file descriptors; 0
+	// stands for the limit of the operating system.
+	MemoryMB, Descriptors int
+	// HeaderBytes, HeaderTimeoutMS and IdleTimeoutMS are the longest header of a request in bytes, and the times for it and
+	// for the next request in milliseconds.
+	HeaderBytes, HeaderTimeoutMS, IdleTimeoutMS int
 }
 
 // Problem describes one key that is unknown or missing, or whose value is invalid.
--- a/receiver/call.go
+++ b/receiver/call.go
@@ -8,8 +8,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/follower"
+	"github.com/plantainrail/plantainrail/limiter"
 	"github.com/plantainrail/plantainrail/linker"
 )
 
@@ -175,6 +178,8 @@
 			return plantainrail.NewError(plantainrail.CodeBadRequest, "the body is shorter than its Content-Length")
 		}
 		c.bodyComplete = true
+	case errors.As(err, new(*limiter.Refusal)):
+		return plantainrail.NewError(plantainrail.CodeClientLimited, "%v", err)
 	case err != nil:
 		return plantainrail.NewError(plantainrail.CodeBadRequest, "the body could not be read: %v", err)
 	default:
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -20,6 +20,7 @@
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/follower"
+	"github.com/plantainrail/plantainrail/limiter"
 	"github.com/plantainrail/plantainrail/linker"
 	"github.com/plantainrail/plantainrail/parser"
 	"github.com/plantainrail/plantainrail/placer"
@@ -46,6 +47,9 @@
 	Address string
 	// Listener serves callers, operators and agents.
 	Listener net.Listener
+	// Limiter bounds what callers take of the process, and encrypts the connections if they are to be. It may be nil; then
+	// nothing is bounded.
+	Limiter *limiter.Limiter
 	// OperatorToken authorizes operators' calls. If it is empty, calls are
 	// accepted from loopback addresses only.
 	OperatorToken string
@@ -135,8 +139,9 @@
 // ends.
 func (r *Receiver) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
+	listener := r.Limiter.LimitClients(r.server, r.Listener)
 	group.Go(func() error {
-		if err := r.server.Serve(r.Listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := r.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve")
 		}
 		return nil
--- a/receiver/request_try.go
+++ b/receiver/request_try.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/limiter"
 	"github.com/plantainrail/plantainrail/linker"
 )
 
@@ -62,6 +63,8 @@
 		return
 	}
 	if !t.call.bodyComplete {
+		// The target may act on the part that it has got.
+		limiter.Commit(ctx)
 		go t.sendBody(ctx, t.stream)
 	}
 	t.awaitHead(ctx)
--- a/soaker/limits_test.go
+++ b/soaker/limits_test.go
@@ -21,12 +21,16 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/plantainrail/plantainrail/caller"
+	"github.com/plantainrail/plantainrail/receiver"
 	"github.com/plantainrail/plantainrail/standin/keeper"
+	"github.com/plantainrail/plantainrail/standin/recorder"
 )
 
 const (
-	// limitedMemoryMB is a setting of the process.
-	limitedMemoryMB = 80
+	// limitedMemoryMB is a setting of a process on the platform, and ownMemoryMB what one of the product's own interface
+	// may hold by default.
+	limitedMemoryMB, ownMemoryMB = 80, 256
 	// filesReserved is the number of descriptors that are reserved for files; the others may be sockets.
 	filesReserved = 200
 	// crowdDuration is how long clients that hold a connection keep it.
@@ -210,6 +214,18 @@
 		crowdRow{"labels that are no UTF-8", whole(`{"labels":["` + strings.Repeat("\xff", largest-30) + `"]}`)}))
 }
 
+// Guards against the same on the product's own interface.
+func TestMisbehavingClientsOfOwnEntry(t *testing.T) {
+	const post = "POST /match HTTP/1.1\r\nHost: desk.example\r\nX-N: %016x\r\n"
+	playCrowds(t, startOwn("entry"), smallCrowd, commonRows(post, largeBody))
+}
+
+// Guards against the same on the listener for targets.
+func TestMisbehavingClientsOfOwnAgent(t *testing.T) {
+	const post = "POST /announce HTTP/1.1\r\nHost: a\r\nX-N: %016x\r\n"
+	playCrowds(t, startOwn("agent"), smallCrowd, commonRows(post, 64<<10))
+}
+
 // playCrowds starts a process for each load and one more for their mixture, and plays the load.
 func playCrowds(t *testing.T, start func(*testing.T, *subject), of crowd, rows []crowdRow) {
 	program := filepath.Join(t.TempDir(), "plantainrail")
@@ -284,10 +300,10 @@
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	s.runNode(t, "entry", server.Listener.Addr().String(), fmt.Sprintf("listen.frontend=%s\nlisten.ready=%s:%d", s.crowded, s.ip, limitsPort+2))
-	statuses := map[string]int{}
+	statuses, frontend := map[string]int{}, s.crowded
 	s.ask = func(id int) bool {
 		name := fmt.Sprintf("%016x", id)
-		statuses[name] = request("http://"+s.crowded+"/q/"+name, "desk.example", `{"spec":"s","steps":[{"count":1,"cpu":100,"memMb":10,"estimateMs":100}]}`)
+		statuses[name] = request("http://"+frontend+"/q/"+name, "desk.example", `{"spec":"s","steps":[{"count":1,"cpu":100,"memMb":10,"estimateMs":100}]}`)
 		return statuses[name] == http.StatusOK
 	}
 	s.check = func(t *testing.T) {
@@ -313,6 +329,51 @@
 	}
 }
 
+// startOwn returns a function that starts an entry and an agent of the product's own interface, with a target whose
+// requests are the ordinary ones. The process with the role is the one under test.
+func startOwn(role string) func(*testing.T, *subject) {
+	return func(t *testing.T, s *subject) {
+		logService := httptest.NewServer(recorder.New(0))
+		t.Cleanup(logService.Close)
+		target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		t.Cleanup(target.Close)
+		s.memory = ownMemoryMB << 20
+		other := *s
+		other.crowded = fmt.Sprintf("%s:%d", s.ip, limitsPort+2)
+		entry, agent := s, &other
+		if role == "agent" {
+			entry, agent = &other, s
+		}
+		for _, p := range []struct {
+			*subject
+			settings  string
+			arguments []string
+		}{
+			{entry, `{"role":"entry","name":"e","zone":"z","listen":"%s","log_service":"%s"}`, []string{"entry", "serve"}},
+			{agent, `{"role":"agent","name":"a","zone":"z","listen":"%s","entries":["%s"]}`, []string{"agent"}},
+		} {
+			path, peer := filepath.Join(t.TempDir(), "settings.json"), logService.URL
+			if p.subject == agent {
+				peer = entry.crowded
+			}
+			assert.NilError(t, os.WriteFile(path, fmt.Appendf(nil, p.settings, p.crowded, peer), 0o600))
+			p.run(t, nil, append(p.arguments, "--settings", path)...)
+		}
+		announcement := fmt.Sprintf(`{"name":"t","incarnation":"i","address":"%s","kinds":["match"],"slots":8,"connections":64}`, target.Listener.Addr())
+		go func() {
+			for ; t.Context().Err() == nil; time.Sleep(500 * time.Millisecond) {
+				request("http://"+agent.crowded+"/announce", "", announcement)
+			}
+		}()
+		operator := caller.New(entry.crowded, "", nil)
+		waitUntil(t, entry, "the table", func() bool {
+			_, err := operator.Publish(t.Context(), receiver.PublishRequest{CSV: "kind,path,class,deadline_ms\nmatch,/match,latency-critical,3000\n", Editor: "t"})
+			return err == nil
+		})
+		s.ask = func(int) bool { return request("http://"+entry.crowded+"/match", "", "{}") == http.StatusOK }
+	}
+}
+
 // playCrowd lets the crowd loose on a process, with an ordinary client beside it, and checks what the process holds at
 // most and that ordinary requests are served, also before the crowd has gone.
 func playCrowd(t *testing.T, s *subject, of crowd, send misbehaviour) {
