Receiver: a body that stops short ends with its request

What callers saw: a caller that stops just short of the end of its body held its connection for ever and, of a kind that is not idempotent, a slot of the target for up to a minute after the deadline. Such callers left no place to others.

Cause: the first part of a body was awaited without limit, before the deadline was looked at. For the rest, the entry closed its stream to the agent when it gave up, and the agent goes on with a request that is not idempotent, to report its result: it waited for bytes that nobody would send. What told it that the body had broken off came after the close, which ends the stream.

Change: reads of the first part end at the deadline (504, deadline_passed, not run), those of the rest when the call is given up. A stream that is closed before the end of its body tells so in the same frame. Once a response has started, the body may take longer.

--- a/assembler/request_matrix_test.go
+++ b/assembler/request_matrix_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -203,3 +204,27 @@
 		})
 	}
 }
+
+// Guards against a body that stops short of its end and holds a connection, and a place at the target, for longer than the
+// request's deadline.
+func TestUnfinishedBodyEndsAtDeadline(t *testing.T) {
+	for sent, outcome := range map[int]plantainrail.Outcome{1: plantainrail.OutcomeNotRun, 40_000: plantainrail.OutcomeUncertain} {
+		runInCluster(t, nil, func(tc *cluster) {
+			body, writer := io.Pipe()
+			defer func() { _ = writer.Close() }()
+			go func() { _, _ = writer.Write(make([]byte, sent)) }()
+			began := time.Now()
+			got := tc.sendBody(tc.Entries[0], "/match", "", body)
+			assert.Equal(t, got.outcome, outcome, "%d bytes", sent)
+			assert.Assert(t, time.Since(began) < 21*time.Second, "after %s", time.Since(began))
+			tc.waitWithin(25*time.Second, "the target has ended the request", func() bool {
+				for _, v := range tc.VMs {
+					if v.Agent().Status().Open > 0 {
+						return false
+					}
+				}
+				return true
+			})
+		})
+	}
+}
--- a/receiver/call.go
+++ b/receiver/call.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -85,7 +86,7 @@
 // is the one that headerKind names, or else the one of the path. If newCall fails
 // while a table is active, it returns the call along with the error, so that the
 // failure can be recorded under the call's ID.
-func (r *Receiver) newCall(req *http.Request) (*call, *plantainrail.Error) {
+func (r *Receiver) newCall(w http.ResponseWriter, req *http.Request) (*call, *plantainrail.Error) {
 	table := r.Table()
 	if table.Revision == 0 {
 		return nil, plantainrail.NewError(plantainrail.CodeNotReady, "no table is in force")
@@ -109,7 +110,33 @@
 		return c, err
 	}
 	c.header = forwardedHeader(req.Header, c.id)
-	return c, c.readBodyPrefix()
+	return c, c.awaitBodyPrefix(w)
+}
+
+// awaitBodyPrefix reads the first part of the body, which has to arrive by the call's deadline. The rest, which a target waits
+// for, has to arrive by the time at which the call is given up; readBodyLonger ends that.
+func (c *call) awaitBodyPrefix(w http.ResponseWriter) *plantainrail.Error {
+	if c.contentLength == 0 {
+		return c.readBodyPrefix()
+	}
+	// A connection without deadlines is bounded by its client alone.
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(c.deadline)
+	err := c.readBodyPrefix()
+	switch {
+	case err != nil:
+		// Before it responds, the server reads the rest of the body, no longer than this.
+	case c.bodyComplete:
+		readBodyLonger(w)
+	default:
+		_ = connection.SetReadDeadline(c.deadline.Add(deadlineGrace))
+	}
+	return err
+}
+
+// readBodyLonger lets reads of the body go on after the call's deadline.
+func readBodyLonger(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 }
 
 // setDeadline sets the deadline from the request's headers, or else to the default
@@ -180,6 +207,8 @@
 		c.bodyComplete = true
 	case errors.As(err, new(*limiter.Refusal)):
 		return plantainrail.NewError(plantainrail.CodeClientLimited, "%v", err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return plantainrail.NewError(plantainrail.CodeDeadlinePassed, "before the body had arrived")
 	case err != nil:
 		return plantainrail.NewError(plantainrail.CodeBadRequest, "the body could not be read: %v", err)
 	default:
--- a/receiver/request.go
+++ b/receiver/request.go
@@ -27,7 +27,7 @@
 	if r.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c, err := r.newCall(req)
+	c, err := r.newCall(w, req)
 	if c != nil {
 		w.Header().Set(headerRequestID, c.id)
 		r.requestTraces.add(c)
@@ -49,6 +49,7 @@
 	defer winner.finish()
 	// A response that has started may continue past the deadline, so it is
 	// bound to the caller's own context.
+	readBodyLonger(w)
 	r.streamResponse(req.Context(), w, c, winner)
 }
 
--- a/receiver/request_try.go
+++ b/receiver/request_try.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,8 @@
 	isReplay bool
 
 	stream *linker.Stream
+	// bodyEnded is set once the end of the body was sent.
+	bodyEnded atomic.Bool
 	// cancel ends the context of the try; nil for a replay.
 	cancel context.CancelFunc
 	// receivedBytes counts the body bytes of the response that have arrived.
@@ -124,16 +127,22 @@
 			}
 		}
 		if err == io.EOF {
+			t.bodyEnded.Store(true)
 			_ = st.Send(linker.Frame{End: true})
 			return
 		}
 		if err != nil {
-			_ = st.Send(linker.Frame{Abort: &linker.Abort{Err: *plantainrail.NewError(plantainrail.CodeBadRequest, "the body broke off")}})
+			_ = st.Send(linker.Frame{Abort: bodyBrokenOff()})
 			return
 		}
 	}
 }
 
+// bodyBrokenOff returns what tells an agent that the body ends before its end.
+func bodyBrokenOff() *linker.Abort {
+	return &linker.Abort{Err: *plantainrail.NewError(plantainrail.CodeBadRequest, "the body broke off")}
+}
+
 // awaitHead waits for the response header and stores it in t.head, or stores the
 // failure in t.err. If the session is lost meanwhile, it asks the agent for the
 // response again on a new session.
@@ -147,7 +156,7 @@
 		}
 		if !errors.Is(err, linker.ErrStreamLost) {
 			t.err = t.streamError(ctx, err)
-			t.stream.Close()
+			t.closeStream()
 			return
 		}
 		if reattachErr := t.reattach(ctx); reattachErr != nil {
@@ -222,6 +231,14 @@
 	}
 }
 
+// closeStream closes the stream. A body that is incomplete ends with it, so that a target does not wait for the rest.
+func (t *requestTry) closeStream() {
+	if !t.isReplay && !t.call.bodyComplete && !t.bodyEnded.Load() {
+		_ = t.stream.Send(linker.Frame{Abort: bodyBrokenOff(), Close: true})
+	}
+	t.stream.Close()
+}
+
 // finish closes the stream and reports the result of the try to the router. For a
 // replay the name of the target is empty, so the router ignores the result.
 func (t *requestTry) finish() {
@@ -229,7 +246,7 @@
 		t.cancel()
 	}
 	if t.stream != nil {
-		t.stream.Close()
+		t.closeStream()
 	}
 	now := time.Now()
 	t.receiver.mu.Lock()
