Receiver: traces keep short excerpts of what callers send

What callers saw: 480 callers with paths of 16 KB took an entry to 489 MB, and with names of kinds as long to 289 MB, of 256.

Cause: the traces of the latest 20,000 calls are bounded by number but kept the path, the method and the details of errors, which repeat path and kind, in full length.

Change: 256 bytes of each are kept, as a copy, since a part of a string keeps the whole in memory.

--- a/receiver/call.go
+++ b/receiver/call.go
@@ -100,7 +100,7 @@
 		kind, ok = table.Kind(name)
 	}
 	if !ok || kind.Class != plantainrail.ClassLatencyCritical {
-		return c, plantainrail.NewError(plantainrail.CodeUnknownKind, "kind %q, path %q", req.Header.Get(headerKind), req.URL.Path)
+		return c, plantainrail.NewError(plantainrail.CodeUnknownKind, "kind %q, path %q", excerpt(req.Header.Get(headerKind)), excerpt(req.URL.Path))
 	}
 	c.kind = kind
 	if len(c.key) > maxKeyLength {
--- a/receiver/request_trace.go
+++ b/receiver/request_trace.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +13,8 @@
 	maxTraces = 20_000
 	// maxEventsPerTrace is the number of events kept for one call.
 	maxEventsPerTrace = 16
+	// maxTracedBytes bounds each text of a caller that is kept.
+	maxTracedBytes = 256
 )
 
 // RequestEvent is one step in the handling of a call.
@@ -59,7 +62,7 @@
 	t.added++
 	delete(t.byID, t.ring[slot])
 	t.ring[slot] = c.id
-	t.byID[c.id] = &RequestTrace{ID: c.id, Kind: c.kind.Name, Method: c.method, Path: c.path, Revision: c.revision, Deadline: c.deadline}
+	t.byID[c.id] = &RequestTrace{ID: c.id, Kind: c.kind.Name, Method: excerpt(c.method), Path: excerpt(c.path), Revision: c.revision, Deadline: c.deadline}
 }
 
 // addEvent adds an event to the trace of a call. It ignores the event if the trace
@@ -68,10 +71,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if trace, ok := t.byID[id]; ok && len(trace.Events) < maxEventsPerTrace {
+		e.Detail = excerpt(e.Detail)
 		trace.Events = append(trace.Events, e)
 	}
 }
 
+// excerpt returns a copy of the beginning of a text, which does not keep the rest in memory.
+func excerpt(text string) string { return strings.Clone(text[:min(len(text), maxTracedBytes)]) }
+
 // find returns a copy of the trace of a call, or false if there is none.
 func (t *requestTraces) find(id string) (RequestTrace, bool) {
 	t.mu.Lock()
--- a/soaker/limits_test.go
+++ b/soaker/limits_test.go
@@ -214,10 +214,23 @@
 		crowdRow{"labels that are no UTF-8", whole(`{"labels":["` + strings.Repeat("\xff", largest-30) + `"]}`)}))
 }
 
-// Guards against the same on the product's own interface.
+// pipelined sends whole requests, each of which contains its number.
+func pipelined(text string) misbehaviour {
+	return func(c net.Conn, n int) {
+		for i := range 20 {
+			if _, err := fmt.Fprintf(c, text, 20*n+i); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// Guards against the same on the product's own interface, and against what it keeps of each request.
 func TestMisbehavingClientsOfOwnEntry(t *testing.T) {
 	const post = "POST /match HTTP/1.1\r\nHost: desk.example\r\nX-N: %016x\r\n"
-	playCrowds(t, startOwn("entry"), smallCrowd, commonRows(post, largeBody))
+	playCrowds(t, startOwn("entry"), smallCrowd, append(commonRows(post, largeBody),
+		crowdRow{"unknown paths", pipelined("GET /%016x" + strings.Repeat("x", headBytes-100) + " HTTP/1.1\r\nHost: h\r\n\r\n")},
+		crowdRow{"unknown kinds", pipelined("GET /%016x HTTP/1.1\r\nHost: h\r\nX-Kind: " + strings.Repeat("x", headBytes-100) + "\r\n\r\n")}))
 }
 
 // Guards against the same on the listener for targets.
