Admitter: targets and leaves are bounded

What callers saw: 480 local clients that announce targets of ever new names took the agent to 243 MB of 256 in 3 s, and an ordinary request was served only after most of the 30 s that the test waits; under the mixture it had 305 MB. Leaves of unknown targets took 85 MB in 3 s, and were never forgotten.

Cause: a call of 64 KiB is bounded, but not what is remembered of all calls: each target until its announcement expires, with its kinds, in the report to each entry too, whose messages may have 8 MiB; and each leave for good.

Change: 1,024 targets and 2 MiB of announcements; those that have expired make room, and a target that is here is never refused unless it announces more. Beyond that an announcement gets 503. 4,096 leaves, of which those of targets that are not here go first; names have up to 1 KiB. Entries repeat the leaves that the log holds.

Evidence: TestTargetsAreBounded.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unsafe"
 
 	"github.com/plantainrail/plantainrail"
 	"github.com/plantainrail/plantainrail/charter"
@@ -22,6 +23,13 @@
 	// announcementLifetime is how long a target counts as present after it announced
 	// itself.
 	announcementLifetime = 3 * time.Second
+	// maxTargets and maxTargetBytes bound the targets that are remembered, and the size of what they announce in bytes. It is
+	// reported to each entry as a whole, in a message that may have 8 MiB.
+	maxTargets, maxTargetBytes = 1024, 2 << 20
+	// targetBytes is what a target takes besides its texts.
+	targetBytes = 1 << 10
+	// maxLeaving bounds the leaves that are remembered of targets that are not here.
+	maxLeaving = 4096
 	// serviceTimeEMAWeight is the weight of a new sample in the exponential moving
 	// average of a target's service time.
 	serviceTimeEMAWeight = 0.1
@@ -77,6 +85,8 @@
 // Admitter decides on requests for the targets of one VM.
 type Admitter struct {
 	targets map[string]*target
+	// announced is the size of what the targets have announced, in bytes.
+	announced int
 	// requests holds the open requests and the remembered ended ones by ID.
 	requests map[string]*Request
 	// ended lists the remembered ended requests from oldest to newest.
@@ -119,9 +129,25 @@
 
 // Announce records that a target is present. A new incarnation starts without requests;
 // an incarnation that was marked as leaving stays leaving. While the VM is draining,
-// every announced target is leaving.
-func (a *Admitter) Announce(now time.Time, info plantainrail.TargetInfo) {
+// every announced target is leaving. It returns false, and records nothing, if there is no
+// room for another target.
+func (a *Admitter) Announce(now time.Time, info plantainrail.TargetInfo) bool {
 	t, ok := a.targets[info.Name]
+	before := 0
+	if ok {
+		before = announcedBytes(t.info)
+	}
+	grown := announcedBytes(info) - before
+	if !a.hasRoom(ok, grown) {
+		a.forgetExpired(now)
+		if t, ok = a.targets[info.Name]; !ok {
+			grown = announcedBytes(info)
+		}
+		if !a.hasRoom(ok, grown) {
+			return false
+		}
+	}
+	a.announced += grown
 	if !ok || t.info.Incarnation != info.Incarnation {
 		t = &target{state: targetChart.Initial, runningByKind: map[string]int{}}
 		a.targets[info.Name] = t
@@ -131,6 +157,31 @@
 	if a.draining || a.leavingIncarnation[info.Name] == info.Incarnation {
 		t.state, _ = targetChart.Next(t.state, "leave")
 	}
+	return true
+}
+
+// hasRoom reports whether what targets announce may grow, by a target that is known or not.
+func (a *Admitter) hasRoom(known bool, grown int) bool {
+	return a.announced+grown <= maxTargetBytes && (known || len(a.targets) < maxTargets)
+}
+
+// forgetExpired forgets the targets that are no longer announced and have no open requests.
+func (a *Admitter) forgetExpired(now time.Time) {
+	for name, t := range a.targets {
+		if now.After(t.announcedUntil) && t.openRequests == 0 {
+			a.announced -= announcedBytes(t.info)
+			delete(a.targets, name)
+		}
+	}
+}
+
+// announcedBytes returns what a target takes in bytes.
+func announcedBytes(info plantainrail.TargetInfo) int {
+	n := targetBytes + len(info.Name) + len(info.Incarnation) + len(info.Address)
+	for _, kind := range info.Kinds {
+		n += len(kind) + int(unsafe.Sizeof(kind))
+	}
+	return n
 }
 
 // IsAnnounced reports whether an incarnation of a target has announced itself
@@ -144,7 +195,7 @@
 // ones continue. Queued requests are rejected and returned. If the incarnation has not
 // announced itself yet, ok is false and it becomes leaving with its announcement.
 func (a *Admitter) Leave(name, incarnation string) (rejected []*Request, ok bool) {
-	a.leavingIncarnation[name] = incarnation
+	a.rememberLeave(name, incarnation)
 	t, found := a.targets[name]
 	if !found || t.info.Incarnation != incarnation {
 		return nil, false
@@ -153,6 +204,20 @@
 	return a.rejectQueued(t), true
 }
 
+// rememberLeave records a leave, in the place of any of a target that is not here if there are too many. Entries
+// repeat those that the log holds.
+func (a *Admitter) rememberLeave(name, incarnation string) {
+	for other := range a.leavingIncarnation {
+		if len(a.leavingIncarnation) < maxLeaving {
+			break
+		}
+		if a.targets[other] == nil {
+			delete(a.leavingIncarnation, other)
+		}
+	}
+	a.leavingIncarnation[name] = incarnation
+}
+
 // Drain marks every target of the VM as leaving. It rejects the queued requests and
 // returns them.
 func (a *Admitter) Drain() []*Request {
@@ -402,12 +467,10 @@
 // Loads returns the loads of the targets that are present, sorted by name. It drops
 // targets whose announcement has expired and that have no open requests.
 func (a *Admitter) Loads(now time.Time) []TargetLoad {
+	a.forgetExpired(now)
 	var loads []TargetLoad
-	for name, t := range a.targets {
+	for _, t := range a.targets {
 		if now.After(t.announcedUntil) {
-			if t.openRequests == 0 {
-				delete(a.targets, name)
-			}
 			continue
 		}
 		loads = append(loads, TargetLoad{t.info, t.running, len(t.queue), t.state == "leaving"})
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,3 +150,27 @@
 		})
 	})
 }
+
+// Guards against targets and leaves without number, which a process on the VM could announce. Targets whose announcement
+// has expired make room.
+func TestTargetsAreBounded(t *testing.T) {
+	a, now := New(), baseTime
+	info := plantainrail.TargetInfo{Incarnation: "i", Address: "a", Kinds: []string{strings.Repeat("k", 60_000)}, Slots: 1, Connections: 1}
+	announced := 0
+	for i := range 5000 {
+		info.Name = fmt.Sprint("t", i)
+		a.Leave(info.Name+"x", "i")
+		if a.Announce(now, info) {
+			announced++
+		}
+	}
+	assert.Equal(t, announced, 34)
+	info.Name = "t0"
+	assert.Assert(t, a.Announce(now, info), "a target that is here")
+	info.Name, info.Kinds = "late", []string{"k"}
+	assert.Assert(t, a.Announce(now, info))
+	info.Name, info.Kinds = "other", []string{strings.Repeat("k", 60_000)}
+	assert.Assert(t, !a.Announce(now, info))
+	assert.Assert(t, a.Announce(now.Add(time.Minute), info))
+	assert.Equal(t, len(a.Loads(now.Add(time.Minute))), 1)
+}
--- a/agent/local.go
+++ b/agent/local.go
@@ -15,6 +15,9 @@
 // MaxAnnouncementBytes bounds the body of a call from a target.
 const MaxAnnouncementBytes = 64 << 10
 
+// maxNameBytes bounds the name and the incarnation of a target, which are remembered after it has left.
+const maxNameBytes = 1 << 10
+
 // localHandler returns the HTTP handler for the VM's own targets and operators.
 func (a *Agent) localHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -39,6 +42,10 @@
 		http.Error(w, "name and incarnation are needed", http.StatusBadRequest)
 		return info, false
 	}
+	if len(info.Name) > maxNameBytes || len(info.Incarnation) > maxNameBytes {
+		http.Error(w, "name or incarnation is too long", http.StatusBadRequest)
+		return info, false
+	}
 	return info, true
 }
 
@@ -55,11 +62,15 @@
 	}
 	a.mu.Lock()
 	known := a.admitter.IsAnnounced(time.Now(), info.Name, info.Incarnation)
-	a.admitter.Announce(time.Now(), info)
-	if !known {
+	recorded := a.admitter.Announce(time.Now(), info)
+	if !known && recorded {
 		a.notify()
 	}
 	a.mu.Unlock()
+	if !recorded {
+		http.Error(w, "there is no room for another target", http.StatusServiceUnavailable)
+		return
+	}
 	if !known {
 		a.Log.Info("target announced", zap.String("target", info.Name), zap.String("incarnation", info.Incarnation))
 	}
