Metrics are served within a budget of their own

What callers saw: 480 clients with headers of short lines on port 9464 left ordinary requests to the frontend of the entry unserved. Found by listing.

Cause: the listener of metrics, like that of readiness, is for operators, but had only the header timeout of net/http: headers of 1 MiB, any number of connections.

Change: it is limited as readiness checks are, by 16 connections and 1 MiB of requests, apart from theirs and from the clients'.

Evidence: TestMisbehavingClientsOfOperatorListeners plays headers of short lines on both.

--- a/command/factory/factory.go
+++ b/command/factory/factory.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/plantainrail/plantainrail/caller"
+	"github.com/plantainrail/plantainrail/limiter"
 	"github.com/plantainrail/plantainrail/reporter"
 )
 
@@ -139,8 +140,9 @@
 const metricsPort = "9464"
 
 // ServeMetrics serves a process's counters in the background until the process ends.
+// The limiter bounds what their readers take of it.
 // If it cannot listen, it logs a warning and the process runs without metrics.
-func (f *Factory) ServeMetrics(ip string, h http.Handler, logger *zap.Logger) {
+func (f *Factory) ServeMetrics(ip string, h http.Handler, l *limiter.Limiter, logger *zap.Logger) {
 	address := net.JoinHostPort(ip, metricsPort)
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -149,7 +151,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerReadTimeout}
+	server := &http.Server{Handler: mux}
+	listener = l.LimitHealthChecks(server, listener)
 	go func() {
 		if err := server.Serve(listener); err != nil {
 			logger.Warn("metrics not served any more", zap.Error(err))
--- a/command/node/agent/agent.go
+++ b/command/node/agent/agent.go
@@ -68,11 +68,11 @@
 	}
 	logger, counters, closeLog := o.AsyncLogger()
 	defer closeLog()
-	o.ServeMetrics(s.IP, counters, logger)
 	limits := limiter.Limits{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, Cores: s.Cores, MaxBodyBytes: platform.MaxHeartbeatBytes}
 	limits.BoundRuntime()
 	clientLimiter := limiter.New(limits, logger)
 	clientLimiter.SetReport(counters.SetGauge)
+	o.ServeMetrics(s.IP, counters, clientLimiter, logger)
 	// entryClient is the HTTP client for the connections to entries.
 	entryClient := platform.NewClient(logger)
 	return o.Serve(minder.New(minder.Options{
--- a/command/node/entry/entry.go
+++ b/command/node/entry/entry.go
@@ -67,11 +67,11 @@
 	}
 	logger, counters, closeLog := o.AsyncLogger()
 	defer closeLog()
-	o.ServeMetrics(s.IP, counters, logger)
 	limits := limiter.Limits{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, Cores: s.Cores}
 	limits.BoundRuntime()
 	clientLimiter := limiter.New(limits, logger)
 	clientLimiter.SetReport(counters.SetGauge)
+	o.ServeMetrics(s.IP, counters, clientLimiter, logger)
 	operator := &platform.OperatorState{}
 	peers := platform.NewClient(logger)
 	direct := platform.NewStore(s.StoreAddress, platform.NewClient(logger))
--- a/soaker/limits_test.go
+++ b/soaker/limits_test.go
@@ -214,6 +214,19 @@
 		crowdRow{"labels that are no UTF-8", whole(`{"labels":["` + strings.Repeat("\xff", largest-30) + `"]}`)}))
 }
 
+// Guards against the same on the listeners of an entry that clients are not meant to reach.
+func TestMisbehavingClientsOfOperatorListeners(t *testing.T) {
+	rows := commonRows("POST /metrics HTTP/1.1\r\nHost: a\r\nX-N: %016x\r\n", largeBody)
+	for name, port := range map[string]int{"metrics": 9464, "readiness": limitsPort + 2} {
+		t.Run(name, func(t *testing.T) {
+			playCrowds(t, func(t *testing.T, s *subject) {
+				startEntry(t, s)
+				s.crowded = fmt.Sprintf("%s:%d", s.ip, port)
+			}, smallCrowd, rows[:2])
+		})
+	}
+}
+
 // pipelined sends whole requests, each of which contains its number.
 func pipelined(text string) misbehaviour {
 	return func(c net.Conn, n int) {
