--- a/soaker/limits_test.go
+++ b/soaker/limits_test.go
@@ -154,7 +154,7 @@
 		{"chunk extensions", send("Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1;"+strings.Repeat("e", 3000)+"\r\n \r\n", 100))},
 		{"trailers", send("Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n" + head[:3600])},
 		{"responses never read", neverReading(strings.Repeat("GET /%%2f HTTP/1.1\r\nHost: desk.example\r\n\r\n", 4000) + post)},
-		{"connections without a request", func(c net.Conn, _ int) { time.Sleep(crowdDuration) }},
+		{"connections without a request", func(net.Conn, int) { time.Sleep(crowdDuration) }},
 	}
 }
 
