Limiter: an idle connection that costs nothing is never refused for memory

What callers saw: nothing yet; found by reading the diff. Since lines behind a request are reserved when a connection becomes idle, a process above its budget would have closed every connection that was kept alive after a response, also those of queries and cancellations, which are never refused for memory.

Change: only a connection with such lines needs room.

--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -166,8 +166,8 @@
 }
 
 // stalled returns the client that has made no progress for the longest time, at least minStall, other
-// than the exception. Requests go before responses, and these before idle connections. With costly set it returns only clients whose
-// requests have a cost and are not refused yet; otherwise also refused ones whose connections linger. It
+// than the exception. Requests go before responses, and these before idle connections. With costly set it returns
+// only clients whose requests have a cost and are not refused yet; otherwise also refused ones whose connections linger. It
 // returns nil if there is none.
 func (l *Ledger) stalled(now time.Time, exception *Client, costly bool) *Client {
 	for _, clients := range []*queue{l.sending, l.receiving, l.idle} {
@@ -194,9 +194,11 @@
 		l.release(c)
 		l.idle.append(c)
 		c.items = c.unread
-		if cost := paidItems(c.items); l.fits(c, cost) {
+		switch cost := paidItems(c.items); {
+		case cost == 0:
+		case l.fits(c, cost):
 			l.add(c, cost)
-		} else {
+		default:
 			l.refuse(now, c, OverMemory)
 		}
 	case Serving, Detached:
--- a/limiter/ledger_test.go
+++ b/limiter/ledger_test.go
@@ -169,6 +169,12 @@
 	assert.Assert(t, ok)
 	_, ok = l.Reserve(at(time.Second), third, 1<<19)
 	assert.Assert(t, !ok, "lines that the server has not parsed")
+	l = newLedger(1, 4<<20)
+	l.SetHeld(1 << 40)
+	ordinary, _ := l.Connect(start)
+	l.Enter(start, ordinary, limiter.Header)
+	l.Enter(start, ordinary, limiter.Idle)
+	assert.Equal(t, len(l.Overdue(at(9*time.Second))), 0, "a connection without a cost needs no memory")
 }
 
 // Guards against long bodies that take the processor from ordinary ones, and against waits of a single one.
