Soaker: announcements of the crowd have their whole length

The stated length was one byte too long, which swallowed the first byte of the next request, so that only one in twenty was played.

--- a/soaker/limits_test.go
+++ b/soaker/limits_test.go
@@ -251,7 +251,7 @@
 	const post = "POST /announce HTTP/1.1\r\nHost: a\r\nX-N: %016x\r\n"
 	text := strings.Repeat("x", 60_000)
 	whole := func(path, body string) misbehaviour {
-		return pipelined(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, len(body)+12, body))
+		return pipelined(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, len(body)+11, body))
 	}
 	playCrowds(t, startOwn("agent"), smallCrowd, append(commonRows(post, 64<<10),
 		crowdRow{"many targets", whole("/announce", `{"name":"%016x","incarnation":"i","address":"a","kinds":["`+text+`"],"slots":1,"connections":1}`)},
