Soaker: the crowd and bounds of the earlier test keep their names

The values never changed (240 clients for 6 s, 80 MB, 420 descriptors of which 220 may be sockets), but the constants had moved into another form, so that the diff read as if they had.

--- a/soaker/limits_test.go
+++ b/soaker/limits_test.go
@@ -28,28 +28,32 @@
 )
 
 const (
-	// limitedMemoryMB is a setting of a process on the platform, and ownMemoryMB what one of the product's own interface
-	// may hold by default.
-	limitedMemoryMB, ownMemoryMB = 80, 256
+	// limitedMemoryMB and limitedDescriptors are the settings of the process. 200 descriptors are
+	// reserved for files, so 220 may be sockets.
+	limitedMemoryMB    = 80
+	limitedDescriptors = 420
+	// crowdSize is the number of misbehaving clients: more than the process may hold sockets for.
+	crowdSize = 240
+	// crowdDuration is how long they keep sending. A client whose connection is closed opens another.
+	crowdDuration = 6 * time.Second
+	// ownMemoryMB is what a process of the product's own interface may hold by default.
+	ownMemoryMB = 256
 	// filesReserved is the number of descriptors that are reserved for files; the others may be sockets.
 	filesReserved = 200
-	// crowdDuration is how long clients that hold a connection keep it.
-	crowdDuration = 6 * time.Second
 	// largeBody is the length of the largest legal body in bytes.
 	largeBody = 262_144
 	// limitsPort is the first of the three ports of the process.
 	limitsPort = 20111
 )
 
-// crowd is a number of misbehaving clients, more than the process may hold sockets for, and how long they keep sending.
-// A client whose connection is closed opens another.
+// crowd is a number of misbehaving clients, how many descriptors the process has, and how long the clients keep sending.
 type crowd struct {
 	clients, descriptors int
 	duration             time.Duration
 }
 
 // bodyCrowd is costly by the bytes that it sends, and smallCrowd by something else.
-var bodyCrowd, smallCrowd = crowd{240, 420, 6 * time.Second}, crowd{480, 620, 3 * time.Second}
+var bodyCrowd, smallCrowd = crowd{crowdSize, limitedDescriptors, crowdDuration}, crowd{480, 620, 3 * time.Second}
 
 const limitsHeader = "POST /q/%016x HTTP/1.1\r\nHost: desk.example\r\n"
 
