Soaker: bodies in pieces, whole bodies, empty lines and one endless line on all listeners

These were played against the entry alone. Now they are rows for the entry, the agent and the product's own entry and agent: a header line without end, empty lines, whole bodies of legal size, and bodies and chunks in pieces that stop just short of their end.

--- a/soaker/limits_test.go
+++ b/soaker/limits_test.go
@@ -138,6 +138,15 @@
 	send := func(text string) misbehaviour {
 		return func(c net.Conn, n int) { _, _ = fmt.Fprintf(c, post+text, n) }
 	}
+	inPieces := func(text string) misbehaviour {
+		return func(c net.Conn, n int) {
+			rest := fmt.Sprintf(post+text, n)
+			for err := error(nil); err == nil && rest != ""; time.Sleep(2 * time.Millisecond) {
+				_, err = io.WriteString(c, rest[:min(largeBody/64, len(rest))])
+				rest = rest[min(largeBody/64, len(rest)):]
+			}
+		}
+	}
 	short, length := strings.Repeat(" ", body-1), fmt.Sprintf("Content-Length: %d\r\n\r\n", body)
 	head := shortLines(headBytes)
 	tokens := "Trailer: " + strings.TrimSuffix(strings.NewReplacer(":\n", ",").Replace(head), ",") + "\r\n"
@@ -152,6 +161,11 @@
 		}},
 		{"pipelined heads", send("Content-Length: 2\r\n\r\n{}" + strings.SplitAfter(post, "\n")[0] + head[:3600])},
 		{"short lines without end", endless("GET / HTTP/1.1\r\n", head)},
+		{"one line without end", endless("GET / HTTP/1.1\r\nX: ", strings.Repeat("x", 64<<10))},
+		{"empty lines", emptyLines},
+		{"whole bodies", send(length + short + " ")},
+		{"bodies in pieces", inPieces(length + short)},
+		{"chunks in pieces", inPieces("Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat(fmt.Sprintf("1000\r\n%4096s\r\n", ""), (body-1)/4096))},
 		{"bodies short of their end", send(length + short)},
 		{"chunk short of its end", send(fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s", body, short))},
 		{"chunks of one byte short of their end", send("Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\n \r\n", min(body-1, largeBody)))},
