Soaker: refusals of the product's own entry are checked to be true

The target records which ordinary requests it ran: one that was answered with 200 ran, and one that got 503 did not.

--- a/soaker/limits_test.go
+++ b/soaker/limits_test.go
@@ -385,7 +385,13 @@
 	return func(t *testing.T, s *subject) {
 		logService := httptest.NewServer(recorder.New(0))
 		t.Cleanup(logService.Close)
-		target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		var mu sync.Mutex
+		statuses, runs := map[string]int{}, map[string]bool{}
+		target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			runs[req.URL.RawQuery] = true
+		}))
 		t.Cleanup(target.Close)
 		s.memory = ownMemoryMB << 20
 		other := *s
@@ -420,7 +426,19 @@
 			_, err := operator.Publish(t.Context(), receiver.PublishRequest{CSV: "kind,path,class,deadline_ms\nmatch,/match,latency-critical,3000\n", Editor: "t"})
 			return err == nil
 		})
-		s.ask = func(int) bool { return request("http://"+entry.crowded+"/match", "", "{}") == http.StatusOK }
+		s.ask = func(id int) bool {
+			name := fmt.Sprint(id)
+			statuses[name] = request("http://"+entry.crowded+"/match?"+name, "", "{}")
+			return statuses[name] == http.StatusOK
+		}
+		s.check = func(t *testing.T) {
+			mu.Lock()
+			defer mu.Unlock()
+			for name, status := range statuses {
+				assert.Check(t, status != http.StatusOK || runs[name], "request %s was answered and did not run", name)
+				assert.Check(t, status != http.StatusServiceUnavailable || !runs[name], "request %s was refused and ran", name)
+			}
+		}
 	}
 }
 
