--- a/soaker/limits_test.go
+++ b/soaker/limits_test.go
@@ -383,16 +383,6 @@
 // requests are the ordinary ones. The process with the role is the one under test.
 func startOwn(role string) func(*testing.T, *subject) {
 	return func(t *testing.T, s *subject) {
-		logService := httptest.NewServer(recorder.New(0))
-		t.Cleanup(logService.Close)
-		var mu sync.Mutex
-		statuses, runs := map[string]int{}, map[string]bool{}
-		target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
-			mu.Lock()
-			defer mu.Unlock()
-			runs[req.URL.RawQuery] = true
-		}))
-		t.Cleanup(target.Close)
 		s.memory = ownMemoryMB << 20
 		other := *s
 		other.crowded = fmt.Sprintf("%s:%d", s.ip, limitsPort+2)
@@ -400,48 +390,55 @@
 		if role == "agent" {
 			entry, agent = &other, s
 		}
-		for _, p := range []struct {
-			*subject
-			settings  string
-			arguments []string
-		}{
-			{entry, `{"role":"entry","name":"e","zone":"z","listen":"%s","log_service":"%s"}`, []string{"entry", "serve"}},
-			{agent, `{"role":"agent","name":"a","zone":"z","listen":"%s","entries":["%s"]}`, []string{"agent"}},
-		} {
-			path, peer := filepath.Join(t.TempDir(), "settings.json"), logService.URL
-			if p.subject == agent {
-				peer = entry.crowded
-			}
-			assert.NilError(t, os.WriteFile(path, fmt.Appendf(nil, p.settings, p.crowded, peer), 0o600))
-			p.run(t, nil, append(p.arguments, "--settings", path)...)
-		}
-		announcement := fmt.Sprintf(`{"name":"t","incarnation":"i","address":"%s","kinds":["match"],"slots":8,"connections":64}`, target.Listener.Addr())
-		go func() {
-			for ; t.Context().Err() == nil; time.Sleep(500 * time.Millisecond) {
-				request("http://"+agent.crowded+"/announce", "", announcement)
-			}
-		}()
+		logService := httptest.NewServer(recorder.New(0))
+		t.Cleanup(logService.Close)
+		entry.runOwn(t, []string{"entry", "serve"}, `{"role":"entry","name":"e","zone":"z","listen":"%s","log_service":"%s"}`, logService.URL)
+		agent.runOwn(t, []string{"agent"}, `{"role":"agent","name":"a","zone":"z","listen":"%s","entries":["%s"]}`, entry.crowded)
+		runs := announceTarget(t, agent.crowded)
 		operator := caller.New(entry.crowded, "", nil)
 		waitUntil(t, entry, "the table", func() bool {
 			_, err := operator.Publish(t.Context(), receiver.PublishRequest{CSV: "kind,path,class,deadline_ms\nmatch,/match,latency-critical,3000\n", Editor: "t"})
 			return err == nil
 		})
+		statuses := map[string]int{}
 		s.ask = func(id int) bool {
 			name := fmt.Sprint(id)
 			statuses[name] = request("http://"+entry.crowded+"/match?"+name, "", "{}")
 			return statuses[name] == http.StatusOK
 		}
 		s.check = func(t *testing.T) {
-			mu.Lock()
-			defer mu.Unlock()
 			for name, status := range statuses {
-				assert.Check(t, status != http.StatusOK || runs[name], "request %s was answered and did not run", name)
-				assert.Check(t, status != http.StatusServiceUnavailable || !runs[name], "request %s was refused and ran", name)
+				_, ran := runs.Load(name)
+				assert.Check(t, status != http.StatusOK || ran, "request %s was answered and did not run", name)
+				assert.Check(t, status != http.StatusServiceUnavailable || !ran, "request %s was refused and ran", name)
 			}
 		}
 	}
 }
 
+// runOwn starts a process of the product's own interface with settings that name its address and that of its peer.
+func (s *subject) runOwn(t *testing.T, command []string, settings, peer string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	assert.NilError(t, os.WriteFile(path, fmt.Appendf(nil, settings, s.crowded, peer), 0o600))
+	s.run(t, nil, append(command, "--settings", path)...)
+}
+
+// announceTarget starts a target, which announces itself to the agent. It returns the queries of the requests that the
+// target has run.
+func announceTarget(t *testing.T, agent string) *sync.Map {
+	runs := &sync.Map{}
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) { runs.Store(req.URL.RawQuery, true) }))
+	t.Cleanup(target.Close)
+	announcement := fmt.Sprintf(`{"name":"t","incarnation":"i","address":"%s","kinds":["match"],"slots":8,"connections":64}`, target.Listener.Addr())
+	go func() {
+		for ; t.Context().Err() == nil; time.Sleep(500 * time.Millisecond) {
+			request("http://"+agent+"/announce", "", announcement)
+		}
+	}()
+	return runs
+}
+
 // playCrowd lets the crowd loose on a process, with an ordinary client beside it, and checks what the process holds at
 // most and that ordinary requests are served, also before the crowd has gone.
 func playCrowd(t *testing.T, s *subject, of crowd, send misbehaviour) {
