Agent: what the bounds on targets turn away is counted and logged

What operators saw: an announcement that was refused for want of room left no trace on the agent, and a leave that was forgotten none at all. Found by asking each new limit for its counter.

Change: /status has the counts, and the event "target not taken" (sampled, as all lines are) names the target. Names are cut after 100 bytes in the log. TestTargetsAreBounded has the counts.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -87,6 +87,7 @@
 	targets map[string]*target
 	// announced is the size of what the targets have announced, in bytes.
 	announced int
+	limited   Limited
 	// requests holds the open requests and the remembered ended ones by ID.
 	requests map[string]*Request
 	// ended lists the remembered ended requests from oldest to newest.
@@ -127,6 +128,16 @@
 	return &Admitter{targets: map[string]*target{}, requests: map[string]*Request{}, leavingIncarnation: map[string]string{}}
 }
 
+// Limited counts what the bounds on targets and leaves have turned away since the start.
+type Limited struct {
+	// Announcements counts those that were refused, and Leaves those that were forgotten for others.
+	Announcements int64 `json:"announcements"`
+	Leaves        int64 `json:"leaves"`
+}
+
+// Limited returns the counts.
+func (a *Admitter) Limited() Limited { return a.limited }
+
 // Announce records that a target is present. A new incarnation starts without requests;
 // an incarnation that was marked as leaving stays leaving. While the VM is draining,
 // every announced target is leaving. It returns false, and records nothing, if there is no
@@ -144,6 +155,7 @@
 			grown = announcedBytes(info)
 		}
 		if !a.hasRoom(ok, grown) {
+			a.limited.Announcements++
 			return false
 		}
 	}
@@ -213,6 +225,7 @@
 		}
 		if a.targets[other] == nil {
 			delete(a.leavingIncarnation, other)
+			a.limited.Leaves++
 		}
 	}
 	a.leavingIncarnation[name] = incarnation
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -165,6 +165,7 @@
 		}
 	}
 	assert.Equal(t, announced, 34)
+	assert.Equal(t, a.Limited(), Limited{Announcements: 5000 - 34, Leaves: 5000 - maxLeaving})
 	info.Name = "t0"
 	assert.Assert(t, a.Announce(now, info), "a target that is here")
 	info.Name, info.Kinds = "late", []string{"k"}
--- a/agent/local.go
+++ b/agent/local.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/admitter"
 	"github.com/plantainrail/plantainrail/limiter"
 )
 
@@ -18,6 +19,12 @@
 // maxNameBytes bounds the name and the incarnation of a target, which are remembered after it has left.
 const maxNameBytes = 1 << 10
 
+// excerpt returns the beginning of a text of a target for the log.
+func excerpt(text string) string {
+	const maxLoggedBytes = 100
+	return text[:min(len(text), maxLoggedBytes)]
+}
+
 // localHandler returns the HTTP handler for the VM's own targets and operators.
 func (a *Agent) localHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -68,11 +75,12 @@
 	}
 	a.mu.Unlock()
 	if !recorded {
+		a.Log.Warn("target not taken", zap.String("target", excerpt(info.Name)))
 		http.Error(w, "there is no room for another target", http.StatusServiceUnavailable)
 		return
 	}
 	if !known {
-		a.Log.Info("target announced", zap.String("target", info.Name), zap.String("incarnation", info.Incarnation))
+		a.Log.Info("target announced", zap.String("target", excerpt(info.Name)), zap.String("incarnation", excerpt(info.Incarnation)))
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -102,6 +110,8 @@
 	// Open is the number of running and queued requests.
 	Open  int                       `json:"open"`
 	Tasks []plantainrail.TaskStatus `json:"tasks"`
+	// Limited counts the calls of targets for which there was no room.
+	Limited admitter.Limited `json:"limited"`
 }
 
 func (a *Agent) handleStatus(w http.ResponseWriter, _ *http.Request) {
@@ -113,7 +123,7 @@
 func (a *Agent) Status() Status {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := Status{Agent: a.Name, Incarnation: a.leaser.Incarnation(), Revision: a.tableUpdate.Revision, Open: a.admitter.OpenRequests()}
+	s := Status{Agent: a.Name, Incarnation: a.leaser.Incarnation(), Revision: a.tableUpdate.Revision, Open: a.admitter.OpenRequests(), Limited: a.admitter.Limited()}
 	for address := range a.entrySessions {
 		s.Sessions = append(s.Sessions, address)
 	}
--- a/command/agent/agent.go
+++ b/command/agent/agent.go
@@ -72,7 +72,8 @@
 	logger := o.Logger(s.LogLevel)
 	agent := process.New(process.Options{
 		Name: s.Name, Zone: s.Zone, Rack: s.Rack, Capacity: s.Capacity, Entries: s.Entries, MaxSessions: s.MaxSessions,
-		Listener: listener, Limiter: o.Limiter(s.Limits, nil, false, process.MaxAnnouncementBytes, logger), Dialer: &http.Client{Transport: &http.Transport{TLSClientConfig: clientTLS}}, Scheme: scheme,
+		Listener: listener, Limiter: o.Limiter(s.Limits, nil, false, process.MaxAnnouncementBytes, logger),
+		Dialer: &http.Client{Transport: &http.Transport{TLSClientConfig: clientTLS}}, Scheme: scheme,
 		Target: forwarder.New(nil), Runtime: runtime, Log: logger,
 	})
 	return o.Serve(agent, process.DrainTimeout, logger)
