Admitter: whole requests keep a share of a target's places from unfinished ones

Cause: admission did not tell a request whose body has arrived from one that waits for it.

Change: when a whole request is refused for want of room, its target keeps a quarter of its slots and connections for whole ones during the next 10 s. Without such refusals uploads may have all of them, so none stays empty. A request that can run is not queued behind those that cannot. A body that breaks off is no service time.

Evidence: TestUnfinishedRequestsLeaveAShareToWholeOnes.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -23,6 +23,8 @@
 	// announcementLifetime is how long a target counts as present after it announced
 	// itself.
 	announcementLifetime = 3 * time.Second
+	// wholeShareWindow is how long after the refusal of a whole request its target keeps a share of its places for such.
+	wholeShareWindow = 10 * time.Second
 	// maxTargets and maxTargetBytes bound the targets that are remembered, and the size of what they announce in bytes. It is
 	// reported to each entry as a whole, in a message that may have 8 MiB.
 	maxTargets, maxTargetBytes = 1024, 2 << 20
@@ -65,7 +67,9 @@
 	// MaxQueued bounds the queued requests of the kind at the target.
 	MaxQueued int
 	// Feed marks a long-lived event stream, which takes a connection but no slot.
-	Feed     bool
+	Feed bool
+	// Unfinished marks a request whose body has not arrived as a whole: it holds its place for as long as its caller takes.
+	Unfinished bool
 	Deadline time.Time
 
 	state charter.State
@@ -116,6 +120,10 @@
 	// openRequests counts the running and queued requests, each of which takes a
 	// connection.
 	openRequests  int
+	// unfinished counts the open requests whose body had not arrived, and unfinishedRunning those of them that take a slot.
+	unfinished, unfinishedRunning int
+	// wholeShareUntil is until when a share of the places is kept for whole requests.
+	wholeShareUntil time.Time
 	runningByKind map[string]int
 	// queue is sorted by precedes.
 	queue []*Request
@@ -264,13 +272,19 @@
 	r.state = requestChart.Initial
 	t, err := a.checkAdmission(now, r)
 	if err != nil {
+		if t != nil && !r.Unfinished && err.Code == plantainrail.CodeOverloaded {
+			t.wholeShareUntil = now.Add(wholeShareWindow)
+		}
 		r.state, _ = requestChart.Next(r.state, "refuse")
 		return Decision{r.state, err}
 	}
 	a.requests[r.ID] = r
 	r.admittedBy = t
 	t.openRequests++
-	if t.canRun(r) && len(t.queue) == 0 {
+	if r.Unfinished {
+		t.unfinished++
+	}
+	if t.canRun(now, r) && !slices.ContainsFunc(t.queue, func(q *Request) bool { return t.canRun(now, q) }) {
 		a.start(now, t, r)
 		return Decision{State: r.state}
 	}
@@ -279,8 +293,8 @@
 	return Decision{State: r.state}
 }
 
-// checkAdmission returns the target that may take the request, or the reason for
-// rejecting it.
+// checkAdmission returns the target that the request is for, if it is here, and the reason for
+// rejecting the request, or nil.
 func (a *Admitter) checkAdmission(now time.Time, r *Request) (*target, *plantainrail.Error) {
 	t, ok := a.targets[r.Target]
 	switch {
@@ -293,27 +307,41 @@
 	case !now.Before(r.Deadline):
 		return nil, plantainrail.NewError(plantainrail.CodeDeadlinePassed, "at the agent")
 	case t.openRequests >= t.info.Connections:
-		return nil, plantainrail.NewError(plantainrail.CodeOverloaded, "all %d connections are open", t.info.Connections)
-	case !t.canRun(r) && t.queuedOfKind(r.Kind) >= r.MaxQueued:
-		return nil, plantainrail.NewError(plantainrail.CodeOverloaded, "the queue of kind %s is full", r.Kind)
+		return t, plantainrail.NewError(plantainrail.CodeOverloaded, "all %d connections are open", t.info.Connections)
+	case r.Unfinished && t.unfinished >= t.info.Connections-t.wholeShare(now, t.info.Connections):
+		return t, plantainrail.NewError(plantainrail.CodeOverloaded, "%d requests wait for their bodies", t.unfinished)
+	case !t.canRun(now, r) && t.queuedOfKind(r.Kind) >= r.MaxQueued:
+		return t, plantainrail.NewError(plantainrail.CodeOverloaded, "the queue of kind %s is full", r.Kind)
 	case t.wouldMissDeadline(now, r):
-		return nil, plantainrail.NewError(plantainrail.CodeOverloaded, "the wait would pass the deadline")
+		return t, plantainrail.NewError(plantainrail.CodeOverloaded, "the wait would pass the deadline")
 	}
 	return t, nil
 }
 
 // canRun reports whether the target's slots and the kind's limit let a request run now.
 // Neither applies to an event stream.
-func (t *target) canRun(r *Request) bool {
+func (t *target) canRun(now time.Time, r *Request) bool {
 	if r.Feed {
 		return true
 	}
+	if r.Unfinished && t.unfinishedRunning >= t.info.Slots-t.wholeShare(now, t.info.Slots) {
+		return false
+	}
 	if r.MaxRunning > 0 && t.runningByKind[r.Kind] >= r.MaxRunning {
 		return false
 	}
 	return t.running < t.info.Slots
 }
 
+// wholeShare returns how many of a number of places are kept for whole requests: a quarter, but not the only one, while such
+// requests are refused, and none otherwise.
+func (t *target) wholeShare(now time.Time, places int) int {
+	if !now.Before(t.wholeShareUntil) {
+		return 0
+	}
+	return min(max(1, places/4), places-1)
+}
+
 // queuedOfKind counts the queued requests of a kind.
 func (t *target) queuedOfKind(kind string) int {
 	n := 0
@@ -330,7 +358,7 @@
 // the request can run at once, that is, if canRun is true, or if no service time was
 // measured yet.
 func (t *target) wouldMissDeadline(now time.Time, r *Request) bool {
-	if t.canRun(r) || t.meanServiceTime == 0 {
+	if t.canRun(now, r) || t.meanServiceTime == 0 {
 		return false
 	}
 	// The request waits until as many requests have ended as are queued ahead of it, and
@@ -375,6 +403,9 @@
 	}
 	t.running++
 	t.runningByKind[r.Kind]++
+	if r.Unfinished {
+		t.unfinishedRunning++
+	}
 }
 
 // Finish ends a running request with the event "finish", "fail" or "reject"; "reject"
@@ -390,7 +421,13 @@
 	if !r.Feed {
 		t.running--
 		t.runningByKind[r.Kind]--
-		t.recordServiceTime(now.Sub(r.startedAt))
+		if r.Unfinished {
+			t.unfinishedRunning--
+		}
+		if !r.Unfinished || event == "finish" {
+			// What a target waits for a body that never ends is no service time.
+			t.recordServiceTime(now.Sub(r.startedAt))
+		}
 	}
 	a.endRequest(r, event, now)
 	return a.startQueued(now, t)
@@ -415,7 +452,7 @@
 		case !now.Before(q.Deadline):
 			a.endRequest(q, "expire", now)
 			expired = append(expired, q)
-		case t.canRun(q):
+		case t.canRun(now, q):
 			a.start(now, t, q)
 			started = append(started, q)
 		default:
@@ -433,6 +470,9 @@
 func (a *Admitter) endRequest(r *Request, event charter.Event, now time.Time) {
 	r.state, _ = requestChart.Next(r.state, event)
 	r.admittedBy.openRequests--
+	if r.Unfinished {
+		r.admittedBy.unfinished--
+	}
 	r.admittedBy = nil
 	a.ended = append(a.ended, endedRequest{r.ID, now})
 	for len(a.ended) > 0 && (len(a.ended) > maxEndedRequests || (!now.IsZero() && now.Sub(a.ended[0].endedAt) > endedRetention && !a.ended[0].endedAt.IsZero())) {
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -110,6 +110,7 @@
 				r := request(id)
 				r.Deadline = now.Add(time.Duration(rapid.IntRange(-1, 3).Draw(t, "deadline")) * time.Second)
 				r.Weight = rapid.IntRange(1, 3).Draw(t, "weight")
+				r.Unfinished = rapid.Bool().Draw(t, "unfinished")
 				if d := a.Offer(now, r); d.State == RequestRunning {
 					if leaving {
 						t.Fatal("a leaving target started a request")
@@ -175,3 +176,27 @@
 	assert.Assert(t, a.Announce(now.Add(time.Minute), info))
 	assert.Equal(t, len(a.Loads(now.Add(time.Minute))), 1)
 }
+
+// Guards against callers whose bodies stall and that take all places of a target, and against a share that is kept while
+// nobody needs it.
+func TestUnfinishedRequestsLeaveAShareToWholeOnes(t *testing.T) {
+	a, now := withTarget(4, 8), baseTime
+	offer := func(id string, unfinished bool) charter.State {
+		r := request(id)
+		r.Deadline, r.Unfinished = now.Add(time.Minute), unfinished
+		return a.Offer(now, r).State
+	}
+	for i := range 8 {
+		assert.Equal(t, offer(fmt.Sprint("u", i), true) == RequestRunning, i < 4, "all slots are for them until a whole one is refused")
+	}
+	assert.Equal(t, offer("whole", false), RequestRefused)
+	a.Finish(now, "u0", "fail")
+	started, _ := a.Finish(now, "u1", "fail")
+	assert.Equal(t, len(started), 1, "one of the two free slots is kept")
+	assert.Equal(t, offer("again", true), RequestRefused)
+	assert.Equal(t, offer("whole", false), RequestRunning, "ahead of those that wait")
+	now = now.Add(wholeShareWindow)
+	a.Announce(now, plantainrail.TargetInfo{Name: "t", Incarnation: "1", Kinds: []string{"match"}, Slots: 4, Connections: 8})
+	started, _ = a.Finish(now, "whole", "finish")
+	assert.Equal(t, len(started), 1, "the share is given back")
+}
--- a/agent/request.go
+++ b/agent/request.go
@@ -43,7 +43,7 @@
 // serve admits a request, forwards it to its target and delivers the response.
 func (a *Agent) serve(l *entrySession, st *linker.Stream, f linker.Frame) {
 	e := newExchange(a.lifetime, *f.Open, st)
-	decision := a.offer(l, e)
+	decision := a.offer(l, e, !f.End)
 	if decision.Err != nil {
 		sendAbort(st, decision.Err)
 		return
@@ -65,8 +65,8 @@
 }
 
 // offer admits, queues or rejects a request, and registers its exchange unless it is
-// rejected.
-func (a *Agent) offer(l *entrySession, e *exchange) admitter.Decision {
+// rejected. A request is unfinished if its body has not arrived as a whole.
+func (a *Agent) offer(l *entrySession, e *exchange, unfinished bool) admitter.Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
@@ -77,7 +77,7 @@
 	o := e.request
 	decision := a.admitter.Offer(now, &admitter.Request{
 		ID: o.ID, Kind: o.Kind, Target: o.Target, Weight: o.Weight, MaxRunning: o.MaxRunning,
-		MaxQueued: o.MaxQueued, Feed: o.Feed, Deadline: o.Deadline,
+		MaxQueued: o.MaxQueued, Feed: o.Feed, Deadline: o.Deadline, Unfinished: unfinished,
 	})
 	if decision.Err == nil {
 		a.exchanges[o.ID] = e
