Limiter: the framing of bodies that are passed on is paced

Cause: bodies that are passed on were not paced, since their bytes are held back by their target. The bytes of the framing are not: 1.6 MB are parsed for 262 KB, and again from each client that was dropped.

An upload in ordinary chunks has some bytes of framing for each chunk and is not paced.

Evidence: TestLongBodiesArePaced has both.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -369,6 +369,7 @@
 	if err == io.EOF {
 		s.request.Trailer = nil
 	}
+	pool.passedOn(s.conn, n)
 	if cause := pool.exchange(s.conn, Body, Serving); cause != None {
 		if s.conn.committed.Load() {
 			s.conn.abort()
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -48,6 +48,8 @@
 	// items counts those of the header, and unread those that were read after it: the server may still hold them unread
 	// when the next request begins.
 	items, unread int64
+	// framing is how many bytes of a body that is passed on were not part of it: what chunks are made of.
+	framing int64
 	// reserved is the cost of the request in bytes.
 	reserved int64
 	// cause is set once the connection is refused.
@@ -128,9 +130,22 @@
 	l.allowance = min(l.allowance+int64(float64(l.budget.BodyRate)*d.Seconds()), 2*l.rules.BodyBytes)
 }
 
-// Long reports whether a client has sent more of a body than ordinary ones have.
+// Long reports whether a client has sent more of a body than ordinary ones have. Of one that is passed on only the framing
+// counts: its bytes are paced by the target, and very small chunks cost much more than their bytes.
 func (l *Ledger) Long(c *Client) bool {
-	return c.phase == Body && c.received > pacedBytes && l.budget.BodyRate > 0
+	sent := c.received
+	if l.streams {
+		sent = c.framing
+	}
+	return c.phase == Body && sent > pacedBytes && l.budget.BodyRate > 0
+}
+
+// PassedOn counts bytes of a body that were passed on, which are no framing.
+func (l *Ledger) PassedOn(c *Client, n int64) {
+	if l.Long(c) {
+		l.allowance += n
+	}
+	c.framing -= n
 }
 
 // StopPacing lets long bodies be read at once. It is called when a process stops, which would wait for them.
@@ -191,6 +206,7 @@
 	c.phase, c.since, c.progressAt, c.received, c.marked = p, now, now, 0, 0
 	switch p {
 	case Idle:
+		c.framing = 0
 		l.release(c)
 		l.idle.append(c)
 		c.items = c.unread
@@ -243,6 +259,9 @@
 	} else {
 		c.unread += items.Header
 	}
+	if c.phase == Body && l.streams {
+		c.framing += n
+	}
 	if l.Long(c) {
 		l.allowance -= n
 	}
--- a/limiter/ledger_test.go
+++ b/limiter/ledger_test.go
@@ -197,4 +197,18 @@
 	l.Received(start, c, 2*maxBody, limiter.Items{})
 	l.StopPacing()
 	assert.Assert(t, !l.Paced(c), "the process stops")
+	l = limiter.NewLedger(limiter.Budget{Connections: 10, Bytes: 1 << 40, Heap: 1 << 40, BodyRate: 1 << 20}, limiter.NewRules(plantainrail.ClientLimits{}, maxBody))
+	l.StreamBodies()
+	upload, _ := l.Connect(start)
+	chunks, _ := l.Connect(start)
+	for range 1000 {
+		for _, c := range []*limiter.Client{upload, chunks} {
+			l.Enter(start, c, limiter.Body)
+			l.Received(start, c, 4096, limiter.Items{})
+		}
+		l.PassedOn(upload, 4096-8)
+		l.PassedOn(chunks, 4096/6)
+		assert.Assert(t, !l.Paced(upload))
+	}
+	assert.Assert(t, l.Paced(chunks), "chunks of one byte, passed on")
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -264,6 +264,13 @@
 	return c.client.cause
 }
 
+// passedOn counts bytes of a body that a handler has read.
+func (p *pool) passedOn(c *conn, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ledger.PassedOn(c.client, int64(n))
+}
+
 // interrupt ends the reads of refused clients, whose handlers or connections then respond. Those without a
 // request are closed. The caller holds the lock.
 func (p *pool) interrupt(refused []*Client) {
