--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -70,7 +70,7 @@
 	Feed bool
 	// Unfinished marks a request whose body has not arrived as a whole: it holds its place for as long as its caller takes.
 	Unfinished bool
-	Deadline time.Time
+	Deadline   time.Time
 
 	state charter.State
 	// startedAt is when the request took its slot; zero while it is queued.
@@ -119,12 +119,12 @@
 	running int
 	// openRequests counts the running and queued requests, each of which takes a
 	// connection.
-	openRequests  int
+	openRequests int
 	// unfinished counts the open requests whose body had not arrived, and unfinishedRunning those of them that take a slot.
 	unfinished, unfinishedRunning int
 	// wholeShareUntil is until when a share of the places is kept for whole requests.
 	wholeShareUntil time.Time
-	runningByKind map[string]int
+	runningByKind   map[string]int
 	// queue is sorted by precedes.
 	queue []*Request
 	// meanServiceTime is an exponential moving average; 0 before the first sample.
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -140,18 +140,21 @@
 					leaving = true
 				}
 			},
-			"": func(t *rapid.T) {
-				if len(running) > slots {
-					t.Fatalf("%d requests are running in %d slots", len(running), slots)
-				}
-				if a.OpenRequests() > connections {
-					t.Fatalf("%d requests are open on %d connections", a.OpenRequests(), connections)
-				}
-			},
+			"": func(t *rapid.T) { checkLimits(t, a, len(running), slots, connections) },
 		})
 	})
 }
 
+// checkLimits checks that no more requests run and are open than a target has slots and connections.
+func checkLimits(t *rapid.T, a *Admitter, running, slots, connections int) {
+	if running > slots {
+		t.Fatalf("%d requests are running in %d slots", running, slots)
+	}
+	if a.OpenRequests() > connections {
+		t.Fatalf("%d requests are open on %d connections", a.OpenRequests(), connections)
+	}
+}
+
 // Guards against targets and leaves without number, which a process on the VM could announce. Targets whose announcement
 // has expired make room.
 func TestTargetsAreBounded(t *testing.T) {
