Soaker: names of crowds say what they cost by

The crowd of 480 was called small beside one of 240, and a parameter "of". No row, crowd or bound changes, but for the name of the row pipelined headers.

--- a/soaker/limits_test.go
+++ b/soaker/limits_test.go
@@ -52,8 +52,8 @@
 	duration             time.Duration
 }
 
-// bodyCrowd is costly by the bytes that it sends, and smallCrowd by something else.
-var bodyCrowd, smallCrowd = crowd{crowdSize, limitedDescriptors, crowdDuration}, crowd{480, 620, 3 * time.Second}
+// bodyCrowd is costly by the bytes that it sends, and itemCrowd by the number of lines, elements or connections.
+var bodyCrowd, itemCrowd = crowd{crowdSize, limitedDescriptors, crowdDuration}, crowd{480, 620, 3 * time.Second}
 
 const limitsHeader = "POST /q/%016x HTTP/1.1\r\nHost: desk.example\r\n"
 
@@ -123,8 +123,8 @@
 	return out.String()
 }
 
-// headBytes is what the lines of a legal header have, besides the first ones.
-const headBytes = 16_000
+// headerBytes is what the lines of a legal header have, besides the first ones.
+const headerBytes = 16_000
 
 // crowdRow is a load of misbehaving clients.
 type crowdRow struct {
@@ -148,18 +148,18 @@
 		}
 	}
 	short, length := strings.Repeat(" ", body-1), fmt.Sprintf("Content-Length: %d\r\n\r\n", body)
-	head := shortLines(headBytes)
+	head := shortLines(headerBytes)
 	tokens := "Trailer: " + strings.TrimSuffix(strings.NewReplacer(":\n", ",").Replace(head), ",") + "\r\n"
 	return []crowdRow{
 		{"short lines", send(head)},
-		{"short lines of one name", send(strings.Repeat("a:\n", headBytes/3))},
-		{"folded lines", send("a:\n" + strings.Repeat(" b\n", headBytes/3))},
+		{"short lines of one name", send(strings.Repeat("a:\n", headerBytes/3))},
+		{"folded lines", send("a:\n" + strings.Repeat(" b\n", headerBytes/3))},
 		{"short lines before a body", send(head + length + short)},
 		{"tokens of a header line", send(tokens + "Transfer-Encoding: chunked\r\n\r\n1\r\n")},
 		{"long path", func(c net.Conn, n int) {
-			_, _ = fmt.Fprintf(c, "POST /q/%016x%s HTTP/1.1\r\nHost: desk.example\r\n", n, strings.Repeat("%2f", headBytes/3))
+			_, _ = fmt.Fprintf(c, "POST /q/%016x%s HTTP/1.1\r\nHost: desk.example\r\n", n, strings.Repeat("%2f", headerBytes/3))
 		}},
-		{"pipelined heads", send("Content-Length: 2\r\n\r\n{}" + strings.SplitAfter(post, "\n")[0] + head[:3600])},
+		{"pipelined headers", send("Content-Length: 2\r\n\r\n{}" + strings.SplitAfter(post, "\n")[0] + head[:3600])},
 		{"short lines without end", endless("GET / HTTP/1.1\r\n", head)},
 		{"one line without end", endless("GET / HTTP/1.1\r\nX: ", strings.Repeat("x", 64<<10))},
 		{"empty lines", emptyLines},
@@ -215,7 +215,7 @@
 
 // Guards against costs that are paid by line, token, element or connection but counted by bytes sent.
 func TestMisbehavingClientsOfEntry(t *testing.T) {
-	playCrowds(t, startEntry, smallCrowd, append(commonRows(limitsHeader, largeBody), jobRows()...))
+	playCrowds(t, startEntry, itemCrowd, append(commonRows(limitsHeader, largeBody), jobRows()...))
 }
 
 // Guards against the same on the listener for the worker's heartbeats.
@@ -227,7 +227,7 @@
 		}
 	}
 	const largest = 4 << 20
-	playCrowds(t, startAgent, smallCrowd, append(commonRows(post, largest),
+	playCrowds(t, startAgent, itemCrowd, append(commonRows(post, largest),
 		crowdRow{"many labels", whole(`{"labels":["l"` + strings.Repeat(`,""`, (largest-30)/3) + `]}`)},
 		crowdRow{"labels that are no UTF-8", whole(`{"labels":["` + strings.Repeat("\xff", largest-30) + `"]}`)}))
 }
@@ -240,7 +240,7 @@
 			playCrowds(t, func(t *testing.T, s *subject) {
 				startEntry(t, s)
 				s.crowded = fmt.Sprintf("%s:%d", s.ip, port)
-			}, smallCrowd, rows[:2])
+			}, itemCrowd, rows[:2])
 		})
 	}
 }
@@ -259,9 +259,9 @@
 // Guards against the same on the product's own interface, and against what it keeps of each request.
 func TestMisbehavingClientsOfOwnEntry(t *testing.T) {
 	const post = "POST /match HTTP/1.1\r\nHost: desk.example\r\nX-N: %016x\r\n"
-	playCrowds(t, startOwn("entry"), smallCrowd, append(commonRows(post, largeBody),
-		crowdRow{"unknown paths", pipelined("GET /%016x" + strings.Repeat("x", headBytes-100) + " HTTP/1.1\r\nHost: h\r\n\r\n")},
-		crowdRow{"unknown kinds", pipelined("GET /%016x HTTP/1.1\r\nHost: h\r\nX-Kind: " + strings.Repeat("x", headBytes-100) + "\r\n\r\n")}))
+	playCrowds(t, startOwn("entry"), itemCrowd, append(commonRows(post, largeBody),
+		crowdRow{"unknown paths", pipelined("GET /%016x" + strings.Repeat("x", headerBytes-100) + " HTTP/1.1\r\nHost: h\r\n\r\n")},
+		crowdRow{"unknown kinds", pipelined("GET /%016x HTTP/1.1\r\nHost: h\r\nX-Kind: " + strings.Repeat("x", headerBytes-100) + "\r\n\r\n")}))
 }
 
 // Guards against the same on the listener for targets.
@@ -271,23 +271,23 @@
 	whole := func(path, body string) misbehaviour {
 		return pipelined(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, len(body)+11, body))
 	}
-	playCrowds(t, startOwn("agent"), smallCrowd, append(commonRows(post, 64<<10),
+	playCrowds(t, startOwn("agent"), itemCrowd, append(commonRows(post, 64<<10),
 		crowdRow{"many targets", whole("/announce", `{"name":"%016x","incarnation":"i","address":"a","kinds":["`+text+`"],"slots":1,"connections":1}`)},
 		crowdRow{"leaves of unknown targets", whole("/leave", `{"name":"%016x`+text+`","incarnation":"i"}`)}))
 }
 
 // playCrowds starts a process for each load and one more for their mixture, and plays the load.
-func playCrowds(t *testing.T, start func(*testing.T, *subject), of crowd, rows []crowdRow) {
+func playCrowds(t *testing.T, start func(*testing.T, *subject), size crowd, rows []crowdRow) {
 	program := filepath.Join(t.TempDir(), "plantainrail")
 	output, err := exec.Command("go", "build", "-o", program, "../cmd/plantainrail").CombinedOutput()
 	assert.NilError(t, err, "%s", output)
 	mixture := crowdRow{"mixture", func(c net.Conn, n int) { rows[n%len(rows)].send(c, n) }}
 	for _, row := range append(rows, mixture) {
 		t.Run(row.name, func(t *testing.T) {
-			s := &subject{program: program, ip: loopback(), memory: limitedMemoryMB << 20, descriptors: of.descriptors}
+			s := &subject{program: program, ip: loopback(), memory: limitedMemoryMB << 20, descriptors: size.descriptors}
 			s.crowded = fmt.Sprintf("%s:%d", s.ip, limitsPort+1)
 			start(t, s)
-			playCrowd(t, s, of, row.send)
+			playCrowd(t, s, size, row.send)
 		})
 	}
 }
@@ -308,7 +308,7 @@
 	check func(t *testing.T)
 }
 
-// run starts the program as the process under test.
+// run starts the program as the process under test, with its number of descriptors as the limit of the system.
 func (s *subject) run(t *testing.T, environment []string, arguments ...string) {
 	t.Helper()
 	c := exec.Command("sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$@"`, s.descriptors), "sh", s.program}, arguments...)...)
@@ -441,19 +441,19 @@
 
 // playCrowd lets the crowd loose on a process, with an ordinary client beside it, and checks what the process holds at
 // most and that ordinary requests are served, also before the crowd has gone.
-func playCrowd(t *testing.T, s *subject, of crowd, send misbehaviour) {
+func playCrowd(t *testing.T, s *subject, size crowd, send misbehaviour) {
 	waitUntil(t, s, "the first ordinary request", func() bool { return s.ask(1 << 40) })
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var clients sync.WaitGroup
-	for n := range of.clients {
-		clients.Go(func() { misbehave(ctx, s.crowded, n, of.clients, send) })
+	for n := range size.clients {
+		clients.Go(func() { misbehave(ctx, s.crowded, n, size.clients, send) })
 	}
 	measured, stop := context.WithCancel(t.Context())
 	var memory int64
 	var sockets int
 	clients.Go(func() { memory, sockets = s.measure(measured) })
-	next, end := 1<<40+1, time.Now().Add(of.duration)
+	next, end := 1<<40+1, time.Now().Add(size.duration)
 	for ; time.Now().Before(end); next++ {
 		s.ask(next)
 		time.Sleep(100 * time.Millisecond)
