--- a/review/probe/fleet.go
+++ b/review/probe/fleet.go
@@ -72,9 +72,9 @@
 
 // process is an entry or an agent.
 type process struct {
-	name, ip string
-	command  *exec.Cmd
-	exited   chan struct{}
+	name, role, ip string
+	command        *exec.Cmd
+	exited         chan struct{}
 }
 
 // newFleet returns a fleet with a store and no processes. Its record is in the folder.
@@ -229,23 +229,32 @@
 	if err := os.WriteFile(path+".conf", []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(path + ".log")
+	p := &process{name: name, role: role, ip: ip}
+	return p, f.restart(p)
+}
+
+// restart starts a process that has ended, or was not started yet, with its settings.
+func (f *fleet) restart(p *process) error {
+	path := filepath.Join(f.folder, p.name)
+	log, err := os.OpenFile(path+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer func() { _ = log.Close() }()
-	c := exec.Command("target/plantainrail", "node", role)
-	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PLANTAINRAIL_NODE_FILE=" + path + ".conf"}
+	c := exec.Command("target/plantainrail", "node", p.role)
+	// A machine shows one core to its processes.
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOMAXPROCS=1", "PLANTAINRAIL_NODE_FILE=" + path + ".conf"}
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
-		return nil, err
+		return err
 	}
-	p := &process{name: name, ip: ip, command: c, exited: make(chan struct{})}
+	exited := make(chan struct{})
+	p.command, p.exited = c, exited
 	go func() {
 		_ = c.Wait()
-		close(p.exited)
+		close(exited)
 	}()
-	return p, nil
+	return nil
 }
 
 // close ends all processes and removes the temporary folder, unless KEEP is set.
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -17,6 +17,7 @@
 
 // cases holds the cases by name. A case reports whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
+	"memory":      playMemory,
 	"crashes":     playCrashes,
 	"cancel":      playCancel,
 	"checkpoints": playCheckpoints,
--- a/review/probe/minion.go
+++ b/review/probe/minion.go
@@ -72,7 +72,9 @@
 	gang               int
 	lasts              bool
 	stopAt, checkpoint time.Time
-	seen               bool
+	// seen is set once the members of a gang were together, noted once the agent has taken note of the end, and lapsed
+	// if the lease of the minion lapsed between the two.
+	seen, noted, lapsed bool
 }
 
 // group is what the members of a gang have in common.
@@ -120,6 +122,10 @@
 // crash ends all runs, and the minion is away for a time.
 func (m *minion) crash(away time.Duration) {
 	m.world.mu.Lock()
+	if m.down {
+		m.world.mu.Unlock()
+		return
+	}
 	m.world.fleet.noteLater("%s crashes", m.id)
 	for _, t := range m.running {
 		t.ended, t.how = time.Now(), "gone"
@@ -190,6 +196,7 @@
 		}
 	}
 	for _, m := range w.minions {
+		m.noteLapse()
 		for _, t := range m.running {
 			together := t.gang == 0 || present[t.group()] >= t.gang
 			switch {
@@ -216,6 +223,17 @@
 	}
 }
 
+// noteLapse notes that the lease has lapsed before the ends that are still listed were taken note of. The caller
+// holds the lock.
+func (m *minion) noteLapse() {
+	if time.Now().Before(m.lease) {
+		return
+	}
+	for _, t := range m.ends {
+		t.lapsed = true
+	}
+}
+
 // finish ends a task, or all members of its gang, as done. The caller holds the lock.
 func (w *world) finish(t *task) {
 	if t.gang == 0 {
@@ -354,8 +372,12 @@
 // hold renews the lease and lists the runs and ends.
 func (m *minion) hold(w http.ResponseWriter, req *http.Request, c call) {
 	const maxListed = 500
+	m.noteLapse()
 	m.extend(c.Deadline)
-	m.ends = slices.DeleteFunc(m.ends, func(t *task) bool { return t.number <= c.LastSeen })
+	m.ends = slices.DeleteFunc(m.ends, func(t *task) bool {
+		t.noted = t.noted || t.number <= c.LastSeen && !t.lapsed
+		return t.number <= c.LastSeen
+	})
 	ctx, cancel := context.WithTimeout(req.Context(), time.Duration(c.Wait)*time.Millisecond)
 	defer cancel()
 	life := m.life
