--- a/review/probe/checkpoints.go
+++ b/review/probe/checkpoints.go
@@ -31,7 +31,7 @@
 		}
 	}
 	time.Sleep(2 * contactTime)
-	body := fmt.Sprintf(`{"spec":"work 6000","steps":[{"count":%d,"cpu":100,"memMb":100,"estimateMs":6000,"checkpointing":true},{"count":1,"cpu":100,"memMb":100,"estimateMs":500,"dependsOn":[0]}]}`, tasks)
+	body := fmt.Sprintf(`{"spec":"vary 6000","steps":[{"count":%d,"cpu":100,"memMb":100,"estimateMs":8000,"checkpointing":true},{"count":1,"cpu":100,"memMb":100,"estimateMs":500,"dependsOn":[0]}]}`, tasks)
 	if err := f.submit(id, body); err != nil {
 		return false, err
 	}
--- a/review/probe/crashes.go
+++ b/review/probe/crashes.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// playCrashes crashes three minions, one after the other and each once, shortly after it has begun the only
+// playCrashes crashes three of eight minions, one after the other and each once, shortly after it has begun the only
 // task of a sound job. The job must not be shown as failed: no run of it has ended so.
 func playCrashes(f *fleet, trouble bool) (broken bool, err error) {
 	const (
-		minions = 5
+		minions = 8
 		id      = "00000000000000a1"
 		// crashDelay is the time from the begin of the run to the crash, and downTime how long the minion is away.
 		crashDelay = 150 * time.Millisecond
--- a/review/probe/fleet.go
+++ b/review/probe/fleet.go
@@ -98,7 +98,7 @@
 		intercept := f.intercept
 		f.mu.Unlock()
 		if intercept == nil || !intercept(w, req) {
-			f.store.ServeHTTP(w, req)
+			f.pageStore(w, req)
 		}
 	}))
 	return f, err
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes.
@@ -18,6 +20,7 @@
 // cases holds the cases by name. A case reports whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"memory":      playMemory,
+	"settings":    playSettings,
 	"crashes":     playCrashes,
 	"cancel":      playCancel,
 	"checkpoints": playCheckpoints,
@@ -37,6 +40,13 @@
 		return exitFailed
 	}
 	defer f.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		f.close()
+		os.Exit(exitFailed)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	f.note("case %s, trouble %t", os.Args[1], trouble)
 	broken, err := cases[os.Args[1]](f, trouble)
--- a/review/probe/memory.go
+++ b/review/probe/memory.go
@@ -66,7 +66,7 @@
 		largeSteps = 8000
 		retries    = 4
 		// watched is the time after the last job.
-		watched = 55 * time.Second
+		watched = 40 * time.Second
 		// A day has a fault if on two machines at least processes end by themselves three times.
 		machines, times = 2, 3
 	)
--- a/review/probe/minion.go
+++ b/review/probe/minion.go
@@ -36,7 +36,8 @@
 }
 
 // minion is a stand-in for a minion with checkpoints and gangs. Its tasks have the spec "work MS", "last" or
-// "gang N MS": then N tasks of the step work together.
+// "gang N MS": then N tasks of the step work together. The tasks of a step with the spec "vary MS" take up to nine
+// tenths longer, as their numbers end.
 type minion struct {
 	world       *world
 	id, address string
@@ -349,15 +350,22 @@
 	}
 	t := &task{minion: m, name: c.Task, spec: c.Spec, run: c.Run, began: time.Now(), saved: c.Checkpoint, given: c.Checkpoint, checkpoint: time.Now()}
 	words := strings.Fields(c.Spec)
+	if len(words) == 0 {
+		words = []string{"work", "0"}
+	}
 	switch {
 	case c.Spec == "last":
 		t.lasts = true
-	case len(words) > 0 && words[0] == "gang":
+	case words[0] == "gang":
 		t.gang, _ = strconv.Atoi(words[1])
 		fallthrough
 	default:
 		ms, _ := strconv.Atoi(words[len(words)-1])
 		t.length = time.Duration(ms) * time.Millisecond
+		if words[0] == "vary" {
+			const tenths = 10
+			t.length += t.length / tenths * time.Duration(c.Task[len(c.Task)-1]-'0')
+		}
 	}
 	if progress, _, found := strings.Cut(c.Checkpoint, "x"); found {
 		ms, _ := strconv.Atoi(progress)
