Case 12: an agent is shut out by an entry that wakes

An entry that wakes from a freeze accepts sessions before it learns that it is replaced, and never closes them.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/review-probe ] || exit 2
-exec target/review-probe crashes review/12
+exec target/review-probe wake review/12
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"memory":      playMemory,
 	"settings":    playSettings,
+	"wake":        playWake,
 	"crashes":     playCrashes,
 	"cancel":      playCancel,
 	"checkpoints": playCheckpoints,
