--- a/review/probe/wake.go
+++ b/review/probe/wake.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -111,11 +112,14 @@
 		// maxFreeze is that of the site file.
 		maxFreeze   = 4 * time.Second
 		agentFreeze = 450 * time.Millisecond
-		watched     = 45 * time.Second
+		watched     = 30 * time.Second
+		// The owner freezes again if the task of no minion has lapsed after settleTime.
+		tries      = 3
+		settleTime = 10 * time.Second
 		// A task that lasts has to run from 6 s after its last run on, if the 3 s and the 4 s before are calm.
 		limit = 13 * time.Second
 	)
-	if err := f.startEntries(3); err != nil {
+	if err := f.startEntries(2); err != nil {
 		return false, err
 	}
 	workers, err := f.startRunners(minions)
@@ -130,10 +134,11 @@
 	if !f.await(startTime, func() bool { return active(workers) == minions }) {
 		return false, fmt.Errorf("not all tasks run")
 	}
-	if trouble {
+	for try := 0; trouble && try < tries && active(workers) == minions; try++ {
 		if err := f.freezeOwner(slowFor, maxFreeze, agentFreeze); err != nil {
 			return false, err
 		}
+		time.Sleep(settleTime)
 	}
 	var since time.Time
 	for until := time.Now().Add(watched); time.Now().Before(until); time.Sleep(time.Second) {
@@ -150,6 +155,41 @@
 	return !since.IsZero() && time.Since(since) > limit, nil
 }
 
+// awaitDial waits until another entry has claimed the jobs and an agent that has read this dials the frozen owner, and returns
+// the agent. The connections that were open before don't count. It returns nil if there is none at the given time.
+func (f *fleet) awaitDial(owner *process, before map[string]bool, claimed <-chan struct{}, until time.Time) *process {
+	// An agent gives a dial up after a second. A young one may not have sent its request yet.
+	const youngest, oldest = 50 * time.Millisecond, 450 * time.Millisecond
+	// readTime is what the agents take to read the claim from the slow store. An earlier dial is given up then.
+	const readTime = 350 * time.Millisecond
+	var claimedAt time.Time
+	seen := map[string]time.Time{}
+	for ; time.Now().Before(until); time.Sleep(time.Millisecond) {
+		select {
+		case <-claimed:
+			if claimedAt.IsZero() {
+				claimedAt = time.Now()
+				f.note("another entry claims the jobs")
+			}
+		default:
+		}
+		for _, agent := range f.agents {
+			for local := range connections(agent, owner) {
+				if seen[local].IsZero() {
+					seen[local] = time.Now()
+				}
+				age := time.Since(seen[local])
+				informed := !claimedAt.IsZero() && time.Since(claimedAt) >= readTime
+				if informed && !before[local] && age >= youngest && age <= oldest {
+					f.note("%s dials %s", agent.name, owner.name)
+					return agent
+				}
+			}
+		}
+	}
+	return nil
+}
+
 // freezeOwner freezes the owner and one agent; see playWake.
 func (f *fleet) freezeOwner(slowFor, maxFreeze, agentFreeze time.Duration) error {
 	owner, err := f.owner()
@@ -164,28 +204,13 @@
 		f.setIntercept(nil)
 	})
 	time.Sleep(agentFreeze)
-	before := map[*process]map[string]bool{}
+	before := map[string]bool{}
 	for _, agent := range f.agents {
-		before[agent] = connections(agent, owner)
+		maps.Copy(before, connections(agent, owner))
 	}
 	f.note("%s, which owns the jobs, freezes", owner.name)
 	_ = owner.command.Process.Signal(syscall.SIGSTOP)
-	woken := time.Now().Add(maxFreeze)
-	select {
-	case <-store.claimed:
-		f.note("another entry claims the jobs")
-	case <-time.After(maxFreeze):
-	}
-	var frozen *process
-	for frozen == nil && time.Now().Before(woken) {
-		for _, agent := range f.agents {
-			for local := range connections(agent, owner) {
-				if !before[agent][local] {
-					frozen = agent
-				}
-			}
-		}
-	}
+	frozen := f.awaitDial(owner, before, store.claimed, time.Now().Add(maxFreeze))
 	if frozen != nil {
 		f.note("%s freezes", frozen.name)
 		_ = frozen.command.Process.Signal(syscall.SIGSTOP)
