Log when agents' sessions are accepted and when they end

Why: the logs could not tell apart whether the entry that owns nothing had accepted a session after it learned of the claim, had accepted it before and not closed it, or had closed it without the agent's notice. The owner logged a session only once the agent had reported a worker.

--- a/decider/session.go
+++ b/decider/session.go
@@ -76,8 +76,10 @@
 	session.KeepAlive()
 	session.ShareParts(d.partSlots, o.requestRound)
 	a := &agentSession{owner: o, session: session, connectedAt: connectedAt, heardAt: connectedAt}
+	d.Logger.Info("agent connected", zap.Int64("epoch", o.epoch), zap.String("from", req.RemoteAddr))
 	err = session.Run(context.WithoutCancel(req.Context()), a)
 	o.removeAgent(a, err)
+	d.Logger.Info("agent disconnected", zap.Int64("epoch", o.epoch), zap.String("from", req.RemoteAddr), zap.Bool("reported", !a.incarnation.IsZero()), zap.Bool("silent", session.Silent()))
 }
 
 // Owns reports whether the entry owns the jobs and has finished taking them
