Close all sessions when the ownership ends, also those without a report

Cause: owner.stop closed the sessions in owner.agents, which holds those whose agents have reported. An entry that wakes from a freeze accepts sessions until it reads the claim of its successor. A session that was accepted before and whose agent reports after it was never closed, applyReport ignored its reports, and both ends kept it alive.

Evidence: on the code with the lines "agent connected" and "agent disconnected", the replaced owner accepts 15 sessions as it wakes; eight end at once, seven are closed 0.24 s later with the ownership, and the last one has no end. The agent logs "session opened" 0.2 s after the claim was read, and nothing after that.

Change: the owner keeps all open sessions from when they are accepted, and closes them all when it stops. A session whose acceptance crosses the end of the ownership is closed at once.

--- a/assembler/fleet_takeover_test.go
+++ b/assembler/fleet_takeover_test.go
@@ -301,9 +301,9 @@
 					session, known, _ := decider.Dial(f.ctx, client, e.decider.Address)
 					if session != nil {
 						session.Close()
-						known = e.decider.Address
+						known.Address = e.decider.Address
 					}
-					assert.Check(t, known == f.entries[owner].decider.Address, "%s names %q as the owner", e.name, known)
+					assert.Check(t, known.Address == f.entries[owner].decider.Address, "%s names %q as the owner", e.name, known.Address)
 				}
 			})
 		})
@@ -467,13 +467,14 @@
 					f.submit(1, "20000", []map[string]any{{"count": 6, "cpu": 1000}})
 					time.Sleep(200*time.Millisecond - held/2)
 					// What the owner sends on the next session of the agent is held up.
-					f.dialed = func(to *fleetVM) {
+					hold := func(to *fleetVM) {
 						if to == v {
-							f.dialed = nil
+							f.dialed.Store(nil)
 							f.net.setFault(link, repliesHeld)
 							time.AfterFunc(held, func() { f.net.setFault(link, healthy) })
 						}
 					}
+					f.dialed.Store(&hold)
 					f.net.setFault(link, down)
 					f.net.setFault(link, healthy)
 					time.Sleep(10 * time.Second)
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -43,8 +43,8 @@
 	vms          []*fleetVM
 	// agentReads is the number of the agents' reads of the store.
 	agentReads atomic.Int64
-	// dialed, if set, is called once an agent has opened a session.
-	dialed func(v *fleetVM)
+	// dialed, if set, is called once an agent has opened a session, before the agent goes on.
+	dialed atomic.Pointer[func(v *fleetVM)]
 	group  errgroup.Group
 }
 
@@ -262,10 +262,10 @@
 			member, err := decider.ParseMember(r)
 			return member.Address, member.Owner, member.Epoch, err
 		},
-		Dial: func(ctx context.Context, address string) (*linker.Session, string, error) {
+		Dial: func(ctx context.Context, address string) (*linker.Session, linker.Owner, error) {
 			session, owner, err := decider.Dial(ctx, entryClient, address)
-			if err == nil && f.dialed != nil {
-				f.dialed(v)
+			if dialed := f.dialed.Load(); err == nil && dialed != nil {
+				(*dialed)(v)
 			}
 			return session, owner, err
 		},
--- a/command/node/agent/agent.go
+++ b/command/node/agent/agent.go
@@ -83,7 +83,7 @@
 			member, err := decider.ParseMember(r)
 			return member.Address, member.Owner, member.Epoch, err
 		},
-		Dial: func(ctx context.Context, address string) (*linker.Session, string, error) {
+		Dial: func(ctx context.Context, address string) (*linker.Session, linker.Owner, error) {
 			return decider.Dial(ctx, entryClient, address)
 		},
 		Lease: decider.LeaseDuration, Heartbeats: heartbeats,
--- a/decider/dial.go
+++ b/decider/dial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/coder/websocket"
@@ -15,9 +16,8 @@
 const sessionDialTimeout = time.Second
 
 // Dial opens an agent's session with the entry at the address. If that entry does
-// not own the jobs, Dial returns an error and the owner's address, or an empty one
-// if the entry does not know the owner.
-func Dial(ctx context.Context, client *http.Client, address string) (session *linker.Session, owner string, err error) {
+// not own the jobs, Dial returns an error and what the entry knows about the owner.
+func Dial(ctx context.Context, client *http.Client, address string) (session *linker.Session, owner linker.Owner, err error) {
 	ctx, cancel := context.WithTimeout(ctx, sessionDialTimeout)
 	defer cancel()
 	connection, response, err := websocket.Dial(ctx, "ws://"+address+SessionPath, &websocket.DialOptions{
@@ -25,11 +25,13 @@
 	})
 	if err != nil {
 		if response != nil {
-			owner = response.Header.Get(OwnerHeader)
+			owner.Address = response.Header.Get(OwnerHeader)
 		}
 		return nil, owner, errors.Wrap(err, "open session")
 	}
+	// Entries of an earlier build leave out the header, and the epoch is 0.
+	owner.Epoch, _ = strconv.ParseInt(response.Header.Get(EpochHeader), 10, 64)
 	session = linker.New(connection)
 	session.KeepAlive()
-	return session, "", nil
+	return session, owner, nil
 }
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -41,7 +41,9 @@
 	ended bool
 	// planner is nil until the takeover is complete.
 	planner *planner.Planner
-	agents  map[plantainrail.WorkerIncarnation]*agentSession
+	// sessions holds the open sessions, and agents those whose agents have reported.
+	sessions map[*agentSession]bool
+	agents   map[plantainrail.WorkerIncarnation]*agentSession
 	// connectedAt is when the newest session of each node that has reported was opened, also after
 	// its end.
 	connectedAt map[string]time.Time
@@ -79,11 +81,11 @@
 func newOwner(d *Decider, epoch int64) *owner {
 	return &owner{
 		decider: d, epoch: epoch, done: make(chan struct{}), released: make(chan struct{}), roundRequested: make(chan struct{}, 1),
-		agents: map[plantainrail.WorkerIncarnation]*agentSession{}, connectedAt: map[string]time.Time{},
+		sessions: map[*agentSession]bool{}, agents: map[plantainrail.WorkerIncarnation]*agentSession{}, connectedAt: map[string]time.Time{},
 	}
 }
 
-// stop ends the ownership and closes the agents' sessions. It does nothing if the
+// stop ends the ownership and closes all sessions, also those whose agents have not reported. It does nothing if the
 // ownership has ended before.
 func (o *owner) stop(reason string) {
 	o.mu.Lock()
@@ -93,8 +95,8 @@
 	}
 	o.ended = true
 	close(o.done)
-	o.decider.Logger.Info("ownership lost", zap.Int64("epoch", o.epoch), zap.String("reason", reason))
-	for _, a := range o.agents {
+	o.decider.Logger.Info("ownership lost", zap.Int64("epoch", o.epoch), zap.String("reason", reason), zap.Int("sessions", len(o.sessions)))
+	for a := range o.sessions {
 		a.session.Close()
 	}
 }
--- a/decider/session.go
+++ b/decider/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/coder/websocket"
@@ -19,6 +20,8 @@
 	// OwnerHeader is the response header in which an entry that is not the owner
 	// gives the owner's address.
 	OwnerHeader = "Plantainrail-Owner"
+	// EpochHeader is the response header in which the owner gives its epoch when it accepts a session.
+	EpochHeader = "Plantainrail-Epoch"
 )
 
 // agentSession is the owner's end of a session with an agent.
@@ -67,6 +70,7 @@
 		return
 	}
 	connectedAt := d.Now()
+	w.Header().Set(EpochHeader, strconv.FormatInt(o.epoch, 10))
 	connection, err := websocket.Accept(w, req, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		d.Logger.Warn("agent's session refused", zap.Error(err))
@@ -77,8 +81,9 @@
 	session.ShareParts(d.partSlots, o.requestRound)
 	a := &agentSession{owner: o, session: session, connectedAt: connectedAt, heardAt: connectedAt}
 	d.Logger.Info("agent connected", zap.Int64("epoch", o.epoch), zap.String("from", req.RemoteAddr))
+	o.addSession(a)
 	err = session.Run(context.WithoutCancel(req.Context()), a)
-	o.removeAgent(a, err)
+	o.removeSession(a, err)
 	d.Logger.Info("agent disconnected", zap.Int64("epoch", o.epoch), zap.String("from", req.RemoteAddr), zap.Bool("reported", !a.incarnation.IsZero()), zap.Bool("silent", session.Silent()))
 }
 
@@ -106,11 +111,24 @@
 	return o.planner != nil && !o.ended
 }
 
-// removeAgent removes an agent whose session has ended, unless the agent never
-// reported or has a newer session. It logs the error of the session.
-func (o *owner) removeAgent(a *agentSession, err error) {
+// addSession adds a session that was accepted. The ownership may have ended since it was checked, as on an entry that
+// was suspended; the session is closed then.
+func (o *owner) addSession(a *agentSession) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.ended {
+		a.session.Close()
+		return
+	}
+	o.sessions[a] = true
+}
+
+// removeSession removes a session that has ended with the error, and its agent, unless the agent never
+// reported or has a newer session.
+func (o *owner) removeSession(a *agentSession, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.sessions, a)
 	if o.agents[a.incarnation] != a {
 		return
 	}
--- a/linker/work.go
+++ b/linker/work.go
@@ -2,6 +2,16 @@
 
 import "github.com/plantainrail/plantainrail"
 
+// Owner is what an entry tells an agent about the owner of the jobs when the agent opens a session.
+type Owner struct {
+	// Address is the host and port in the newest claim that the entry knows, if it does not own the jobs itself. It is
+	// empty if the entry knows no owner.
+	Address string
+	// Epoch is that of the entry's own ownership; 0 from an entry of an earlier build or one that does not own the
+	// jobs.
+	Epoch int64
+}
+
 // WorkReport is an agent's report on its worker to the owner.
 type WorkReport struct {
 	// Sequence is set if the report requests a renewal of the lease. The owner grants
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -38,8 +38,8 @@
 	MembersTopic string
 	ParseMember  func(plantainrail.KeyedRecord) (address string, owner bool, epoch int64, err error)
 	// Dial opens a session with the entry at an address. If that entry does not own
-	// the jobs, Dial returns an error and the owner's address, if known.
-	Dial func(ctx context.Context, address string) (session *linker.Session, owner string, err error)
+	// the jobs, Dial returns an error and what the entry knows about the owner.
+	Dial func(ctx context.Context, address string) (session *linker.Session, owner linker.Owner, err error)
 	// Lease is how long the worker keeps its runs after the agent sent the last
 	// renewal request that the owner has granted.
 	Lease time.Duration
--- a/minder/session.go
+++ b/minder/session.go
@@ -228,10 +228,10 @@
 		session, owner, err := m.Dial(dialCtx, address)
 		cancel()
 		if err != nil {
-			m.Logger.Debug("owner not reached", zap.String("address", address), zap.String("owner", owner), zap.Error(err))
+			m.Logger.Debug("owner not reached", zap.String("address", address), zap.String("owner", owner.Address), zap.Error(err))
 			ownerHint = ""
-			if owner != address {
-				ownerHint = owner
+			if owner.Address != address {
+				ownerHint = owner.Address
 			}
 			_ = clocker.Sleep(ctx, redialDelay)
 			continue
