Minder: leave a session on which the owner grants nothing

Cause: the agent's end took a session that is kept alive for one with the owner. Without a renewal for 2.5 s it read the members topic at once, but closed the session only on a claim that it read after the session was opened. A claim that it had read before, or could not read, changed nothing. Also found: a claim was compared with the epoch of the newest orders from any owner, so an agent that had accepted the successor before kept a later session with the predecessor; and a departure that is reported to such an entry was never reported again.

Change: an agent refuses a session whose owner tells an epoch below that of the newest claim or order that it knows. While a renewal, or the acknowledgement of a departure, is overdue by 2.5 s, it asks the other entries, one every 0.5 s, and replaces the session once another entry accepts one.

Tests: TestAgentLeavesAnEntryThatGrantsNothing and TestDepartureReachesTheOwner fail without the search; without the epochs as well, the former fails in all four rows.

--- a/minder/lease.go
+++ b/minder/lease.go
@@ -164,7 +164,7 @@
 	if m.leaving && !m.departed && showsEnd(err) {
 		m.departed = true
 		m.Logger.Info("worker departed", zap.String("worker", incarnation.ID))
-		m.report(linker.WorkReport{Departed: true})
+		m.reportDeparture()
 	}
 	if m.unreachable || m.departed || failures < maxRenewLeaseFailures {
 		return
--- a/minder/list_test.go
+++ b/minder/list_test.go
@@ -48,7 +48,7 @@
 					o.Incarnation = knownVM(m).Incarnation
 					if c.reconnects > 0 && i == c.reconnects {
 						m.mu.Lock()
-						m.resetSession(nil, m.Now())
+						m.resetSession(dialedSession{dialedAt: m.Now()})
 						m.mu.Unlock()
 					}
 					m.applyOrders(nil, o)
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -87,6 +87,8 @@
 	// departed once it has ended. departureAcked is set once the owner has acknowledged
 	// the report that the worker has departed.
 	leaving, departed, departureAcked bool
+	// departureDue is when the owner should have acknowledged the departure at the latest.
+	departureDue time.Time
 	// epoch is the highest epoch of an owner that has sent orders.
 	epoch int64
 	// ordersComplete is set once the owner has sent the complete list of the runs that
@@ -143,6 +145,12 @@
 	// from seekAt on.
 	session *linker.Session
 	seekAt  time.Time
+	// sessionAddress is the address of the entry at the other end of the session, and sessionEpoch the epoch of its
+	// ownership; 0 until it has sent orders.
+	sessionAddress string
+	sessionEpoch   int64
+	// found is a session with an entry that owns the jobs, which replaces the current one; nil if there is none.
+	found *dialedSession
 	// renewalSequence is the sequence number of the last renewal request.
 	renewalSequence uint64
 	// renewalSentAt holds the send times of the session's last maxRenewals renewal requests, by
@@ -241,6 +249,7 @@
 	group.Go(func() error { return m.followMembers(ctx) })
 	group.Go(func() error { return m.maintainSession(ctx) })
 	group.Go(func() error { return m.renewPeriodically(ctx) })
+	group.Go(func() error { return m.seekOtherOwner(ctx) })
 	err := group.Wait()
 	m.Logger.Info("agent stopped", zap.String("node", m.Node), zap.Error(err))
 	if ctx.Err() != nil && (errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed)) {
--- a/minder/session.go
+++ b/minder/session.go
@@ -17,17 +17,6 @@
 	renewInterval = time.Second
 	// redialDelay is the delay before the agent tries again to reach the owner.
 	redialDelay = 100 * time.Millisecond
-	// membersWait is the maximum wait of a long-polled read of the members topic, and seekWait the
-	// one while the agent seeks the owner: nothing else ends a read whose answer was lost.
-	membersWait = 20 * time.Second
-	seekWait    = time.Second
-	// seekDelay is how long the owner counts as found after its session was closed, silentSeekDelay after a
-	// session has ended since it was silent, and renewalDelay after a granted request for a renewal on a session
-	// that lives. Until then the agent asks the entries that it knows. Most changes of the owner
-	// take less from when it is lost, so that they cause no reads of the store.
-	seekDelay       = 2 * time.Second
-	silentSeekDelay = 750 * time.Millisecond
-	renewalDelay    = 2500 * time.Millisecond
 	// retryDelay is the delay after a failed read of the store.
 	retryDelay = 300 * time.Millisecond
 	// maxRenewals bounds the renewal requests whose send times are kept. A later grant of an
@@ -44,8 +33,8 @@
 	// addresses holds at most maxEntries addresses of known entries, including the
 	// owner's, in the order in which they became known.
 	addresses []string
-	// tries is the number of calls to next.
-	tries int
+	// tries is the number of calls to next, and otherTries that of calls to other.
+	tries, otherTries int
 }
 
 func newDirectory() directory { return directory{} }
@@ -109,30 +98,6 @@
 	return batch, err != nil && readCtx.Err() != nil && ctx.Err() == nil, err
 }
 
-// ownerSought reports whether the agent has to find the owner: it had a session, which has ended a while ago, or
-// on the present one no lease was granted for renewalDelay, though its worker needs one. The caller holds the
-// lock.
-func (m *Minder) ownerSought() bool {
-	found := m.Now().Add(-renewalDelay)
-	switch {
-	case m.vm.Incarnation.IsZero():
-		return false
-	case m.session == nil:
-		return !m.seekAt.After(m.Now())
-	case m.unreachable || m.departed:
-		return false
-	}
-	return !m.dialedAt.After(found) && !m.leaseUntil.After(found.Add(m.Lease))
-}
-
-// seekOwner ends a long read of the members topic if the owner has to be found. The caller holds the
-// lock.
-func (m *Minder) seekOwner() {
-	if m.endLongRead != nil && m.ownerSought() {
-		m.endLongRead()
-	}
-}
-
 // applyMember records the address of an entry or a newer owner. If a newer owner
 // has succeeded the one that the agent has a session with, that session is closed.
 func (m *Minder) applyMember(r plantainrail.KeyedRecord) {
@@ -159,7 +124,7 @@
 		// It may be to an earlier owner that is without power.
 		m.endDial()
 	}
-	if m.session != nil && epoch > m.epoch {
+	if m.session != nil && epoch > m.sessionEpoch {
 		m.Logger.Info("owner changed", zap.String("address", address), zap.Int64("epoch", epoch))
 		m.session.Close()
 	}
@@ -195,6 +160,16 @@
 	return others[(d.tries/2)%len(others)]
 }
 
+// other returns an address other than the given one, each known one in turn, or an empty one if there is none.
+func (d *directory) other(address string) string {
+	others := slices.DeleteFunc(slices.Clone(d.addresses), func(known string) bool { return known == address })
+	if len(others) == 0 {
+		return ""
+	}
+	d.otherTries++
+	return others[d.otherTries%len(others)]
+}
+
 // ownerNext makes the next call of next return the owner's address, if one is known, or another one.
 func (d *directory) ownerNext(owner bool) {
 	if (d.tries%2 == 0) != owner {
@@ -208,6 +183,10 @@
 func (m *Minder) maintainSession(ctx context.Context) error {
 	ownerHint, knownEpoch := "", int64(0)
 	for ctx.Err() == nil {
+		if found := m.takeFound(); found != nil {
+			m.runSession(ctx, *found)
+			continue
+		}
 		m.mu.Lock()
 		address := ownerHint
 		if address == "" || knownEpoch != m.entries.ownerEpoch {
@@ -237,39 +216,63 @@
 			continue
 		}
 		ownerHint = ""
-		m.openSession(session, address, dialedAt)
-		err = session.Run(ctx, m)
-		m.closeSession(session, err)
-		if session.Silent() {
-			// The silence was delay enough.
-			continue
-		}
-		_ = clocker.Sleep(ctx, redialDelay)
+		m.runSession(ctx, dialedSession{session, address, owner.Epoch, dialedAt})
 	}
 	return ctx.Err()
 }
 
+// dialedSession is a session that an entry has accepted.
+type dialedSession struct {
+	session *linker.Session
+	address string
+	// epoch is that of the entry's ownership; 0 if the entry has not told it.
+	epoch int64
+	// dialedAt is when the agent began to open it.
+	dialedAt time.Time
+}
+
+// runSession runs a session until it ends, and returns after the delay before the next one.
+func (m *Minder) runSession(ctx context.Context, dialed dialedSession) {
+	if !m.openSession(dialed) {
+		_ = clocker.Sleep(ctx, redialDelay)
+		return
+	}
+	err := dialed.session.Run(ctx, m)
+	m.closeSession(dialed.session, err)
+	if !dialed.session.Silent() && !m.hasFound() {
+		_ = clocker.Sleep(ctx, redialDelay)
+	}
+}
+
 // openSession makes the session the current one. It reports the unacknowledged run
 // ends and the checkpoints of all runs to the owner and asks for a renewal of the lease.
-// If the worker has departed, it reports only that.
-func (m *Minder) openSession(session *linker.Session, address string, dialedAt time.Time) {
+// If the worker has departed, it reports only that. It closes a session with an owner that was replaced, and returns
+// false: that entry may not know it yet.
+func (m *Minder) openSession(dialed dialedSession) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.resetSession(session, dialedAt)
-	m.Logger.Info("session opened", zap.String("address", address))
+	if dialed.epoch > 0 && m.replaced(dialed.epoch) {
+		m.Logger.Info("session of an earlier owner closed", zap.String("address", dialed.address), zap.Int64("epoch", dialed.epoch))
+		dialed.session.Close()
+		return false
+	}
+	m.resetSession(dialed)
+	m.Logger.Info("session opened", zap.String("address", dialed.address))
 	if m.departed {
-		m.report(linker.WorkReport{Departed: true})
-		return
+		m.reportDeparture()
+		return true
 	}
 	m.reportEnds()
 	m.renew()
 	m.wakePoller()
+	return true
 }
 
 // resetSession makes the session the current one and forgets what belongs to the one before. The caller holds the
 // lock.
-func (m *Minder) resetSession(session *linker.Session, dialedAt time.Time) {
-	m.session, m.dialedAt, m.reported, m.ordersComplete = session, dialedAt, m.acknowledged, false
+func (m *Minder) resetSession(dialed dialedSession) {
+	m.session, m.sessionAddress, m.sessionEpoch, m.dialedAt = dialed.session, dialed.address, dialed.epoch, dialed.dialedAt
+	m.reported, m.ordersComplete = m.acknowledged, false
 	m.reportedStatus, m.listed = nil, nil
 	clear(m.renewalSentAt)
 }
@@ -346,19 +349,22 @@
 
 // applyOrders applies the owner's orders. It ignores orders that arrive on an
 // earlier session, are meant for another incarnation, or come from an owner with a
-// lower epoch than the highest known one. In the last case it also closes the session.
+// lower epoch than the highest known one, of an owner or of a claim. In the last case it also closes the session.
 func (m *Minder) applyOrders(s *linker.Session, o linker.WorkOrders) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if s != m.session || o.Incarnation != m.vm.Incarnation {
+	if s != m.session {
 		return
 	}
-	if o.Epoch < m.epoch {
-		// The orders of an earlier owner are ignored, and its session is closed.
-		m.Logger.Warn("orders of an earlier owner passed over", zap.Int64("epoch", o.Epoch), zap.Int64("known", m.epoch))
+	if m.replaced(o.Epoch) {
+		m.Logger.Warn("orders of an earlier owner passed over", zap.Int64("epoch", o.Epoch), zap.Int64("known", max(m.epoch, m.entries.ownerEpoch)))
 		s.Close()
 		return
 	}
+	m.sessionEpoch = o.Epoch
+	if o.Incarnation != m.vm.Incarnation {
+		return
+	}
 	if o.Epoch > m.epoch {
 		m.epoch = o.Epoch
 		// From now on the owner may rely on it that nobody else renews the lease.
@@ -390,6 +396,10 @@
 	}
 }
 
+// replaced reports whether an owner with the epoch was replaced by a later one, as far as the agent knows from orders
+// and claims. The caller holds the lock.
+func (m *Minder) replaced(epoch int64) bool { return epoch < max(m.epoch, m.entries.ownerEpoch) }
+
 // startUntil returns the time until which the runs of an order may be started; zero if there is no
 // limit. A limit that counts from a request whose send time is not known any more has passed. The
 // caller holds the lock.
