Store the cancellation of a job that is not known, too

Cause: a DELETE wrote nothing if the jobs were read after its arrival and the job was not among them. That proves nothing about a submission that is under way: carried out late by the store, held by another entry, forwarded, relayed, sent twice or repeated by the client.

Change: the cancellation is stored before a DELETE is acknowledged, so that the order in the log decides: it holds for each submission that is stored after it. 410 is still said if no job was stored before the call.

The stand-in of the store carries appends out late (SetLateness). TestCatalogOfAnyReader has cancellations before submissions; it held.

--- a/decider/catalog_model_test.go
+++ b/decider/catalog_model_test.go
@@ -43,8 +43,8 @@
 	return out
 }
 
-// Guards against a job without a reused ID that an entry forgets before its end, or runs again, whatever it
-// has read of the two topics, in whatever order, with lists of the newest records, overlapping reads and
+// Guards against a job without a reused ID that an entry forgets before its end, or runs again, or although it was
+// cancelled before its submission was stored, whatever the entry has read of the two topics, in whatever order, with lists of the newest records, overlapping reads and
 // lost places as replica between.
 func TestCatalogOfAnyReader(t *testing.T) {
 	for seed := range uint64(3000) {
@@ -66,6 +66,16 @@
 		for range 150 {
 			switch i := r.IntN(n); r.IntN(5) {
 			case 0, 1:
+				if phase[i] == 0 && r.IntN(3) == 0 {
+					// A cancellation before the submission, or the end of its time.
+					record := planner.NewCancelRecord(id(i))
+					if cancelled[i] && r.IntN(2) == 0 {
+						record.Value = nil
+					}
+					jobs.add(record.Key, record.Value)
+					cancelled[i] = record.Value != nil
+					break
+				}
 				switch {
 				case phase[i] == 0:
 					jobs.add(submission(i).Key, submission(i).Value)
@@ -84,6 +94,7 @@
 					jobs.add("j/"+id(i), nil)
 					if cancelled[i] {
 						jobs.add("c/"+id(i), nil)
+						cancelled[i] = false
 					}
 				case phase[i] == 4:
 					progress.add(id(i), nil)
@@ -138,6 +149,14 @@
 				}
 			}
 		}
+		lone := 0
+		for j := range n {
+			if phase[j] == 0 && cancelled[j] {
+				lone++
+			}
+		}
+		assert.Equal(t, d.catalog.LoneCancels(), lone, "seed %d", seed)
+		assert.Equal(t, len(d.catalog.CancelDeletions(time.Unix(1_800_000_000, 0), n)), lone, "seed %d", seed)
 		book, unreadable := d.catalog.Book()
 		assert.Equal(t, len(unreadable), 0, "seed %d: %v", seed, unreadable)
 		assert.Equal(t, book.UnknownProgress(), 0, "seed %d", seed)
--- a/decider/forward.go
+++ b/decider/forward.go
@@ -37,9 +37,7 @@
 func (d *Decider) write(ctx context.Context, record plantainrail.KeyedRecord) error {
 	address, ok := d.forwardAddress()
 	if !ok {
-		err := d.writer.append(ctx, record)
-		d.noteFull(err)
-		return err
+		return d.appendRecord(ctx, record)
 	}
 	var tries plantainrail.WriteTries
 	err := d.forward(ctx, address, record)
@@ -48,7 +46,7 @@
 	}
 	tries = tries.With(err)
 	d.Logger.Warn("write not forwarded", zap.String("key", record.Key), zap.String("address", address), zap.Error(err))
-	if err := d.writer.append(ctx, record); err != nil {
+	if err := d.appendRecord(ctx, record); err != nil {
 		return tries.With(err).Err()
 	}
 	return nil
@@ -114,8 +112,7 @@
 		http.Error(w, "the store has no room", http.StatusServiceUnavailable)
 		return
 	}
-	err := d.writer.append(req.Context(), record)
-	d.noteFull(err)
+	err := d.appendRecord(req.Context(), record)
 	switch {
 	case err == nil:
 	case errors.Is(err, plantainrail.ErrRejected):
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -159,29 +159,6 @@
 	return out
 }
 
-// Cancel implements plantainrail.JobService. It writes nothing if the job has ended
-// or its cancellation was requested before. A job counts as nonexistent only if its absence was read
-// after the call arrived: another entry may just have accepted it. If that cannot be read, the
-// cancellation is written all the same, and holds for the job if it exists.
-func (d *Decider) Cancel(ctx context.Context, id string) plantainrail.Reply {
-	arrivedAt := d.Now()
-	job := d.findJob(ctx, jobQuery{ID: id})
-	if job.Result == plantainrail.CallNotFound && !job.AbsenceRead {
-		if job = d.confirmAbsence(ctx, id, arrivedAt); job.Result != plantainrail.CallOK && !job.absent() {
-			job = jobAnswer{Result: plantainrail.CallOK}
-		}
-	}
-	if job.Result != plantainrail.CallOK || job.CancelRequested || job.State.Final() {
-		job.State = ""
-		return job.reply()
-	}
-	reply := replyFor(d.write(ctx, planner.NewCancelRecord(id)))
-	// This event is logged for every result, as in Submit. The field "state" is the job's
-	// state before the write; it is empty if the job is not known.
-	d.Logger.Info("job cancelled", zap.String("job", id), zap.String("state", string(job.State)), zap.Int("answer", int(reply.Result)))
-	return reply
-}
-
 // maxPendingAge bounds the age of the numbers of pending jobs, which an entry gets with
 // each ping of its replica.
 const maxPendingAge = 1500 * time.Millisecond
--- a/decider/retention.go
+++ b/decider/retention.go
@@ -19,6 +19,12 @@
 	// kept. Requests and writes that were sent before its end may arrive that late; without
 	// the job they would make it run again.
 	retentionMargin = 3 * time.Minute
+	// loneCancelTime is how long the cancellation of an unknown job is kept: submissions that were sent before it may be
+	// stored that late.
+	loneCancelTime = retentionMargin
+	// maxLoneCancels bounds the cancellations of unknown jobs that are stored. Their keys and values take 25 bytes each in
+	// the store, and some 400 bytes in the memory of an entry that follows the jobs.
+	maxLoneCancels = 10_000
 	// progressGrace is the time from the deletion of a submission to that of the progress. An
 	// entry of an earlier build, which ignores deletions, reads the lists of both topics well
 	// within it.
@@ -38,7 +44,8 @@
 	return cmp.Or(d.StatusDuration, defaultStatusDuration) + retentionMargin
 }
 
-// deleteJobs deletes the submissions of jobs that have ended long ago, until the context ends.
+// deleteJobs deletes the submissions of jobs that have ended long ago, and old cancellations of unknown jobs, until the
+// context ends.
 //
 // The jobs topic is not fenced. So an append is done only if the topic still ends where this
 // entry has read it: one that is carried out late, or by a replaced owner, cannot delete a later
@@ -49,6 +56,7 @@
 	for clocker.Sleep(ctx, deletionInterval) == nil {
 		d.mu.Lock()
 		records, at := d.catalog.JobDeletions(d.Now().Add(-d.retention()), limit), d.jobs.next
+		records = append(records, d.catalog.CancelDeletions(d.Now().Add(-loneCancelTime), limit)...)
 		d.mu.Unlock()
 		if len(records) == 0 {
 			continue
--- a/planner/catalog.go
+++ b/planner/catalog.go
@@ -22,6 +22,10 @@
 	// acceptedCount is the number of submissions so far; it gives catalogJob.arrival.
 	acceptedCount int64
 	retention     retention
+	// loneCancels holds the cancellations of jobs whose submission is not stored, with the time at which each was
+	// noted; zero until NoteEnds, for those in unnotedCancels.
+	loneCancels    map[string]time.Time
+	unnotedCancels []string
 }
 
 // catalogJob is a job of a Catalog. A cancellation or progress may be known before the
@@ -57,7 +61,9 @@
 func (s progressSummary) ended() bool { return s.State.Final() && len(s.Incarnations) == 0 }
 
 // NewCatalog returns an empty Catalog.
-func NewCatalog() *Catalog { return &Catalog{jobs: map[string]*catalogJob{}} }
+func NewCatalog() *Catalog {
+	return &Catalog{jobs: map[string]*catalogJob{}, loneCancels: map[string]time.Time{}}
+}
 
 // job returns the job with the ID, and creates it if it is unknown.
 func (c *Catalog) job(id string) *catalogJob {
@@ -78,6 +84,7 @@
 			return nil
 		}
 		c.job(id).cancelRequested = true
+		c.updateLoneCancel(id)
 		return nil
 	}
 	id, ok := strings.CutPrefix(r.Key, jobKeyPrefix)
@@ -92,6 +99,7 @@
 		return nil
 	}
 	c.job(id).submitted = true
+	c.updateLoneCancel(id)
 	var submission struct {
 		Queue plantainrail.Queue `cbor:"1,keyasint"`
 	}
--- a/planner/retention.go
+++ b/planner/retention.go
@@ -28,9 +28,10 @@
 	notedAt time.Time
 }
 
-// NoteEnds notes the time as the end of the jobs whose end was applied since the last call. It
-// is not before the true end, so a catalog that has just been read counts from then.
+// NoteEnds notes the time as the end of the jobs whose end was applied since the last call, and as that of the
+// cancellations of unknown jobs. It is not before the true time, so a catalog that has just been read counts from then.
 func (c *Catalog) NoteEnds(now time.Time) {
+	c.noteLoneCancels(now)
 	for _, id := range c.retention.unnoted {
 		j := c.jobs[id]
 		if j == nil || !j.progress.ended() {
@@ -139,6 +140,7 @@
 		j.resetProgress()
 	}
 	c.retention.unnoted = append(c.retention.unnoted, id)
+	c.updateLoneCancel(id)
 	c.dropUnknown(id)
 }
 
@@ -146,6 +148,7 @@
 func (c *Catalog) deleteCancellation(id string) {
 	if j := c.jobs[id]; j != nil {
 		j.cancelRequested = false
+		c.updateLoneCancel(id)
 		c.dropUnknown(id)
 	}
 }
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -41,6 +41,8 @@
 	fault  Fault
 	// calls counts all calls.
 	calls int
+	// lateness draws how late an append is executed; see SetLateness.
+	lateness func(topic string) time.Duration
 	// lossyAppends counts the appends under the fault LosesReplies.
 	lossyAppends int
 	// appendTime is how long a topic takes for an append; see SetAppendTime.
@@ -117,6 +119,27 @@
 	s.fault = f
 }
 
+// SetLateness makes the store ask a function for each append how late it is to be executed. Unless that is 0, the append
+// gets no response, and is executed then if its conditions hold. The function must be safe for concurrent use; nil
+// ends it.
+func (s *Store) SetLateness(lateness func(topic string) time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateness = lateness
+}
+
+// executeLate executes an append after a delay, and returns once its client has given up.
+func (s *Store) executeLate(req *http.Request, delay time.Duration) {
+	raw, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	late := req.Clone(context.WithoutCancel(req.Context()))
+	late.Body = io.NopCloser(bytes.NewReader(raw))
+	time.AfterFunc(delay, func() { s.append(&discardingWriter{header: http.Header{}}, late) })
+	<-req.Context().Done()
+}
+
 // maxAppendBacklog is the backlog of a topic above which appends are rejected.
 const maxAppendBacklog = 2 * time.Second
 
@@ -248,7 +271,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	fault := s.fault
+	fault, lateness := s.fault, s.lateness
 	if fault == LosesReplies && req.URL.Path == "/log-append" {
 		if s.lossyAppends++; s.lossyAppends%2 == 0 {
 			fault = Healthy
@@ -265,6 +288,12 @@
 		<-req.Context().Done()
 		return
 	}
+	if lateness != nil && req.URL.Path == "/log-append" {
+		if delay := lateness(req.URL.Query().Get("topic")); delay > 0 {
+			s.executeLate(req, delay)
+			return
+		}
+	}
 	// A lost reply: the append is executed, and then the connection is aborted.
 	response := w
 	if fault == LosesReplies && req.URL.Path == "/log-append" {
