Give a cancellation to another zone's replica if the first has no answer

Cause: the write is forwarded to the replica of the zone for up to 2 s, then written by the entry itself; both relay through entries of the same zone first, each for a second.

Evidence: the log of a failed run has "jobs not stored" at the replica or the entry 1.1, 2.2 and 3.1 s after the DELETE, the first two times through entries that were cut off as well.

Change: a cancellation without an answer for 0.5 s goes to the next replica as well, and after 1 s the entry writes it itself if it had forwarded it. Further copies are harmless. Submissions are written as before.

--- a/decider/cancel.go
+++ b/decider/cancel.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/plantainrail/plantainrail"
+	"github.com/plantainrail/plantainrail/clocker"
 	"github.com/plantainrail/plantainrail/planner"
 )
 
@@ -27,7 +29,7 @@
 		job.State = ""
 		return job.reply()
 	}
-	reply := replyFor(d.write(ctx, planner.NewCancelRecord(id)))
+	reply := replyFor(d.writeHedged(ctx, planner.NewCancelRecord(id)))
 	d.logCancel(id, job.State, reply)
 	return reply
 }
@@ -37,7 +39,7 @@
 func (d *Decider) cancelUnknown(ctx context.Context, id string, arrivedAt time.Time) plantainrail.Reply {
 	confirmed := make(chan jobAnswer, 1)
 	go func() { confirmed <- d.confirmAbsence(ctx, id, arrivedAt) }()
-	reply := replyFor(d.write(ctx, planner.NewCancelRecord(id)))
+	reply := replyFor(d.writeHedged(ctx, planner.NewCancelRecord(id)))
 	if reply.Result == plantainrail.CallOK && (<-confirmed).absent() {
 		reply.Result = plantainrail.CallNotFound
 	}
@@ -45,6 +47,58 @@
 	return reply
 }
 
+// cancelHedgeDelay is the time without an answer after which a cancellation is written in the next way as well.
+const cancelHedgeDelay = 500 * time.Millisecond
+
+// writeHedged stores a cancellation like write. Once that has no answer for cancelHedgeDelay, it asks another replica as
+// well, and then writes it itself if it has forwarded it: the entry and the replica of its zone may have lost the store without having noticed,
+// and clients wait for the acknowledgement. Further copies of the record are harmless.
+func (d *Decider) writeHedged(ctx context.Context, record plantainrail.KeyedRecord) error {
+	d.mu.Lock()
+	addresses := d.replicaAddresses()
+	d.mu.Unlock()
+	first, forwards := d.forwardAddress()
+	addresses = slices.DeleteFunc(addresses, func(address string) bool { return forwards && address == first })
+	ways := []func() error{func() error { return d.write(ctx, record) }}
+	if len(addresses) > 0 {
+		ways = append(ways, func() error { return d.forwardTo(ctx, addresses[0], record) })
+	}
+	if forwards {
+		ways = append(ways, func() error { return d.appendRecord(ctx, record) })
+	}
+	outcomes := make(chan error, len(ways))
+	begun, pending := 0, 0
+	begin := func() {
+		way := ways[begun]
+		begun, pending = begun+1, pending+1
+		go func() { outcomes <- way() }()
+	}
+	hedge := clocker.NewTicker(cancelHedgeDelay)
+	defer hedge.Stop()
+	var tries plantainrail.WriteTries
+	for begin(); pending > 0; {
+		select {
+		case <-hedge.C:
+			if begun < len(ways) {
+				begin()
+			}
+		case err := <-outcomes:
+			pending--
+			if err == nil || begun == 1 && !maybeDone(err) {
+				return err
+			}
+			tries = tries.With(err)
+			if begun < len(ways) {
+				begin()
+			}
+		}
+	}
+	return tries.Err()
+}
+
+// maybeDone reports whether a write with the error may have taken effect.
+func maybeDone(err error) bool { return plantainrail.WriteTries{}.With(err).MaybeDone() }
+
 // logCancel logs the result of a cancellation. The state is the job's before it, empty if the job is not known, and
 // "answer" the number of the plantainrail.CallResult.
 func (d *Decider) logCancel(id string, state planner.State, reply plantainrail.Reply) {
--- a/decider/forward.go
+++ b/decider/forward.go
@@ -69,7 +69,7 @@
 // plantainrail.ErrRejected and plantainrail.ErrUnacceptable the record may be stored. forward
 // gives up early when the replica stops answering pings.
 func (d *Decider) forward(ctx context.Context, address string, record plantainrail.KeyedRecord) error {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		for clocker.Sleep(ctx, replicaCheckInterval) == nil {
@@ -81,6 +81,13 @@
 			}
 		}
 	}()
+	return d.forwardTo(ctx, address, record)
+}
+
+// forwardTo asks any entry to store a record. Its errors are those of forward.
+func (d *Decider) forwardTo(ctx context.Context, address string, record plantainrail.KeyedRecord) error {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
 	// The body of the response holds only the text of an error.
 	status, text, err := d.post(ctx, address+forwardPath, record)
 	switch {
