Soaker: clients that leave and cancel, late writes, entries that wake

Its clients never cancelled anything and nothing checked UNASKED; the stand-in of the store never carried a write out late; a pause hit one process at a time.

Change: beside each client that submits another one leaves before most answers, cancels the job and repeats some submissions. No task of a cancelled job may begin more than 3 s after the acknowledgement. Two kinds of faults that are played by name: late-writes, and wake.

--- a/soaker/check.go
+++ b/soaker/check.go
@@ -17,8 +17,23 @@
 	RestartTime = 6 * time.Second
 	// AskTime is how long after the last submission all accepted jobs have to be done.
 	AskTime = 14 * time.Second
+	// CancelTime is how long after the acknowledgement of a job's cancellation its tasks may start.
+	CancelTime = 3 * time.Second
 )
 
+// LateStarts describes the runs of cancelled jobs that began later than CancelTime after the acknowledgement, which is given
+// by the job's ID.
+func LateStarts(cancelled map[string]time.Time, runs []runner.Span) []string {
+	var out []string
+	for _, s := range runs {
+		at, ok := cancelled[runner.JobID(s.Task)]
+		if late := s.Start.Sub(at); ok && late > CancelTime {
+			out = append(out, fmt.Sprintf("run %d of %s began %s after the acknowledgement of its cancellation", s.Run, s.Task, late))
+		}
+	}
+	return out
+}
+
 // Job is an accepted job that nobody cancels. Each step depends on the one before.
 type Job struct {
 	ID string
--- a/soaker/check_test.go
+++ b/soaker/check_test.go
@@ -54,3 +54,21 @@
 		})
 	}
 }
+
+func TestStartsAfterACancellation(t *testing.T) {
+	for name, c := range map[string]struct {
+		job   string
+		start float64
+		late  int
+	}{
+		"before the acknowledgement": {"a", 1, 0},
+		"within the bound":           {"a", 12.9, 0},
+		"after the bound":            {"a", 13.1, 1},
+		"of another job":             {"b", 20, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			late := soaker.LateStarts(map[string]time.Time{"a": at(10)}, []runner.Span{run(c.job+".0.0.0", c.start, 30, "done")})
+			assert.Equal(t, len(late), c.late, "%v", late)
+		})
+	}
+}
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -41,6 +41,8 @@
 	{name: "kill-all", draw: killAll},
 	{name: "wave", draw: stopInWaves},
 	{name: "entries-move", draw: moveEntries, byName: true},
+	{name: "wake", draw: wake, byName: true},
+	{name: "late-writes", draw: lateWrites, byName: true},
 }
 
 // kindsNamed returns the kinds with the names, or all usual kinds without a name.
@@ -168,13 +170,62 @@
 
 func pause(f *fleet, r *rand.Rand) plannedFault {
 	p, d := f.anyOf(r, someRole(r)), milliseconds(r, 300, 4500)
-	return plannedFault{fmt.Sprint("pause of ", p.name, " for ", d), func() {
-		p.turn.Lock()
-		defer p.turn.Unlock()
-		// The program may have ended for good.
-		_ = p.command.Process.Signal(syscall.SIGSTOP)
+	return plannedFault{fmt.Sprint("pause of ", p.name, " for ", d), func() { p.pause(d) }}
+}
+
+// wake pauses all entries but one while the store answers late. Shortly before they go on, their sessions are reset, and
+// some agents are paused until after it: the entries accept the next sessions before they read what they have missed.
+func wake(f *fleet, r *rand.Rand) plannedFault {
+	d, by, lead := milliseconds(r, 1200, 3000), milliseconds(r, 50, 300), milliseconds(r, 20, 400)
+	awake := r.IntN(f.Entries)
+	entries := slices.Delete(slices.Clone(f.processes[:f.Entries]), awake, awake+1)
+	var agents []*process
+	var pauses []time.Duration
+	for _, agent := range f.processes[f.Entries:] {
+		if r.IntN(2) == 0 {
+			agents, pauses = append(agents, agent), append(pauses, milliseconds(r, 50, 700))
+		}
+	}
+	ofStore := func(k *fleetLink) bool { return k.kind == "entry-store" }
+	toEntries := func(k *fleetLink) bool { return k.kind == "agent-entry" && slices.Contains(entries, k.to) }
+	return plannedFault{fmt.Sprint("wake of all entries but ", f.processes[awake].name, " after ", d, ", store late by ", by), func() {
+		f.breakLinks(ofStore, func(k *Link) int { k.Delay(by, d+time.Second); return 0 })
+		var group sync.WaitGroup
+		group.Go(func() { f.eachOf(entries, func(_ int, p *process) { p.pause(d) }) })
+		time.Sleep(d - lead)
+		f.breakLinks(toEntries, (*Link).Reset)
+		time.Sleep(lead - lead/4)
+		f.eachOf(agents, func(i int, agent *process) { agent.pause(lead/4 + pauses[i]) })
+		group.Wait()
+	}}
+}
+
+// pause stops a process for a time. It may have ended for good.
+func (p *process) pause(d time.Duration) {
+	p.turn.Lock()
+	defer p.turn.Unlock()
+	_ = p.command.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	_ = p.command.Process.Signal(syscall.SIGCONT)
+}
+
+// lateWrites makes the store carry out a share of the appends one to six seconds late, without an answer.
+func lateWrites(f *fleet, r *rand.Rand) plannedFault {
+	const share, earliest, latest = 0.35, 1000, 6000
+	d, seed := milliseconds(r, 1000, 6000), r.Uint64()
+	return plannedFault{fmt.Sprint("late writes for ", d), func() {
+		var mu sync.Mutex
+		r := rand.New(rand.NewPCG(seed, 0))
+		f.store.SetLateness(func(string) time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			if r.Float64() >= share {
+				return 0
+			}
+			return milliseconds(r, earliest, latest)
+		})
 		time.Sleep(d)
-		_ = p.command.Process.Signal(syscall.SIGCONT)
+		f.store.SetLateness(nil)
 	}}
 }
 
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -76,10 +76,12 @@
 	// stalls holds stretches in which the soak itself stood still.
 	stalls []*playedFault
 	// full holds stretches in which half of the workers' room was in use.
-	full     []Stretch
-	jobs     []Job
-	lastJob  int
-	findings []string
+	full    []Stretch
+	jobs    []Job
+	lastJob int
+	// cancelled holds when the cancellations of jobs were acknowledged, by ID.
+	cancelled map[string]time.Time
+	findings  []string
 	// reported holds the waits that have been reported.
 	reported map[string]bool
 }
@@ -102,7 +104,7 @@
 
 // newFleet starts a fleet.
 func newFleet(ctx context.Context, o Options) (f *fleet, err error) {
-	f = &fleet{Options: o, ctx: ctx, started: time.Now(), store: keeper.New(), reported: map[string]bool{}}
+	f = &fleet{Options: o, ctx: ctx, started: time.Now(), store: keeper.New(), reported: map[string]bool{}, cancelled: map[string]time.Time{}}
 	if err := f.takeBlock(); err != nil {
 		return nil, err
 	}
--- a/soaker/load.go
+++ b/soaker/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -17,8 +18,10 @@
 	submitTime     = 12 * time.Second
 	// retryDelay is the time between two tries.
 	retryDelay = 150 * time.Millisecond
-	// submitInterval is the time between two jobs of a client.
+	// submitInterval is the time between two jobs of a client, and maxPatience the longest time for which a client that
+	// leaves waits.
 	submitInterval = 500 * time.Millisecond
+	maxPatience    = 800 * time.Millisecond
 )
 
 // client keeps its open connections, and uses an entry until it fails.
@@ -36,12 +39,19 @@
 // call makes a call for a job and returns the HTTP status and the body, or status 0. Without a conclusive
 // answer, the next call goes to the next entry.
 func (c *client) call(method, id string, body []byte) (status int, answer []byte) {
+	return c.callWithin(clientDeadline, method, id, body)
+}
+
+// callWithin is call for a client that leaves after the given time.
+func (c *client) callWithin(patience time.Duration, method, id string, body []byte) (status int, answer []byte) {
+	ctx, cancel := context.WithTimeout(c.fleet.ctx, patience)
+	defer cancel()
 	defer func() {
 		if status == 0 || status >= http.StatusInternalServerError {
 			c.entry = (c.entry + 1) % c.fleet.Entries
 		}
 	}()
-	req, err := http.NewRequestWithContext(c.fleet.ctx, method, "http://"+c.fleet.processes[c.entry].frontend()+"/q/"+id, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.fleet.processes[c.entry].frontend()+"/q/"+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
@@ -59,14 +69,19 @@
 	return response.StatusCode, answer
 }
 
+// nextJobID returns an ID that no other job has.
+func (f *fleet) nextJobID() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastJob++
+	return fmt.Sprintf("%016x", f.lastJob)
+}
+
 // submit submits a job until it is accepted, and records it then. The tasks last for the given time,
 // or until they are stopped if it is 0.
 func (c *client) submit(count int, d time.Duration) {
 	f := c.fleet
-	f.mu.Lock()
-	f.lastJob++
-	id := fmt.Sprintf("%016x", f.lastJob)
-	f.mu.Unlock()
+	id := f.nextJobID()
 	step := map[string]any{"count": count, "cpu": 1000, "memMb": 100}
 	spec := ""
 	if d > 0 {
@@ -103,6 +118,42 @@
 	}
 }
 
+// leave submits jobs, leaves before most answers, cancels the jobs and, now and then, submits one once more, until the
+// channel is closed.
+func (c *client) leave(r *rand.Rand, done <-chan struct{}) {
+	body := []byte(`{"spec":"2000","steps":[{"count":1,"cpu":1000,"memMb":100}]}`)
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(submitInterval):
+		}
+		id := c.fleet.nextJobID()
+		c.entry = r.IntN(c.fleet.Entries)
+		c.callWithin(time.Duration(r.Int64N(int64(maxPatience))), http.MethodPost, id, body)
+		time.Sleep(time.Duration(r.Int64N(int64(submitInterval))))
+		c.entry = r.IntN(c.fleet.Entries)
+		c.cancel(id)
+		if r.IntN(4) == 0 {
+			c.callWithin(maxPatience, http.MethodPost, id, body)
+		}
+	}
+}
+
+// cancel cancels a job until that is acknowledged, and records it then.
+func (c *client) cancel(id string) {
+	f := c.fleet
+	for end := time.Now().Add(submitTime); time.Now().Before(end) && f.ctx.Err() == nil; time.Sleep(retryDelay) {
+		if status, _ := c.call(http.MethodDelete, id, nil); status == http.StatusOK || status == http.StatusGone {
+			f.mu.Lock()
+			f.cancelled[id] = time.Now()
+			f.mu.Unlock()
+			return
+		}
+	}
+	f.note("the cancellation of job %s was not acknowledged", id)
+}
+
 // state returns the state of a job as a client sees it, or why it is not known.
 func (c *client) state(id string) string {
 	last := ""
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -29,20 +29,33 @@
 // maxPrinted is the number of findings of a seed that TestSoak prints. All are in the record.
 const maxPrinted = 10
 
-// Guards against tasks that could run and do not (LOST) or run twice (TWICE) in the real processes, while
-// connections break and processes end, freeze, move and start again.
+// Guards against tasks that could run and do not (LOST), run twice (TWICE) or after their cancellation (UNASKED) in the
+// real processes, while connections break and processes end, freeze, move and start again.
 func TestSoak(t *testing.T) {
 	t.Parallel()
+	var kinds []string
+	if *soakKinds != "" {
+		kinds = strings.Split(*soakKinds, ",")
+	}
+	soak(t, kinds)
+}
+
+// Guards against the same with faults that the series of TestSoak do not hold: an entry wakes and accepts sessions before it
+// reads what it has missed, and the store carries out writes late.
+func TestSoakOfWakesAndLateWrites(t *testing.T) {
+	t.Parallel()
+	soak(t, []string{"wake", "late-writes", "pause", "restart"})
+}
+
+// soak plays the series of the flags with the kinds of faults; without a kind, all usual ones.
+func soak(t *testing.T, kinds []string) {
+	t.Helper()
 	program := *soakProgram
 	if program == "" {
 		program = filepath.Join(t.TempDir(), "plantainrail")
 		output, err := exec.Command("go", "build", "-o", program, "../cmd/plantainrail").CombinedOutput()
 		assert.NilError(t, err, "%s", output)
 	}
-	var kinds []string
-	if *soakKinds != "" {
-		kinds = strings.Split(*soakKinds, ",")
-	}
 	for seed := *soakSeed; seed < *soakSeed+*soakSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			// The folder is kept if a rule is broken.
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -57,6 +57,8 @@
 	for i := range max(3, o.Entries) {
 		c, r := f.newClient(i), rand.New(rand.NewPCG(o.Seed, uint64(i)+1))
 		clients.Go(func() { c.load(r, done) })
+		leaving := rand.New(rand.NewPCG(o.Seed, uint64(i)+1000))
+		clients.Go(func() { f.newClient(i).leave(leaving, done) })
 	}
 	time.Sleep(time.Second)
 	second := time.AfterFunc(startTime, func() { f.newClient(1).submit(2, 0) })
@@ -144,7 +146,7 @@
 }
 
 // checkEnd checks that all accepted jobs are done, as the workers and the entries tell, and that nothing ran
-// twice or beyond a worker's capacity.
+// twice, after its cancellation, or beyond a worker's capacity.
 func (f *fleet) checkEnd() {
 	done := map[string]bool{}
 	for _, s := range slices.Concat(f.histories()...) {
@@ -167,6 +169,12 @@
 	for _, v := range runner.Violations(f.histories()...) {
 		f.find("TWICE %s", v)
 	}
+	f.mu.Lock()
+	late := LateStarts(f.cancelled, slices.Concat(f.histories()...))
+	f.mu.Unlock()
+	for _, v := range late {
+		f.find("UNASKED %s", v)
+	}
 	for _, w := range f.workers() {
 		for _, v := range w.Overloads() {
 			f.find("LIMIT %s", v)
