--- a/decider/cancel.go
+++ b/decider/cancel.go
@@ -51,8 +51,8 @@
 const cancelHedgeDelay = 500 * time.Millisecond
 
 // writeHedged stores a cancellation like write. Once that has no answer for cancelHedgeDelay, it asks another replica as
-// well, and then writes it itself if it has forwarded it: the entry and the replica of its zone may have lost the store without having noticed,
-// and clients wait for the acknowledgement. Further copies of the record are harmless.
+// well, and after as long again it writes the record itself if it had forwarded it. The entry and the replica of its zone
+// may have lost the store without having noticed. Further copies of the record are harmless.
 func (d *Decider) writeHedged(ctx context.Context, record plantainrail.KeyedRecord) error {
 	d.mu.Lock()
 	addresses := d.replicaAddresses()
--- a/decider/retention.go
+++ b/decider/retention.go
@@ -22,8 +22,8 @@
 	// loneCancelTime is how long the cancellation of an unknown job is kept: submissions that were sent before it may be
 	// stored that late.
 	loneCancelTime = retentionMargin
-	// maxLoneCancels bounds the cancellations of unknown jobs that are stored. Their keys and values take 25 bytes each in
-	// the store, and some 400 bytes in the memory of an entry that follows the jobs.
+	// maxLoneCancels bounds the cancellations of unknown jobs that are stored. Each takes 24 bytes in the store, and some
+	// 400 bytes in the memory of an entry that follows the jobs.
 	maxLoneCancels = 10_000
 	// progressGrace is the time from the deletion of a submission to that of the progress. An
 	// entry of an earlier build, which ignores deletions, reads the lists of both topics well
--- a/minder/minder.go
+++ b/minder/minder.go
@@ -146,7 +146,7 @@
 	session *linker.Session
 	seekAt  time.Time
 	// sessionAddress is the address of the entry at the other end of the session, and sessionEpoch the epoch of its
-	// ownership; 0 until it has sent orders.
+	// ownership; 0 if it has told neither that nor any orders yet.
 	sessionAddress string
 	sessionEpoch   int64
 	// found is a session with an entry that owns the jobs, which replaces the current one; nil if there is none.
